--- /dev/null
+++ b/.dependency-cruiser.cjs
@@ -0,0 +1,46 @@
+/** Rules on who may import whom. */
+module.exports = {
+  forbidden: [
+    {
+      name: 'no-circular',
+      severity: 'error',
+      from: {},
+      to: {circular: true},
+    },
+    {
+      name: 'decisions-have-no-io',
+      comment: 'Decisions take knowledge and a clock; they open no sockets.',
+      severity: 'error',
+      from: {
+        path: '^src/(admission|routing|random|time|errors|generation|journal|membership)/',
+      },
+      to: {
+        path: '(^|/)(got|express|node:net|node:http|net|http|fs|node:fs)($|/)',
+      },
+    },
+    {
+      name: 'product-without-fakes',
+      comment: 'Fakes and trials are for tests; the product does not use them.',
+      severity: 'error',
+      from: {path: '^src/', pathNot: '^src/(bin|fakes|trial|measure|prove)/'},
+      to: {path: '^src/(fakes|trial|measure|prove)/'},
+    },
+    {
+      name: 'folders-through-their-index',
+      comment: 'A folder is used through the public face its index.ts names.',
+      severity: 'error',
+      from: {path: '^src/([^/]+)/'},
+      to: {path: '^src/([^/]+)/(?!index\\.ts$)', pathNot: '^src/$1/'},
+    },
+  ],
+  options: {
+    doNotFollow: {path: 'node_modules'},
+    tsPreCompilationDeps: true,
+    tsConfig: {fileName: 'tsconfig.json'},
+    enhancedResolveOptions: {
+      extensions: ['.ts', '.js'],
+      exportsFields: ['exports'],
+      conditionNames: ['import'],
+    },
+  },
+};
--- /dev/null
+++ b/src/backend/http_model_engine.ts
@@ -0,0 +1,171 @@
+import {got} from 'got';
+import {Result} from 'true-myth';
+import {HttpRequest, sendJson, toHttpFailure} from '../platform/index.js';
+import {readEventStream} from './event_stream.js';
+import {
+  CacheEvent,
+  CacheExport,
+  EngineOrder,
+  GenerationFormat,
+  GenerationOrder,
+  LoadReport,
+  ModelEngine,
+  Token,
+} from './model_engine.js';
+import {Reach, ServerFailure} from './server_failure.js';
+
+const CONTROL_TIMEOUT_MS = 2000;
+const CONNECT_TIMEOUT_MS = 1000;
+const STREAM_END = '[DONE]';
+
+/** Chunk of a streamed completion, with the engine's own extra members. */
+interface CompletionChunk {
+  readonly request_id?: string;
+  readonly position?: number;
+  readonly choices?: readonly [
+    {
+      readonly text?: string;
+      readonly delta?: {readonly content?: string};
+      readonly finish_reason?: string | null;
+    },
+  ];
+}
+
+/** A model engine that speaks the completions protocol over HTTP. */
+export class HttpModelEngine implements ModelEngine {
+  /**
+   * @param url - Base URL of the server.
+   * @param silenceMs - Longest silence on a token stream, in milliseconds.
+   */
+  constructor(
+    private readonly url: string,
+    private readonly silenceMs: number,
+  ) {}
+
+  async *generate(
+    order: GenerationOrder,
+    signal: AbortSignal,
+  ): AsyncGenerator<Token> {
+    const stream = got.stream.post(this.getGenerationUrl(order.format), {
+      json: {
+        ...order.body,
+        stream: true,
+        request_id: order.requestId,
+        continuation: order.continuation,
+        priority: order.urgency,
+      },
+      retry: {limit: 0},
+      timeout: {
+        connect: CONNECT_TIMEOUT_MS,
+        socket: this.silenceMs,
+      },
+    });
+    const abort = () => stream.destroy();
+    signal.addEventListener('abort', abort, {once: true});
+    try {
+      yield* readTokens(stream, order.continuation.length);
+    } catch (error) {
+      if (error instanceof ServerFailure) {
+        throw error;
+      }
+      const failure = toHttpFailure(error);
+      const reach = failure.unreached ? Reach.NOT_SENT : Reach.SENT;
+      throw new ServerFailure(reach, failure.detail);
+    } finally {
+      signal.removeEventListener('abort', abort);
+      stream.destroy();
+    }
+  }
+
+  getLoad(): Promise<Result<LoadReport, ServerFailure>> {
+    return this.control({method: 'GET', url: `${this.url}/load`});
+  }
+
+  listCacheEvents(
+    after: number,
+  ): Promise<Result<readonly CacheEvent[], ServerFailure>> {
+    const url = `${this.url}/cache-events?after=${after}`;
+    return this.control({method: 'GET', url});
+  }
+
+  exportCache(requestId: string): Promise<Result<CacheExport, ServerFailure>> {
+    return this.control({
+      method: 'POST',
+      url: `${this.url}/kv/export`,
+      json: {request_id: requestId},
+    });
+  }
+
+  importCache(cache: CacheExport): Promise<Result<void, ServerFailure>> {
+    return this.control({
+      method: 'POST',
+      url: `${this.url}/kv/import`,
+      json: cache,
+    });
+  }
+
+  give(order: EngineOrder): Promise<Result<void, ServerFailure>> {
+    return this.control({
+      method: 'POST',
+      url: `${this.url}/orders`,
+      json: order,
+    });
+  }
+
+  private getGenerationUrl(format: GenerationFormat): string {
+    return format === GenerationFormat.CHAT
+      ? `${this.url}/v1/chat/completions`
+      : `${this.url}/v1/completions`;
+  }
+
+  private async control<T>(
+    request: Omit<HttpRequest, 'timeoutMs'>,
+  ): Promise<Result<T, ServerFailure>> {
+    const answer = await sendJson({...request, timeoutMs: CONTROL_TIMEOUT_MS});
+    if (answer.isErr) {
+      const reach = answer.error.unreached ? Reach.NOT_SENT : Reach.SENT;
+      return Result.err(new ServerFailure(reach, answer.error.detail));
+    }
+    if (answer.value.status >= 300) {
+      const detail = `status ${answer.value.status} from ${request.url}`;
+      return Result.err(new ServerFailure(Reach.SENT, detail));
+    }
+    return Result.ok(answer.value.body as T);
+  }
+}
+
+async function* readTokens(
+  stream: AsyncIterable<Uint8Array>,
+  firstPosition: number,
+): AsyncGenerator<Token> {
+  let position = firstPosition;
+  for await (const data of readEventStream(stream)) {
+    if (data === STREAM_END) {
+      return;
+    }
+    const token = readToken(data, position);
+    position = token.position + 1;
+    yield token;
+  }
+  throw new ServerFailure(Reach.SENT, 'the stream ended before its end mark');
+}
+
+function readToken(data: string, position: number): Token {
+  let chunk: CompletionChunk;
+  try {
+    chunk = JSON.parse(data) as CompletionChunk;
+  } catch {
+    throw new ServerFailure(Reach.SENT, 'a chunk of the stream is not JSON');
+  }
+  const choice = chunk.choices?.[0];
+  if (choice === undefined) {
+    throw new ServerFailure(Reach.SENT, 'a chunk of the stream has no choice');
+  }
+  const finishReason = choice.finish_reason ?? undefined;
+  return {
+    requestId: chunk.request_id ?? '',
+    position: chunk.position ?? position,
+    text: choice.text ?? choice.delta?.content ?? '',
+    ...(finishReason === undefined ? {} : {finishReason}),
+  };
+}
--- /dev/null
+++ b/src/backend/http_plain_service.ts
@@ -0,0 +1,106 @@
+import {Agent} from 'node:http';
+import {got, TimeoutError} from 'got';
+import {Result} from 'true-myth';
+import {toHttpFailure} from '../platform/index.js';
+import {PlainService, ServiceAnswer, ServiceCall} from './plain_service.js';
+import {Reach, ServerFailure} from './server_failure.js';
+
+const CONNECT_TIMEOUT_MS = 1000;
+const OUTCOME_TIMEOUT_MS = 2000;
+const REQUEST_ID_HEADER = 'x-request-id';
+
+/** A plain service reached over HTTP. */
+export class HttpPlainService implements PlainService {
+  // A reused connection may have been closed by the other side, and then
+  // nobody can tell whether the call was read: each call gets a fresh one.
+  private readonly agent = new Agent({keepAlive: false});
+
+  /** @param url - Base URL of the service. */
+  constructor(private readonly url: string) {}
+
+  async send(
+    call: ServiceCall,
+    timeoutMs: number,
+  ): Promise<Result<ServiceAnswer, ServerFailure>> {
+    try {
+      const response = await got(this.url + call.path, {
+        method: call.method as 'GET' | 'POST',
+        headers: getHeaders(call),
+        ...(call.body.length === 0 ? {} : {body: Buffer.from(call.body)}),
+        agent: {http: this.agent},
+        responseType: 'buffer',
+        retry: {limit: 0},
+        throwHttpErrors: false,
+        followRedirect: false,
+        timeout: {
+          connect: Math.min(CONNECT_TIMEOUT_MS, timeoutMs),
+          request: timeoutMs,
+        },
+      });
+      const echoed = response.headers[REQUEST_ID_HEADER];
+      if (echoed !== undefined && echoed !== call.requestId) {
+        return Result.err(
+          new ServerFailure(
+            Reach.SENT,
+            'the answer belongs to another request',
+          ),
+        );
+      }
+      return Result.ok({
+        requestId: call.requestId,
+        status: response.statusCode,
+        contentType:
+          response.headers['content-type'] ?? 'application/octet-stream',
+        body: response.rawBody,
+      });
+    } catch (error) {
+      return Result.err(toServerFailure(error));
+    }
+  }
+
+  async getOutcome(
+    key: string,
+  ): Promise<Result<ServiceAnswer | undefined, ServerFailure>> {
+    const answer = await this.send(
+      {
+        requestId: `outcome-${key}`,
+        method: 'GET',
+        path: `/outcomes/${encodeURIComponent(key)}`,
+        contentType: '',
+        body: new Uint8Array(),
+      },
+      OUTCOME_TIMEOUT_MS,
+    );
+    return answer.andThen(found =>
+      found.status === 404
+        ? Result.ok<ServiceAnswer | undefined, ServerFailure>(undefined)
+        : found.status === 200
+          ? Result.ok<ServiceAnswer | undefined, ServerFailure>(found)
+          : Result.err<ServiceAnswer | undefined, ServerFailure>(
+              new ServerFailure(Reach.SENT, `status ${found.status}`),
+            ),
+    );
+  }
+}
+
+function getHeaders(call: ServiceCall): Record<string, string> {
+  const headers: Record<string, string> = {[REQUEST_ID_HEADER]: call.requestId};
+  if (call.contentType !== '') {
+    headers['content-type'] = call.contentType;
+  }
+  if (call.key !== undefined) {
+    headers['idempotency-key'] = call.key;
+  }
+  return headers;
+}
+
+function toServerFailure(error: unknown): ServerFailure {
+  const failure = toHttpFailure(error);
+  const neverConnected =
+    error instanceof TimeoutError && error.event === 'connect';
+  const notSent = failure.unreached || neverConnected;
+  return new ServerFailure(
+    notSent ? Reach.NOT_SENT : Reach.SENT,
+    failure.detail,
+  );
+}
--- /dev/null
+++ b/src/bin/sedgefalld.ts
@@ -0,0 +1,131 @@
+#!/usr/bin/env node
+/** Program: the daemon of an entry host. */
+import 'reflect-metadata/lite';
+import {readFile} from 'node:fs/promises';
+import {cac} from 'cac';
+import {HttpModelEngine, HttpPlainService} from '../backend/index.js';
+import {
+  CLIENTS,
+  CLOCK,
+  createContainer,
+  createSelf,
+  Daemon,
+  HOST_LIST,
+  LOG,
+  RANDOM,
+  SELF,
+  SETTINGS,
+  TABLE,
+} from '../daemon/index.js';
+import {ConsolaLog} from '../log/index.js';
+import {HttpHostList, HttpTableService} from '../platform/index.js';
+import {SystemRandom} from '../random/index.js';
+import {
+  formatExampleSettings,
+  parseSettings,
+  Settings,
+} from '../settings/index.js';
+import {SystemClock} from '../time/index.js';
+
+const EXIT_SETTINGS = 2;
+const EXIT_START = 3;
+
+/** Options of the program, as the command line gives them. */
+interface Options {
+  readonly settings?: string;
+  readonly checkSettings?: boolean;
+  readonly exampleSettings?: boolean;
+}
+
+const cli = cac('sedgefalld');
+cli
+  .command('', 'Run an entry host')
+  .option('--settings <file>', 'Settings file (TOML)')
+  .option('--check-settings', 'Check the settings file and exit')
+  .option('--example-settings', 'Print an example settings file and exit')
+  .action(run);
+cli.help();
+cli.parse();
+
+async function run(options: Options): Promise<void> {
+  if (options.exampleSettings === true) {
+    process.stdout.write(formatExampleSettings());
+    return;
+  }
+  const settings = await readSettings(options.settings);
+  if (options.checkSettings === true) {
+    process.stdout.write(`${options.settings}: valid\n`);
+    return;
+  }
+  await runDaemon(settings);
+}
+
+async function readSettings(file: string | undefined): Promise<Settings> {
+  if (file === undefined) {
+    return exitWith(EXIT_SETTINGS, ['give --settings FILE; see --help']);
+  }
+  let text: string;
+  try {
+    text = await readFile(file, 'utf8');
+  } catch {
+    return exitWith(EXIT_SETTINGS, [
+      `${file}: cannot be read; check the path and its permissions`,
+    ]);
+  }
+  const parsed = parseSettings(text);
+  return parsed.isOk
+    ? parsed.value
+    : exitWith(
+        EXIT_SETTINGS,
+        parsed.error.map(mistake => `${file}: ${mistake}`),
+      );
+}
+
+function exitWith(code: number, lines: readonly string[]): never {
+  for (const line of lines) {
+    process.stderr.write(`sedgefalld: ${line}\n`);
+  }
+  process.exit(code);
+}
+
+async function runDaemon(settings: Settings): Promise<void> {
+  const clock = new SystemClock();
+  const self = createSelf(settings, clock.now());
+  const log = new ConsolaLog(clock, {host: self.host});
+  const {platform, engines} = settings;
+  const container = createContainer();
+  container.bind(CLOCK).toConstantValue(clock);
+  container.bind(LOG).toConstantValue(log);
+  container.bind(RANDOM).toConstantValue(new SystemRandom());
+  container.bind(SETTINGS).toConstantValue(settings);
+  container.bind(SELF).toConstantValue(self);
+  container
+    .bind(TABLE)
+    .toConstantValue(
+      new HttpTableService(platform.table_url, platform.timeout_ms),
+    );
+  container
+    .bind(HOST_LIST)
+    .toConstantValue(new HttpHostList(platform.hosts_url, platform.timeout_ms));
+  container.bind(CLIENTS).toConstantValue({
+    createEngine: server =>
+      new HttpModelEngine(
+        `http://${server.address}`,
+        engines.first_token_silence_ms,
+      ),
+    createService: server => new HttpPlainService(`http://${server.address}`),
+  });
+  const daemon = container.get(Daemon);
+  try {
+    await daemon.start();
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : String(error);
+    exitWith(EXIT_START, [
+      `cannot start: ${detail}; check the three addresses in the settings`,
+    ]);
+  }
+  process.on('SIGTERM', () => void daemon.stop(settings.drain.grace_ms));
+  process.on('SIGINT', () => void daemon.stop(settings.drain.grace_ms));
+  await daemon.waitForStop();
+  process.exit(0);
+}
--- /dev/null
+++ b/src/caller/completion_format.ts
@@ -0,0 +1,100 @@
+import {GenerationFormat} from '../backend/index.js';
+import {Generation, GenerationEvent} from '../generation/index.js';
+
+const MS_PER_SECOND = 1000;
+
+/** Members that stand on every chunk and answer of one generation. */
+export interface CompletionHead {
+  readonly id: string;
+  readonly created: number;
+  /** Deployment, as the caller named it. */
+  readonly model: string;
+  readonly format: GenerationFormat;
+}
+
+/** Makes the head of a generation's answer. */
+export function createHead(
+  generation: Generation,
+  model: string,
+  now: Date,
+): CompletionHead {
+  return {
+    id: generation.request.id,
+    created: Math.floor(now.getTime() / MS_PER_SECOND),
+    model,
+    format: generation.request.format,
+  };
+}
+
+/** Writes a token as a chunk of a streamed completion. */
+export function toTokenChunk(head: CompletionHead, text: string): unknown {
+  const choice =
+    head.format === GenerationFormat.CHAT
+      ? {
+          index: 0,
+          delta: {role: 'assistant', content: text},
+          finish_reason: null,
+        }
+      : {index: 0, text, logprobs: null, finish_reason: null};
+  return createChunk(head, choice);
+}
+
+/** Writes the end of a generation as a chunk. */
+export function toFinishChunk(head: CompletionHead, reason: string): unknown {
+  const choice =
+    head.format === GenerationFormat.CHAT
+      ? {index: 0, delta: {}, finish_reason: reason}
+      : {index: 0, text: '', logprobs: null, finish_reason: reason};
+  return createChunk(head, choice);
+}
+
+/** Writes a whole answer, for callers that do not stream. */
+export function toCompletion(
+  head: CompletionHead,
+  texts: readonly string[],
+  reason: string,
+  promptTokens: number,
+): unknown {
+  const text = texts.join('');
+  const chat = head.format === GenerationFormat.CHAT;
+  return {
+    id: head.id,
+    object: chat ? 'chat.completion' : 'text_completion',
+    created: head.created,
+    model: head.model,
+    choices: [
+      chat
+        ? {
+            index: 0,
+            message: {role: 'assistant', content: text, refusal: null},
+            logprobs: null,
+            finish_reason: reason,
+          }
+        : {index: 0, text, logprobs: null, finish_reason: reason},
+    ],
+    usage: {
+      prompt_tokens: promptTokens,
+      completion_tokens: texts.length,
+      total_tokens: promptTokens + texts.length,
+    },
+  };
+}
+
+/** Position of an event in its stream, which a caller resumes after. */
+export function getEventPosition(
+  event: GenerationEvent,
+  previous: number,
+): number {
+  return event.kind === 'token' ? event.position : previous;
+}
+
+function createChunk(head: CompletionHead, choice: unknown): unknown {
+  const chat = head.format === GenerationFormat.CHAT;
+  return {
+    id: head.id,
+    object: chat ? 'chat.completion.chunk' : 'text_completion',
+    created: head.created,
+    model: head.model,
+    choices: [choice],
+  };
+}
--- /dev/null
+++ b/src/caller/generation_handler.ts
@@ -0,0 +1,249 @@
+import {z} from 'zod';
+import {decideAdmission, UsageCounter} from '../admission/index.js';
+import {
+  estimateTokens,
+  GenerationFormat,
+  getPromptText,
+} from '../backend/index.js';
+import {Deployment} from '../configuration/index.js';
+import {Problem, problems, Refusal} from '../errors/index.js';
+import {
+  Generation,
+  GenerationRequest,
+  GenerationRunner,
+  GenerationStore,
+} from '../generation/index.js';
+import {Random} from '../random/index.js';
+import {
+  CallerContext,
+  CallerRequest,
+  findDeployment,
+  isProblem,
+} from './caller_context.js';
+import {createHead, toCompletion} from './completion_format.js';
+import {readTimeoutMs, readUrgency} from './request_headers.js';
+import {REQUEST_ID_HEADER, sendProblem} from './send_problem.js';
+import {streamGeneration} from './stream_generation.js';
+
+/** What the handler works with besides the common context. */
+export interface GenerationHandlerOptions {
+  readonly runner: GenerationRunner;
+  readonly store: GenerationStore;
+  readonly usage: UsageCounter;
+  readonly random: Random;
+  /** Returns how many generations the servers of a deployment can decode. */
+  readonly getCapacity: (deployment: string) => number;
+}
+
+const MAX_TOKENS = 1_000_000;
+
+const bodySchema = z.looseObject({
+  model: z.string().min(1),
+  stream: z.boolean().nullish(),
+  n: z.literal(1, 'only 1 is served').nullish(),
+  max_tokens: z.number().int().min(1).max(MAX_TOKENS).nullish(),
+  max_completion_tokens: z.number().int().min(1).max(MAX_TOKENS).nullish(),
+});
+
+const chatSchema = bodySchema.extend({
+  messages: z
+    .array(z.looseObject({role: z.string(), content: z.unknown()}))
+    .min(1),
+});
+
+const textSchema = bodySchema.extend({prompt: z.string()});
+
+/** Body of a completion request, as far as this system reads it. */
+type CompletionBody = z.output<typeof bodySchema>;
+
+/** Serves chat and text completions. */
+export class GenerationHandler {
+  constructor(
+    private readonly context: CallerContext,
+    private readonly options: GenerationHandlerOptions,
+  ) {}
+
+  /**
+   * Serves one request.
+   * @param caller - The request.
+   * @param format - Wire format of body and answer.
+   * @throws Refusal - When it is not taken in.
+   */
+  async handle(caller: CallerRequest, format: GenerationFormat): Promise<void> {
+    const body = parseBody(caller.request.body as Buffer, format);
+    const [name = '', adapter = ''] = body.model.split(':');
+    const deployment = findDeployment(caller, name, 'model');
+    if (isProblem(deployment)) {
+      throw new Refusal(deployment);
+    }
+    const request = this.createRequest(
+      caller,
+      deployment,
+      adapter,
+      body,
+      format,
+    );
+    const generation = new Generation(
+      request,
+      [],
+      this.context.clock.monotonicMs(),
+    );
+    this.admit(caller, deployment, generation);
+    const release = this.options.usage.add(caller.customer.name);
+    const stop = this.options.store.add(generation);
+    void this.options.runner.run(generation, stop.signal).finally(release);
+    const answer = {caller, generation, model: body.model};
+    const problem =
+      body.stream === true
+        ? await this.sendStream(answer)
+        : await this.sendWhole(answer);
+    this.count(deployment, problem);
+  }
+
+  private createRequest(
+    caller: CallerRequest,
+    deployment: Deployment,
+    adapter: string,
+    body: CompletionBody,
+    format: GenerationFormat,
+  ): GenerationRequest {
+    const {limits, clock} = this.context;
+    const timeout = readTimeoutMs(
+      caller.request,
+      limits.generationTimeoutMs,
+      limits.maxTimeoutMs,
+    );
+    const urgency = readUrgency(caller.request, deployment, caller.customer);
+    if (timeout.isErr) {
+      throw new Refusal(timeout.error);
+    }
+    if (urgency.isErr) {
+      throw new Refusal(urgency.error);
+    }
+    return {
+      id: this.context.mintId(),
+      customer: caller.customer.name,
+      deployment: deployment.name,
+      adapter,
+      format,
+      body,
+      urgency: urgency.value,
+      deadlineMs: clock.monotonicMs() + timeout.value,
+    };
+  }
+
+  private admit(
+    caller: CallerRequest,
+    deployment: Deployment,
+    generation: Generation,
+  ): void {
+    if (this.context.isRefusing()) {
+      throw new Refusal(problems.hostDraining());
+    }
+    const {chosen} = this.options.runner.choose(generation, new Set());
+    if (chosen === undefined) {
+      throw new Refusal(problems.noServer(deployment.name));
+    }
+    const refusal = decideAdmission(
+      {
+        customer: caller.customer.name,
+        customers: caller.view.customers,
+        usage: this.options.usage.listAll(),
+        capacity: this.options.getCapacity(deployment.name),
+        firstTokenMs: chosen.firstTokenMs,
+        targetMs: deployment.latencyTarget.firstTokenMs,
+        remainingMs:
+          generation.request.deadlineMs - this.context.clock.monotonicMs(),
+        urgency: generation.request.urgency,
+      },
+      this.options.random,
+    );
+    if (refusal !== undefined) {
+      this.context.log.info('refused', {
+        request: generation.request.id,
+        customer: caller.customer.name,
+        deployment: deployment.name,
+        reason: refusal.kind,
+        predicted_ms: Math.round(chosen.firstTokenMs),
+        retry_after_s: refusal.retryAfterSeconds,
+      });
+      throw new Refusal(refusal);
+    }
+  }
+
+  private sendStream(answer: GenerationAnswer): Promise<Problem | undefined> {
+    const {caller, generation, model} = answer;
+    const {clock} = this.context;
+    const gone = new AbortController();
+    caller.response.on('close', () => gone.abort());
+    return streamGeneration(
+      caller.response,
+      createHead(generation, model, clock.now()),
+      generation.read(0, gone.signal, () => clock.monotonicMs()),
+    );
+  }
+
+  private async sendWhole(
+    answer: GenerationAnswer,
+  ): Promise<Problem | undefined> {
+    const {caller, generation, model} = answer;
+    const {clock} = this.context;
+    const gone = new AbortController();
+    caller.response.on('close', () => gone.abort());
+    const head = createHead(generation, model, clock.now());
+    const events = generation.read(0, gone.signal, () => clock.monotonicMs());
+    for await (const event of events) {
+      if (event.kind === 'failed') {
+        sendProblem(caller.response, event.problem, head.id);
+        return event.problem;
+      }
+      if (event.kind === 'finished') {
+        const prompt = getPromptText(generation.request.body);
+        caller.response
+          .setHeader(REQUEST_ID_HEADER, head.id)
+          .json(
+            toCompletion(
+              head,
+              generation.getTexts(),
+              event.reason,
+              estimateTokens(prompt),
+            ),
+          );
+      }
+    }
+    return undefined;
+  }
+
+  private count(deployment: Deployment, problem: Problem | undefined): void {
+    this.context.metrics.increment('generations_total', {
+      deployment: deployment.name,
+      outcome: problem === undefined ? 'answered' : problem.kind,
+    });
+  }
+}
+
+/** A generation and where its answer goes. */
+interface GenerationAnswer {
+  readonly caller: CallerRequest;
+  readonly generation: Generation;
+  /** Model as the caller named it. */
+  readonly model: string;
+}
+
+function parseBody(raw: Buffer, format: GenerationFormat): CompletionBody {
+  let document: unknown;
+  try {
+    document = JSON.parse(raw.toString('utf8'));
+  } catch {
+    throw new Refusal(problems.bodyInvalid('it is not JSON'));
+  }
+  const schema = format === GenerationFormat.CHAT ? chatSchema : textSchema;
+  const parsed = schema.safeParse(document);
+  if (!parsed.success) {
+    const mistakes = parsed.error.issues.map(
+      issue => `${issue.path.join('.') || 'body'}: ${issue.message}`,
+    );
+    throw new Refusal(problems.bodyInvalid(mistakes.join('; ')));
+  }
+  return parsed.data;
+}
--- /dev/null
+++ b/src/caller/index.ts
@@ -0,0 +1,13 @@
+/** The interface for callers: completions, service calls, asking again. */
+export {getKeyHash, hashKey} from './authentication.js';
+export {CallerApi} from './caller_api.js';
+export type {CallerContext, CallerLimits} from './caller_context.js';
+export {GenerationHandler} from './generation_handler.js';
+export type {GenerationHandlerOptions} from './generation_handler.js';
+export {RequestHandler} from './request_handler.js';
+export type {
+  RemoteGeneration,
+  RequestHandlerOptions,
+} from './request_handler.js';
+export {sendProblem} from './send_problem.js';
+export {ServiceHandler} from './service_handler.js';
--- /dev/null
+++ b/src/caller/send_problem.ts
@@ -0,0 +1,31 @@
+import {Response} from 'express';
+import {Problem, toProblemDocument} from '../errors/index.js';
+
+/** Header that carries the id of a request. */
+export const REQUEST_ID_HEADER = 'Sedgefall-Request-Id';
+
+/**
+ * Answers with a problem document.
+ * @param response - Response to answer on.
+ * @param problem - The problem.
+ * @param requestId - Id of the request, if it got one.
+ */
+export function sendProblem(
+  response: Response,
+  problem: Problem,
+  requestId?: string,
+): void {
+  if (problem.retryAfterSeconds !== undefined) {
+    response.setHeader('Retry-After', String(problem.retryAfterSeconds));
+  }
+  if (problem.status === 401) {
+    response.setHeader('WWW-Authenticate', 'Bearer');
+  }
+  if (requestId !== undefined) {
+    response.setHeader(REQUEST_ID_HEADER, requestId);
+  }
+  response
+    .status(problem.status)
+    .type('application/problem+json')
+    .send(JSON.stringify(toProblemDocument(problem, requestId)));
+}
--- /dev/null
+++ b/src/caller/service_handler.ts
@@ -0,0 +1,237 @@
+import {createHash} from 'node:crypto';
+import {Response} from 'express';
+import {Deployment, Repeat, TargetKind} from '../configuration/index.js';
+import {problems, Ran, Refusal} from '../errors/index.js';
+import {
+  CallOrder,
+  CallOutcome,
+  DispatchKind,
+  DispatchResult,
+  getEntryKey,
+  isMintedKey,
+  OutcomeKind,
+  parseMintedKey,
+  RecordedAnswer,
+} from '../journal/index.js';
+import {OnceCalls, ServiceDispatcher} from '../service/index.js';
+import {
+  CallerContext,
+  CallerRequest,
+  findDeployment,
+  isProblem,
+} from './caller_context.js';
+import {getCallId} from './call_id.js';
+import {
+  isFirstAttempt,
+  prefersAsync,
+  readIdempotencyKey,
+  readTimeoutMs,
+} from './request_headers.js';
+import {REQUEST_ID_HEADER, sendProblem} from './send_problem.js';
+
+/** What the handler works with besides the common context. */
+export interface ServiceHandlerOptions {
+  readonly calls: OnceCalls;
+  readonly dispatcher: ServiceDispatcher;
+  readonly mintKey: () => string;
+}
+
+const REPLAYED_HEADER = 'Sedgefall-Replayed';
+const REPEATABLE_METHODS: ReadonlySet<string> = new Set([
+  'GET',
+  'HEAD',
+  'OPTIONS',
+]);
+const METHODS: ReadonlySet<string> = new Set([
+  ...REPEATABLE_METHODS,
+  'POST',
+  'PUT',
+  'PATCH',
+  'DELETE',
+]);
+
+/** Serves calls to plain services. */
+export class ServiceHandler {
+  constructor(
+    private readonly context: CallerContext,
+    private readonly options: ServiceHandlerOptions,
+  ) {}
+
+  /**
+   * Serves one call.
+   * @param caller - The request.
+   * @param name - Name of the deployment.
+   * @param path - Path and query below the service's root.
+   * @throws Refusal - When it is not taken in.
+   */
+  async handle(
+    caller: CallerRequest,
+    name: string,
+    path: string,
+  ): Promise<void> {
+    const deployment = findDeployment(caller, name, 'service');
+    if (isProblem(deployment)) {
+      throw new Refusal(deployment);
+    }
+    if (!METHODS.has(caller.request.method)) {
+      throw new Refusal(problems.routeUnknown());
+    }
+    if (this.context.isRefusing()) {
+      throw new Refusal(problems.hostDraining());
+    }
+    const call = this.readCall(caller, deployment, path);
+    const outcome = call.once
+      ? await this.options.calls.run(call)
+      : await this.runRepeatable(call.order);
+    this.context.metrics.increment('calls_total', {
+      deployment: deployment.name,
+      outcome: getOutcomeLabel(outcome),
+    });
+    sendOutcome(caller.response, outcome, call.order.requestId);
+  }
+
+  private readCall(
+    caller: CallerRequest,
+    deployment: Deployment,
+    path: string,
+  ): {order: CallOrder; key: string; firstAttempt: boolean; once: boolean} {
+    const {request, customer} = caller;
+    const given = readIdempotencyKey(request);
+    const timeout = readTimeoutMs(
+      request,
+      this.context.limits.serviceTimeoutMs,
+      this.context.limits.maxTimeoutMs,
+    );
+    if (given.isErr) {
+      throw new Refusal(given.error);
+    }
+    if (timeout.isErr) {
+      throw new Refusal(timeout.error);
+    }
+    const key = given.value ?? this.options.mintKey();
+    if (isMintedKey(key) && parseMintedKey(key) === undefined) {
+      throw new Refusal(problems.keyInvalid());
+    }
+    const body = request.body as Buffer | undefined;
+    const bytes = Buffer.isBuffer(body) ? body : new Uint8Array();
+    const requestId = getCallId(key);
+    const order: CallOrder = {
+      entryKey: getEntryKey(customer.name, key),
+      requestId,
+      customer: customer.name,
+      deployment: deployment.name,
+      fingerprint: fingerprint(deployment.name, request.method, path, bytes),
+      call: {
+        requestId,
+        method: request.method,
+        path,
+        contentType: request.header('content-type') ?? '',
+        body: bytes,
+        key,
+      },
+      deadlineMs: this.context.clock.monotonicMs() + timeout.value,
+      respondAsync: prefersAsync(request),
+      instance: this.context.mintId(),
+    };
+    return {
+      order,
+      key,
+      firstAttempt: given.value === undefined || isFirstAttempt(request),
+      once: isOnce(deployment, request.method),
+    };
+  }
+
+  private async runRepeatable(order: CallOrder): Promise<CallOutcome> {
+    return toOutcome(await this.options.dispatcher.dispatchRepeatable(order));
+  }
+}
+
+/**
+ * Sends what came of a call.
+ * @param response - Response to answer on.
+ * @param outcome - The outcome.
+ * @param requestId - Id by which it can be asked for again.
+ */
+export function sendOutcome(
+  response: Response,
+  outcome: CallOutcome,
+  requestId: string,
+): void {
+  switch (outcome.kind) {
+    case OutcomeKind.ANSWERED:
+      response.setHeader(REPLAYED_HEADER, String(outcome.replayed));
+      sendAnswer(response, outcome.answer, requestId);
+      return;
+    case OutcomeKind.ACCEPTED:
+      response.setHeader(REQUEST_ID_HEADER, requestId);
+      response.setHeader('Location', `/v1/requests/${requestId}`);
+      response.status(202).json({id: requestId, state: 'accepted'});
+      return;
+    case OutcomeKind.FAILED:
+      sendProblem(response, outcome.problem, requestId);
+      return;
+    case OutcomeKind.MOVED: {
+      const reason = 'the book of this key is changing hosts';
+      sendProblem(response, problems.outcomeUnknown(reason), requestId);
+      return;
+    }
+  }
+}
+
+function sendAnswer(
+  response: Response,
+  answer: RecordedAnswer,
+  requestId: string,
+): void {
+  response.setHeader(REQUEST_ID_HEADER, requestId);
+  response.status(answer.status);
+  if (answer.contentType !== '') {
+    response.setHeader('Content-Type', answer.contentType);
+  }
+  response.end(Buffer.from(answer.bodyBase64 ?? '', 'base64'));
+}
+
+function isOnce(deployment: Deployment, method: string): boolean {
+  const {target} = deployment;
+  return (
+    target.kind === TargetKind.SERVICE &&
+    target.repeat === Repeat.NEVER &&
+    !REPEATABLE_METHODS.has(method)
+  );
+}
+
+function fingerprint(
+  deployment: string,
+  method: string,
+  path: string,
+  body: Uint8Array,
+): string {
+  const hash = createHash('sha256');
+  hash.update(`${deployment}\n${method}\n${path}\n`);
+  hash.update(body);
+  return hash.digest('base64');
+}
+
+function toOutcome(result: DispatchResult): CallOutcome {
+  switch (result.kind) {
+    case DispatchKind.ANSWERED:
+      return {
+        kind: OutcomeKind.ANSWERED,
+        answer: result.answer,
+        replayed: false,
+      };
+    case DispatchKind.NOT_SENT:
+      return {kind: OutcomeKind.FAILED, problem: result.problem};
+    case DispatchKind.LOST:
+      return {
+        kind: OutcomeKind.FAILED,
+        problem: {...problems.serverFailed(result.detail), ran: Ran.UNKNOWN},
+      };
+  }
+}
+
+function getOutcomeLabel(outcome: CallOutcome): string {
+  return outcome.kind === OutcomeKind.FAILED
+    ? outcome.problem.kind
+    : outcome.kind;
+}
--- /dev/null
+++ b/src/cli/index.ts
@@ -0,0 +1,6 @@
+/** The command-line tool. */
+export {AdminClient} from './admin_client.js';
+export {Commands} from './commands.js';
+export type {ChangeOptions, CommandContext} from './commands.js';
+export {CommandFailure, ExitCode} from './exit_code.js';
+export {formatTable} from './format_table.js';
--- /dev/null
+++ b/src/daemon/generation_record.ts
@@ -0,0 +1,57 @@
+import {z} from 'zod';
+import {GenerationFormat} from '../backend/index.js';
+import {Generation} from '../generation/index.js';
+
+const MAX_URGENCY = 7;
+
+/** Schema of a generation on its way from one host to another. */
+export const generationRecordSchema = z.object({
+  id: z.string(),
+  customer: z.string(),
+  deployment: z.string(),
+  adapter: z.string(),
+  format: z.enum(Object.values(GenerationFormat)),
+  body: z.record(z.string(), z.unknown()),
+  urgency: z.number().int().min(0).max(MAX_URGENCY),
+  /** Time left until it is due, in milliseconds. */
+  remainingMs: z.number(),
+  texts: z.array(z.string()),
+});
+
+/** A generation on its way from one host to another. */
+export type GenerationRecord = z.output<typeof generationRecordSchema>;
+
+/**
+ * Writes a generation as a record.
+ * @param generation - The generation.
+ * @param nowMs - Monotonic time.
+ */
+export function toGenerationRecord(
+  generation: Generation,
+  nowMs: number,
+): GenerationRecord {
+  const {deadlineMs, body, ...request} = generation.request;
+  return {
+    ...request,
+    body: {...body},
+    remainingMs: deadlineMs - nowMs,
+    texts: [...generation.getTexts()],
+  };
+}
+
+/**
+ * Reads a generation from a record.
+ * @param record - The record.
+ * @param nowMs - Monotonic time.
+ */
+export function fromGenerationRecord(
+  record: GenerationRecord,
+  nowMs: number,
+): Generation {
+  const {remainingMs, texts, ...request} = record;
+  return new Generation(
+    {...request, deadlineMs: nowMs + remainingMs},
+    texts,
+    nowMs,
+  );
+}
--- /dev/null
+++ b/src/daemon/load_poller.ts
@@ -0,0 +1,71 @@
+import {ServerKind} from '../configuration/index.js';
+import {rankByRendezvous} from '../random/index.js';
+import {ServerDirectory} from '../routing/index.js';
+import {Clock} from '../time/index.js';
+
+/** What the poller works with. */
+export interface LoadPollerOptions {
+  readonly clock: Clock;
+  readonly directory: ServerDirectory;
+  readonly host: string;
+  readonly dataCentre: string;
+  /** Returns the live hosts of this data centre, own included. */
+  readonly listLiveNamesHere: () => readonly string[];
+  /** Pause between two polls of a server, in milliseconds. */
+  readonly pollMs: number;
+}
+
+/** Hosts that poll each server: one more than needed, in case one dies. */
+const POLLERS_PER_SERVER = 2;
+
+/**
+ * Polls the engines of this data centre for load and cache events. The hosts
+ * share the work by rendezvous hash and tell each other in heartbeats.
+ */
+export class LoadPoller {
+  constructor(private readonly options: LoadPollerOptions) {}
+
+  /** Polls until aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const polls = this.listPolled().map(server => this.poll(server));
+      await Promise.all(polls);
+      await this.options.clock.sleep(this.options.pollMs, signal);
+    }
+  }
+
+  /** Returns the servers that fall to this host. */
+  listPolled(): string[] {
+    const {directory, dataCentre, host} = this.options;
+    const hosts = this.options.listLiveNamesHere();
+    const polled: string[] = [];
+    for (const server of directory.listServers()) {
+      const mine =
+        server.kind === ServerKind.ENGINE &&
+        server.dataCentre === dataCentre &&
+        rankByRendezvous(server.name, hosts)
+          .slice(0, POLLERS_PER_SERVER)
+          .includes(host);
+      if (mine) {
+        polled.push(server.name);
+      }
+    }
+    return polled;
+  }
+
+  private async poll(server: string): Promise<void> {
+    const {directory} = this.options;
+    const engine = directory.getEngine(server);
+    const load = await engine?.getLoad();
+    if (load?.isOk === true) {
+      directory.addLoad(server, load.value, 0);
+    }
+    const prefixes = directory.getPrefixes(server);
+    const events = await engine?.listCacheEvents(
+      prefixes?.getLastSequence() ?? 0,
+    );
+    if (events?.isOk === true) {
+      prefixes?.addEvents(events.value);
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/peer_message.ts
@@ -0,0 +1,40 @@
+import {z} from 'zod';
+import {bookHandoverSchema, entrySchema} from '../journal/index.js';
+import {hostStatusSchema} from '../membership/index.js';
+import {callMessageSchema} from '../service/index.js';
+import {generationRecordSchema} from './generation_record.js';
+
+/** Every request that one entry host may send another. */
+export const peerMessageSchema = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal('heartbeat'), status: hostStatusSchema}),
+  z.object({
+    kind: z.literal('pull-configuration'),
+    after: z.number().int().min(0),
+  }),
+  z.object({kind: z.literal('run-call'), call: callMessageSchema}),
+  z.object({
+    kind: z.literal('get-outcome'),
+    book: z.string(),
+    entryKey: z.string(),
+  }),
+  z.object({kind: z.literal('take-book'), book: bookHandoverSchema}),
+  z.object({
+    kind: z.literal('late-outcome'),
+    book: z.string(),
+    entry: entrySchema,
+  }),
+  z.object({
+    kind: z.literal('take-generation'),
+    generation: generationRecordSchema,
+  }),
+  z.object({
+    kind: z.literal('read-generation'),
+    id: z.string(),
+    customer: z.string(),
+    from: z.number().int().min(0),
+  }),
+  z.object({kind: z.literal('drain'), on: z.boolean()}),
+]);
+
+/** Every request that one entry host may send another. */
+export type PeerMessage = z.output<typeof peerMessageSchema>;
--- /dev/null
+++ b/src/daemon/peer_requests.ts
@@ -0,0 +1,136 @@
+import {ConfigurationStore} from '../configuration/index.js';
+import {
+  Generation,
+  GenerationRunner,
+  GenerationStore,
+} from '../generation/index.js';
+import {Bookkeeper} from '../journal/index.js';
+import {Log} from '../log/index.js';
+import {PeerIdentity} from '../peer/index.js';
+import {fromCallMessage} from '../service/index.js';
+import {Clock} from '../time/index.js';
+import {
+  fromGenerationRecord,
+  GenerationRecord,
+  toGenerationRecord,
+} from './generation_record.js';
+import {Heartbeats} from './heartbeats.js';
+import {PeerMessage, peerMessageSchema} from './peer_message.js';
+
+/** What the requests of peers are served with. */
+export interface PeerRequestsOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly configuration: ConfigurationStore;
+  readonly bookkeeper: Bookkeeper;
+  readonly heartbeats: Heartbeats;
+  readonly store: GenerationStore;
+  readonly runner: GenerationRunner;
+  readonly setDrained: (on: boolean) => void;
+}
+
+/** Serves what peers ask of this host. */
+export class PeerRequests {
+  constructor(private readonly options: PeerRequestsOptions) {}
+
+  /**
+   * Serves one request.
+   * @param request - The decoded frame.
+   * @param from - Peer that sent it.
+   * @param sendPart - Sends a part before the reply.
+   * @param signal - Aborted when the peer no longer wants the reply.
+   * @throws Error - When the frame is none of the known messages.
+   */
+  async handle(
+    request: unknown,
+    from: PeerIdentity,
+    sendPart: (part: unknown) => void,
+    signal: AbortSignal,
+  ): Promise<unknown> {
+    const parsed = peerMessageSchema.safeParse(request);
+    if (!parsed.success) {
+      throw new Error(
+        'the request is none this release knows; finish the upgrade of all hosts',
+      );
+    }
+    return this.serve(parsed.data, from, sendPart, signal);
+  }
+
+  private async serve(
+    message: PeerMessage,
+    from: PeerIdentity,
+    sendPart: (part: unknown) => void,
+    signal: AbortSignal,
+  ): Promise<unknown> {
+    const {bookkeeper, clock, configuration, heartbeats} = this.options;
+    switch (message.kind) {
+      case 'heartbeat':
+        heartbeats.receive(message.status);
+        return heartbeats.create();
+      case 'pull-configuration':
+        return configuration.getDelta(message.after);
+      case 'run-call': {
+        const order = fromCallMessage(message.call, clock.monotonicMs());
+        return bookkeeper.run(message.call.book, order);
+      }
+      case 'get-outcome': {
+        const {book, entryKey} = message;
+        return {outcome: await bookkeeper.getOutcome(book, entryKey)};
+      }
+      case 'take-book':
+        return {taken: bookkeeper.receiveBook(message.book)};
+      case 'late-outcome':
+        bookkeeper.addLateOutcome(message.book, message.entry);
+        return {};
+      case 'take-generation':
+        this.takeGeneration(message.generation, from.host);
+        return {taken: true};
+      case 'read-generation':
+        return this.readGeneration(message, sendPart, signal);
+      case 'drain':
+        this.options.setDrained(message.on);
+        return {};
+    }
+  }
+
+  private takeGeneration(record: GenerationRecord, from: string): void {
+    const {clock, log, store, runner} = this.options;
+    const generation = fromGenerationRecord(record, clock.monotonicMs());
+    const stop = store.add(generation);
+    log.info('generation_received', {
+      request: record.id,
+      from,
+      tokens: record.texts.length,
+    });
+    void runner.run(generation, stop.signal);
+  }
+
+  private async readGeneration(
+    message: {id: string; customer: string; from: number},
+    sendPart: (part: unknown) => void,
+    signal: AbortSignal,
+  ): Promise<unknown> {
+    const {clock} = this.options;
+    const generation = this.findGeneration(message.id, message.customer);
+    if (generation === undefined) {
+      return {found: false};
+    }
+    const nowMs = clock.monotonicMs();
+    sendPart({
+      kind: 'head',
+      record: {...toGenerationRecord(generation, nowMs), texts: []},
+    });
+    const events = generation.read(message.from, signal, () =>
+      clock.monotonicMs(),
+    );
+    for await (const event of events) {
+      sendPart(event);
+    }
+    return {found: true};
+  }
+
+  private findGeneration(id: string, customer: string): Generation | undefined {
+    const generation = this.options.store.get(id);
+    return generation?.request.customer === customer ? generation : undefined;
+  }
+}
--- /dev/null
+++ b/src/errors/problems.ts
@@ -0,0 +1,244 @@
+/** Every problem is made here, so that its wording and remedy stand once. */
+import {Problem, ProblemKind, Ran} from './problem.js';
+
+export const unauthenticated = (): Problem => ({
+  kind: ProblemKind.UNAUTHENTICATED,
+  status: 401,
+  detail: 'The request carries no bearer key that is known here.',
+  remedy: 'Send "Authorization: Bearer KEY" with a key of a customer record.',
+  ran: Ran.NO,
+});
+
+export const configurationMissing = (): Problem => ({
+  kind: ProblemKind.CONFIGURATION_MISSING,
+  status: 503,
+  detail: 'This host has not yet learnt a configuration.',
+  remedy: 'Ask again through another host, or here after the given time.',
+  ran: Ran.NO,
+  retryAfterSeconds: 2,
+});
+
+export const deploymentUnknown = (
+  name: string,
+  known: readonly string[],
+): Problem => ({
+  kind: ProblemKind.DEPLOYMENT_UNKNOWN,
+  status: 404,
+  detail: `There is no deployment "${name}" for this customer.`,
+  remedy: `Use one of: ${known.join(', ') || '(none is configured)'}.`,
+  ran: Ran.NO,
+});
+
+export const customerNotAllowed = (
+  customer: string,
+  deployment: string,
+): Problem => ({
+  kind: ProblemKind.CUSTOMER_NOT_ALLOWED,
+  status: 403,
+  detail: `Customer "${customer}" may not use deployment "${deployment}".`,
+  remedy: 'Ask an operator to add the customer to the deployment record.',
+  ran: Ran.NO,
+});
+
+export const customerOverShare = (
+  customer: string,
+  retryAfterSeconds: number,
+): Problem => ({
+  kind: ProblemKind.CUSTOMER_OVER_SHARE,
+  status: 429,
+  detail: `Customer "${customer}" has used up its share while others wait.`,
+  remedy: 'Ask again after the given time, or ask an operator for more weight.',
+  ran: Ran.NO,
+  retryAfterSeconds,
+});
+
+export const bodyInvalid = (detail: string): Problem => ({
+  kind: ProblemKind.BODY_INVALID,
+  status: 400,
+  detail: `The body is not a valid request: ${detail}.`,
+  remedy: 'Correct the named field; docs/API.md lists the fields.',
+  ran: Ran.NO,
+});
+
+export const bodyTooLarge = (limitBytes: number): Problem => ({
+  kind: ProblemKind.BODY_TOO_LARGE,
+  status: 413,
+  detail: `The body is larger than ${limitBytes} bytes.`,
+  remedy: 'Send a smaller body, or raise callers.max_body_bytes.',
+  ran: Ran.NO,
+});
+
+export const headerInvalid = (name: string, expected: string): Problem => ({
+  kind: ProblemKind.HEADER_INVALID,
+  status: 400,
+  detail: `The header "${name}" cannot be used.`,
+  remedy: `Send ${expected}.`,
+  ran: Ran.NO,
+});
+
+export const deadlineInvalid = (maxMs: number): Problem => ({
+  kind: ProblemKind.DEADLINE_INVALID,
+  status: 400,
+  detail: 'The header "Sedgefall-Timeout-Ms" is not a usable deadline.',
+  remedy: `Send a whole number of milliseconds from 1 to ${maxMs}.`,
+  ran: Ran.NO,
+});
+
+export const deadlineUnreachable = (
+  waitMs: number,
+  retryAfterSeconds: number,
+): Problem => ({
+  kind: ProblemKind.DEADLINE_UNREACHABLE,
+  status: 503,
+  detail: `The first answer is predicted in ${Math.round(waitMs)} ms, past the deadline.`,
+  remedy: 'Ask again after the given time, or with a later deadline.',
+  ran: Ran.NO,
+  retryAfterSeconds,
+});
+
+export const deadlinePassed = (ran: Ran): Problem => ({
+  kind: ProblemKind.DEADLINE_PASSED,
+  status: 504,
+  detail: 'The deadline passed before the answer was complete.',
+  remedy:
+    ran === Ran.NO
+      ? 'Ask again with a later deadline.'
+      : 'Ask for the outcome under the same Idempotency-Key or request id.',
+  ran,
+});
+
+export const hostDraining = (): Problem => ({
+  kind: ProblemKind.HOST_DRAINING,
+  status: 503,
+  detail: 'This host is leaving and takes no new work.',
+  remedy: 'Ask again at once; the balancer will choose another host.',
+  ran: Ran.NO,
+  retryAfterSeconds: 1,
+});
+
+export const noServer = (deployment: string): Problem => ({
+  kind: ProblemKind.NO_SERVER,
+  status: 503,
+  detail: `No server that can be reached serves deployment "${deployment}".`,
+  remedy: 'Ask again after the given time; operators: see status servers.',
+  ran: Ran.NO,
+  retryAfterSeconds: 2,
+});
+
+export const serverFailed = (detail: string): Problem => ({
+  kind: ProblemKind.SERVER_FAILED,
+  status: 502,
+  detail: `Every allowed attempt failed: ${detail}.`,
+  remedy: 'Ask again after the given time.',
+  ran: Ran.UNKNOWN,
+  retryAfterSeconds: 1,
+});
+
+export const keyInvalid = (): Problem => ({
+  kind: ProblemKind.KEY_INVALID,
+  status: 400,
+  detail: 'The Idempotency-Key cannot be used.',
+  remedy:
+    'Send 1 to 255 visible ASCII characters; keys that begin with "sf1." must come from this system.',
+  ran: Ran.NO,
+});
+
+export const keyReused = (): Problem => ({
+  kind: ProblemKind.KEY_REUSED,
+  status: 422,
+  detail: 'This Idempotency-Key was first used with another request.',
+  remedy: 'Use a new key for a new request; repeat the first one unchanged.',
+  ran: Ran.NO,
+});
+
+/**
+ * The outcome cannot be told: the call may have run, and will not run again.
+ * @param reason - What was lost.
+ */
+export const outcomeUnknown = (reason: string): Problem => ({
+  kind: ProblemKind.OUTCOME_UNKNOWN,
+  status: 504,
+  detail: `The outcome is unknown: ${reason}. It will not be run again.`,
+  remedy:
+    'Ask again under the same key after the given time, or check with the service.',
+  ran: Ran.UNKNOWN,
+  retryAfterSeconds: 5,
+});
+
+/**
+ * The record of the request cannot be written.
+ * @param ran - Whether it may have run.
+ * @param offeredKey - Key under which this host can serve it without the table.
+ */
+export const storeUnavailable = (ran: Ran, offeredKey?: string): Problem => ({
+  kind: ProblemKind.STORE_UNAVAILABLE,
+  status: 503,
+  detail: "The platform's table service does not answer.",
+  remedy:
+    offeredKey === undefined
+      ? 'Ask again after the given time.'
+      : 'Send the request again with the key in "offered_key", which needs no table.',
+  ran,
+  retryAfterSeconds: offeredKey === undefined ? 5 : 1,
+  ...(offeredKey === undefined ? {} : {extra: {offered_key: offeredKey}}),
+});
+
+export const requestUnknown = (id: string): Problem => ({
+  kind: ProblemKind.REQUEST_UNKNOWN,
+  status: 404,
+  detail: `No request "${id}" of this customer is known to any host reached.`,
+  remedy: 'Check the id; answers are kept for journal.retention_seconds.',
+  ran: Ran.UNKNOWN,
+});
+
+export const routeUnknown = (): Problem => ({
+  kind: ProblemKind.ROUTE_UNKNOWN,
+  status: 404,
+  detail: 'There is no such path here.',
+  remedy: 'See docs/API.md for the paths of this interface.',
+  ran: Ran.NO,
+});
+
+export const recordInvalid = (mistakes: readonly string[]): Problem => ({
+  kind: ProblemKind.RECORD_INVALID,
+  status: 422,
+  detail: `The record is not valid: ${mistakes.join('; ')}.`,
+  remedy:
+    'Correct every named field; "sedgefall validate FILE" checks offline.',
+  ran: Ran.NO,
+  extra: {mistakes},
+});
+
+export const recordUnknown = (kind: string, name: string): Problem => ({
+  kind: ProblemKind.RECORD_UNKNOWN,
+  status: 404,
+  detail: `There is no ${kind} "${name}".`,
+  remedy: `List the names with "sedgefall get ${kind}s".`,
+  ran: Ran.NO,
+});
+
+/**
+ * Another change came first.
+ * @param winner - The record as it now stands, or undefined if it was deleted.
+ */
+export const configurationConflict = (
+  name: string,
+  revision: number,
+  winner: unknown,
+): Problem => ({
+  kind: ProblemKind.CONFIGURATION_CONFLICT,
+  status: 412,
+  detail: `"${name}" was changed by revision ${revision} since it was read.`,
+  remedy: 'Get the record again, make the change on it, and apply that.',
+  ran: Ran.NO,
+  extra: {winning_revision: revision, winner},
+});
+
+export const preconditionRequired = (): Problem => ({
+  kind: ProblemKind.PRECONDITION_REQUIRED,
+  status: 428,
+  detail: 'A change must say which revision it was made on.',
+  remedy:
+    'Send If-Match with the ETag of the record, or If-None-Match: * for a new one.',
+  ran: Ran.NO,
+});
--- /dev/null
+++ b/src/generation/generation_runner.ts
@@ -0,0 +1,408 @@
+import {
+  estimateTokens,
+  GenerationOrder,
+  getPromptText,
+  hashPrefixBlocks,
+  ModelEngine,
+  Reach,
+  ServerFailure,
+  Token,
+} from '../backend/index.js';
+import {
+  ConfigurationStore,
+  Deployment,
+  TargetKind,
+} from '../configuration/index.js';
+import {problems, Ran} from '../errors/index.js';
+import {Log} from '../log/index.js';
+import {Random} from '../random/index.js';
+import {
+  ChooseServer,
+  findCandidates,
+  Flight,
+  RetryBudget,
+  RoutingDecision,
+  ScoredServer,
+  ServerDirectory,
+} from '../routing/index.js';
+import {Clock} from '../time/index.js';
+import {AnswerLengths} from './answer_lengths.js';
+import {Generation} from './generation.js';
+import {GenerationMeter} from './generation_meter.js';
+import {nextWithin} from './next_within.js';
+import {RunningGenerations} from './running_generations.js';
+
+/** What the runner works with. */
+export interface GenerationRunnerOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly random: Random;
+  readonly configuration: ConfigurationStore;
+  readonly directory: ServerDirectory;
+  readonly budget: RetryBudget;
+  readonly running: RunningGenerations;
+  readonly meter: GenerationMeter;
+  readonly lengths: AnswerLengths;
+  readonly chooseServer: ChooseServer;
+  readonly isLeaving: (server: string) => boolean;
+  /** Data centre of this host: its servers are tried first. */
+  readonly dataCentre: string;
+  /** Longest silence before the first token, in milliseconds. */
+  readonly firstTokenSilenceMs: number;
+  /** Longest silence between tokens, in milliseconds. */
+  readonly silenceMs: number;
+}
+
+/** What one attempt needs. */
+interface Attempt {
+  readonly generation: Generation;
+  readonly deployment: Deployment;
+  readonly chosen: ScoredServer;
+  readonly engine: ModelEngine;
+  readonly blocks: readonly number[];
+  readonly promptTokens: number;
+}
+
+/** How an attempt ended. */
+interface AttemptEnd {
+  /** Why it ended early; empty when it did not. */
+  readonly detail: string;
+  /** Whether it was told to leave its server. */
+  readonly moved: boolean;
+  /** Server that holds the exported cache, if there is one. */
+  readonly preferred: string | undefined;
+}
+
+const RETRY_PATIENCE_MS = 3000;
+const RETRY_POLL_MS = 100;
+/** Blocks of a prompt that are looked up. */
+const MAX_BLOCKS = 1024;
+
+/**
+ * Runs a generation to its end, on as many servers as it takes.
+ *
+ * When a server fails, falls silent or is taken back, the next one goes on
+ * after the tokens the caller already has.
+ */
+export class GenerationRunner {
+  constructor(private readonly options: GenerationRunnerOptions) {}
+
+  /**
+   * Chooses a server for a generation, without sending anything.
+   * @param generation - The generation.
+   * @param excluded - Servers that must not be used.
+   */
+  choose(
+    generation: Generation,
+    excluded: ReadonlySet<string>,
+  ): RoutingDecision {
+    const deployment = this.getDeployment(generation);
+    if (deployment === undefined) {
+      return {runnersUp: [], reason: 'deployment-unknown'};
+    }
+    const prompt = getPromptText(generation.request.body);
+    const blocks = this.getBlocks(generation, deployment, prompt);
+    const names = this.listCandidates(generation, deployment);
+    const known = this.options.directory.listKnowledge(names, blocks);
+    return this.options.chooseServer(
+      {
+        promptTokens: estimateTokens(prompt) + generation.getTexts().length,
+        expectedTokens: this.options.lengths.getExpected(deployment.name),
+        excluded,
+      },
+      known,
+      this.options.random,
+    );
+  }
+
+  /**
+   * Runs a generation to its end.
+   * @param generation - The generation; tokens are added to it.
+   * @param signal - Stops it.
+   */
+  async run(generation: Generation, signal: AbortSignal): Promise<void> {
+    const excluded = new Set<string>();
+    this.options.budget.addRequest();
+    let detail = '';
+    let preferred: string | undefined;
+    for (let attempt = 0; !signal.aborted; attempt++) {
+      if (this.options.clock.monotonicMs() >= generation.request.deadlineMs) {
+        generation.fail(problems.deadlinePassed(Ran.UNKNOWN));
+        return;
+      }
+      if (attempt > 0 && !(await this.waitForRetry(generation, detail))) {
+        return;
+      }
+      const decision = prefer(this.choose(generation, excluded), preferred);
+      this.logDecision(generation, decision, attempt);
+      const {chosen} = decision;
+      const engine = chosen && this.options.directory.getEngine(chosen.server);
+      const deployment = this.getDeployment(generation);
+      if (!chosen || !engine || !deployment) {
+        this.failWithoutServer(generation, excluded.size > 0, detail);
+        return;
+      }
+      const ended = await this.attempt(
+        this.createAttempt(generation, deployment, chosen, engine),
+        signal,
+      );
+      if (generation.isOver()) {
+        return;
+      }
+      detail = ended.detail;
+      preferred = ended.preferred;
+      if (ended.moved) {
+        // Leaving a server on notice is no failure and costs no retry.
+        attempt = -1;
+        continue;
+      }
+      excluded.add(chosen.server);
+      this.options.log.warn('generation_interrupted', {
+        request: generation.request.id,
+        server: chosen.server,
+        tokens: generation.getTexts().length,
+        detail,
+      });
+    }
+  }
+
+  /**
+   * Waits until the budget allows a retry. A caller that has tokens already
+   * has more to lose than time, so it waits for one; others are told at once.
+   */
+  private async waitForRetry(
+    generation: Generation,
+    detail: string,
+  ): Promise<boolean> {
+    const {budget, clock} = this.options;
+    const patienceMs = generation.getTexts().length > 0 ? RETRY_PATIENCE_MS : 0;
+    const endMs = clock.monotonicMs() + patienceMs;
+    while (!budget.spend()) {
+      if (clock.monotonicMs() >= endMs) {
+        generation.fail(problems.serverFailed(`${detail}; no retry is left`));
+        return false;
+      }
+      await clock.sleep(RETRY_POLL_MS);
+    }
+    return true;
+  }
+
+  private failWithoutServer(
+    generation: Generation,
+    tried: boolean,
+    detail: string,
+  ): void {
+    generation.fail(
+      tried
+        ? problems.serverFailed(detail)
+        : problems.noServer(generation.request.deployment),
+    );
+  }
+
+  private createAttempt(
+    generation: Generation,
+    deployment: Deployment,
+    chosen: ScoredServer,
+    engine: ModelEngine,
+  ): Attempt {
+    const prompt = getPromptText(generation.request.body);
+    return {
+      generation,
+      deployment,
+      chosen,
+      engine,
+      blocks: this.getBlocks(generation, deployment, prompt),
+      promptTokens: estimateTokens(prompt) + generation.getTexts().length,
+    };
+  }
+
+  /** Streams from one server; returns how that ended. */
+  private async attempt(
+    attempt: Attempt,
+    signal: AbortSignal,
+  ): Promise<AttemptEnd> {
+    const {generation, chosen, blocks} = attempt;
+    const {directory, running} = this.options;
+    const known = directory.listKnowledge([chosen.server], blocks)[0];
+    const prefill = attempt.promptTokens - (known?.cachedTokens ?? 0);
+    const flight = directory.startFlight(chosen.server, blocks, prefill);
+    const place = running.add(generation, chosen.server);
+    const stop = AbortSignal.any([signal, place.moved]);
+    try {
+      await this.stream(attempt, flight, stop);
+      flight.finish(true);
+      return {detail: '', moved: false, preferred: undefined};
+    } catch (error) {
+      const moved = place.moved.aborted;
+      flight.finish(moved || signal.aborted);
+      const detail = error instanceof Error ? error.message : String(error);
+      return {detail, moved, preferred: place.getPreferred()};
+    } finally {
+      running.remove(generation.request.id);
+    }
+  }
+
+  private async stream(
+    attempt: Attempt,
+    flight: Flight,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {generation, deployment, engine, chosen} = attempt;
+    const {clock, meter, lengths} = this.options;
+    const broken = new AbortController();
+    const order = this.createOrder(generation, deployment);
+    const tokens = engine.generate(
+      order,
+      AbortSignal.any([signal, broken.signal]),
+    );
+    const startMs = clock.monotonicMs();
+    let previousMs = startMs;
+    let first = true;
+    try {
+      for (;;) {
+        const next = await this.nextToken(tokens, generation, first, signal);
+        if (next === undefined) {
+          throw new ServerFailure(Reach.SENT, 'the stream ended too early');
+        }
+        checkToken(next, generation);
+        const nowMs = clock.monotonicMs();
+        if (first) {
+          flight.addFirstToken(nowMs - startMs, chosen.firstTokenMs);
+        }
+        meter.addToken(generation.request, nowMs - previousMs, first);
+        previousMs = nowMs;
+        first = false;
+        generation.addToken(next.text);
+        if (next.finishReason !== undefined) {
+          lengths.add(deployment.name, generation.getTexts().length);
+          generation.finish(next.finishReason);
+          return;
+        }
+      }
+    } finally {
+      broken.abort();
+    }
+  }
+
+  private async nextToken(
+    tokens: AsyncIterable<Token>,
+    generation: Generation,
+    first: boolean,
+    signal: AbortSignal,
+  ): Promise<Token | undefined> {
+    const {clock, firstTokenSilenceMs, silenceMs} = this.options;
+    const remainingMs = generation.request.deadlineMs - clock.monotonicMs();
+    const limitMs = Math.min(
+      first ? firstTokenSilenceMs : silenceMs,
+      remainingMs,
+    );
+    return nextWithin(tokens, limitMs, clock, signal);
+  }
+
+  private createOrder(
+    generation: Generation,
+    deployment: Deployment,
+  ): GenerationOrder {
+    const {request} = generation;
+    const {target} = deployment;
+    const model =
+      target.kind === TargetKind.MODEL ? target.model : deployment.name;
+    const adapter = request.adapter === '' ? {} : {adapter: request.adapter};
+    return {
+      requestId: request.id,
+      format: request.format,
+      body: {...request.body, model, ...adapter},
+      continuation: [...generation.getTexts()],
+      urgency: request.urgency,
+    };
+  }
+
+  private getDeployment(generation: Generation): Deployment | undefined {
+    const {deployments} = this.options.configuration.getView();
+    return deployments.get(generation.request.deployment);
+  }
+
+  private getBlocks(
+    generation: Generation,
+    deployment: Deployment,
+    prompt: string,
+  ): number[] {
+    const {target} = deployment;
+    const model = target.kind === TargetKind.MODEL ? target.model : '';
+    const {adapter} = generation.request;
+    const salt = adapter === '' ? model : `${model}+${adapter}`;
+    return hashPrefixBlocks(salt, prompt, MAX_BLOCKS);
+  }
+
+  /** Servers of this data centre; others only while it has none. */
+  private listCandidates(
+    generation: Generation,
+    deployment: Deployment,
+  ): string[] {
+    const {directory, dataCentre} = this.options;
+    const found = findCandidates({
+      deployment,
+      adapter: generation.request.adapter,
+      servers: directory.listServers(),
+      isLeaving: this.options.isLeaving,
+      getLoad: server => directory.getLoad(server)?.load,
+    });
+    const here = found.filter(server => server.dataCentre === dataCentre);
+    const chosen = here.length > 0 ? here : found;
+    return chosen.map(server => server.name);
+  }
+
+  private logDecision(
+    generation: Generation,
+    decision: RoutingDecision,
+    attempt: number,
+  ): void {
+    const {request} = generation;
+    this.options.log.info('route', {
+      request: request.id,
+      deployment: request.deployment,
+      customer: request.customer,
+      attempt,
+      from_token: generation.getTexts().length,
+      server: decision.chosen?.server,
+      predicted_ms: decision.chosen && Math.round(decision.chosen.firstTokenMs),
+      runners_up:
+        decision.runnersUp
+          .map(other => `${other.server}:${Math.round(other.firstTokenMs)}ms`)
+          .join(',') || undefined,
+      reason: decision.reason,
+    });
+  }
+}
+
+/** Chooses the server that holds the exported cache, whatever its queue. */
+function prefer(
+  decision: RoutingDecision,
+  preferred: string | undefined,
+): RoutingDecision {
+  if (preferred === undefined || decision.chosen === undefined) {
+    return decision;
+  }
+  return {
+    chosen: {...decision.chosen, server: preferred},
+    runnersUp: decision.runnersUp,
+    reason: 'imported-cache',
+  };
+}
+
+/** A token of another request, or out of place, must never reach the caller. */
+function checkToken(token: Token, generation: Generation): void {
+  if (token.requestId !== generation.request.id) {
+    throw new ServerFailure(
+      Reach.SENT,
+      'the stream carries the answer of another request',
+    );
+  }
+  const expected = generation.getTexts().length;
+  if (token.position !== expected) {
+    throw new ServerFailure(
+      Reach.SENT,
+      `token ${token.position} came in place of token ${expected}`,
+    );
+  }
+}
--- /dev/null
+++ b/src/generation/reclaim_watch.ts
@@ -0,0 +1,186 @@
+import {estimateTokens, getPromptText} from '../backend/index.js';
+import {ConfigurationStore} from '../configuration/index.js';
+import {Log} from '../log/index.js';
+import {ServerDirectory} from '../routing/index.js';
+import {Clock} from '../time/index.js';
+import {AnswerLengths} from './answer_lengths.js';
+import {Generation} from './generation.js';
+import {GenerationRunner} from './generation_runner.js';
+import {
+  decideReclaim,
+  ReclaimAction,
+  ReclaimCase,
+  ReclaimDecision,
+} from './reclaim_decision.js';
+import {RunningGeneration, RunningGenerations} from './running_generations.js';
+
+/** What the watch works with. */
+export interface ReclaimWatchOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly configuration: ConfigurationStore;
+  readonly directory: ServerDirectory;
+  readonly running: RunningGenerations;
+  readonly lengths: AnswerLengths;
+  readonly runner: GenerationRunner;
+  /** Returns the notice left of a server, in ms; `undefined` without notice. */
+  readonly getRemainingMs: (server: string) => number | undefined;
+  /** Tokens a second at which a KV cache is exported and imported. */
+  readonly transferRate: number;
+  /** Caches taken in at once by the survivors. */
+  readonly importSlots: number;
+}
+
+const WATCH_MS = 100;
+/** Notice at which what still runs is moved whatever was planned, in ms. */
+const LAST_MOMENT_MS = 1500;
+const DEFAULT_WEIGHTS = {recomputedToken: 1, lateSecond: 1};
+const DEFAULT_DECODE_MS = 30;
+
+/** Moves generations off servers that the platform takes back. */
+export class ReclaimWatch {
+  /** Servers whose generations have been decided on. */
+  private readonly decided = new Set<string>();
+
+  constructor(private readonly options: ReclaimWatchOptions) {}
+
+  /** Watches until aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.look();
+      await this.options.clock.sleep(WATCH_MS, signal);
+    }
+  }
+
+  /** Looks once at every server. */
+  async look(): Promise<void> {
+    for (const server of this.options.directory.listServers()) {
+      const remainingMs = this.options.getRemainingMs(server.name);
+      if (remainingMs === undefined) {
+        this.decided.delete(server.name);
+        continue;
+      }
+      if (!this.decided.has(server.name)) {
+        this.decided.add(server.name);
+        void this.reclaim(server.name, remainingMs);
+      } else if (remainingMs < LAST_MOMENT_MS) {
+        await this.moveRest(server.name);
+      }
+    }
+  }
+
+  private async reclaim(server: string, remainingMs: number): Promise<void> {
+    const running = this.options.running.listOn(server);
+    const cases = running.map(item => this.createCase(item));
+    const decisions = decideReclaim(cases, {
+      remainingMs,
+      transferRate: this.options.transferRate,
+      importSlots: this.options.importSlots,
+      hasSurvivor: this.hasSurvivor(running, server),
+    });
+    const exports: Promise<void>[] = [];
+    for (const decision of decisions) {
+      this.logDecision(server, decision);
+      const item = running.find(
+        other => other.generation.request.id === decision.id,
+      );
+      if (item === undefined || decision.action === ReclaimAction.FINISH) {
+        continue;
+      }
+      if (decision.action === ReclaimAction.RESUME) {
+        item.move.abort();
+        continue;
+      }
+      exports.push(this.export(item));
+      if (exports.length >= this.options.importSlots) {
+        await Promise.all(exports.splice(0));
+      }
+    }
+    await Promise.all(exports);
+  }
+
+  /** Moves what has not finished although it was expected to. */
+  private async moveRest(server: string): Promise<void> {
+    const rest = this.options.running.listOn(server);
+    if (!this.hasSurvivor(rest, server)) {
+      return;
+    }
+    for (const item of rest) {
+      await this.export(item);
+    }
+  }
+
+  /** Exports a cache to the server that will go on, then moves there. */
+  private async export(item: RunningGeneration): Promise<void> {
+    const {directory, runner} = this.options;
+    const {generation, server} = item;
+    const next = runner.choose(generation, new Set([server])).chosen;
+    const target = next && directory.getEngine(next.server);
+    const source = directory.getEngine(server);
+    if (next === undefined || target === undefined || source === undefined) {
+      item.move.abort();
+      return;
+    }
+    const exported = await source.exportCache(generation.request.id);
+    if (exported.isOk && !generation.isOver()) {
+      const imported = await target.importCache(exported.value);
+      if (imported.isOk) {
+        item.prefer(next.server);
+      }
+    }
+    item.move.abort();
+  }
+
+  private createCase(item: RunningGeneration): ReclaimCase {
+    const {generation, server} = item;
+    const deployment = this.getDeployment(generation);
+    const prompt = getPromptText(generation.request.body);
+    const sent = generation.getTexts().length;
+    const expected = Math.max(
+      getTokenLimit(generation) ??
+        this.options.lengths.getExpected(generation.request.deployment),
+      sent + 1,
+    );
+    const load = this.options.directory.getLoad(server)?.load;
+    return {
+      id: generation.request.id,
+      heldTokens: estimateTokens(prompt) + sent,
+      remainingTokens: expected - sent,
+      decodeMs: load?.decodeMs ?? DEFAULT_DECODE_MS,
+      weights: deployment?.weights ?? DEFAULT_WEIGHTS,
+    };
+  }
+
+  private hasSurvivor(
+    running: readonly RunningGeneration[],
+    server: string,
+  ): boolean {
+    const {runner} = this.options;
+    return running.some(
+      item =>
+        runner.choose(item.generation, new Set([server])).chosen !== undefined,
+    );
+  }
+
+  private getDeployment(generation: Generation) {
+    const {deployments} = this.options.configuration.getView();
+    return deployments.get(generation.request.deployment);
+  }
+
+  private logDecision(server: string, decision: ReclaimDecision): void {
+    this.options.log.info('reclaim', {
+      request: decision.id,
+      server,
+      action: decision.action,
+      value_per_s: Math.round(decision.valuePerSecond),
+      reason: decision.reason,
+    });
+  }
+}
+
+/** The caller's own limit on the answer; real engines often stop before it. */
+function getTokenLimit(generation: Generation): number | undefined {
+  const {body} = generation.request;
+  const limit = body['max_tokens'] ?? body['max_completion_tokens'];
+  return typeof limit === 'number' ? limit : undefined;
+}
--- /dev/null
+++ b/src/journal/book.ts
@@ -0,0 +1,473 @@
+import {Problem, problems, Ran} from '../errors/index.js';
+import {Log} from '../log/index.js';
+import {Clock} from '../time/index.js';
+import {
+  CallOrder,
+  CallOutcome,
+  Dispatch,
+  DispatchKind,
+  DispatchResult,
+  Lookup,
+  OutcomeKind,
+} from './call_order.js';
+import {Entry, EntryState, RecordedAnswer} from './entry.js';
+import {AppendFailure, Journal} from './journal.js';
+
+/** What a book works with. */
+export interface BookOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly dispatch: Dispatch;
+  readonly lookUp: Lookup;
+  /** Makes a key that needs no table, to offer while the table is away. */
+  readonly mintKey: () => string;
+  /** Longest wait for a record to become durable, in milliseconds. */
+  readonly recordPatienceMs: number;
+  /** Pause between tries of an accepted call, in milliseconds. */
+  readonly acceptedRetryMs: number;
+  /** How long entries are kept, in milliseconds. */
+  readonly retentionMs: number;
+  /**
+   * Whether a call is recorded before it is dispatched. Slot books need it,
+   * since they change hands; a host book does not, since nobody but its host
+   * ever runs its keys.
+   */
+  readonly recordsFirst: boolean;
+  /** Told of an outcome that could not be recorded, as the book was taken. */
+  readonly onOrphanedOutcome: (book: string, entry: Entry) => void;
+}
+
+/** An entry and, while its call runs here, the promise of its outcome. */
+interface LiveEntry {
+  entry: Entry;
+  /** Whether the record it stands on is certainly in the table. */
+  durable: boolean;
+  pending?: Promise<CallOutcome>;
+  /** Requests that were told their call did not run, with what they were told. */
+  readonly refusals: Map<string, Problem>;
+}
+
+/**
+ * The calls of one book, each run at most once.
+ *
+ * Only the holder of a book dispatches its calls, and it does so after the
+ * record of the dispatch is durable. Whoever takes the book over reads that
+ * record and never dispatches the call again.
+ */
+export class Book {
+  private readonly entries = new Map<string, LiveEntry>();
+  private closed = false;
+
+  /**
+   * @param id - Name of the book.
+   * @param journal - Writes its entries.
+   * @param entries - Entries read from the table or taken from a peer.
+   */
+  constructor(
+    readonly id: string,
+    readonly journal: Journal,
+    entries: Iterable<Entry>,
+    private readonly options: BookOptions,
+  ) {
+    for (const entry of entries) {
+      this.entries.set(entry.key, {entry, durable: true, refusals: new Map()});
+    }
+  }
+
+  /** Returns the entry of a key. */
+  getEntry(entryKey: string): Entry | undefined {
+    return this.entries.get(entryKey)?.entry;
+  }
+
+  /**
+   * Returns the entries to hand over: all but those whose record is not
+   * durable, since their calls are not dispatched and never will be here.
+   */
+  listEntries(): Entry[] {
+    const entries: Entry[] = [];
+    for (const live of this.entries.values()) {
+      if (live.durable || live.pending === undefined) {
+        entries.push(live.entry);
+      }
+    }
+    return entries;
+  }
+
+  /** Tells whether it holds no entry. */
+  isEmpty(): boolean {
+    return this.entries.size === 0;
+  }
+
+  /** Number of calls that run here now. */
+  countPending(): number {
+    let count = 0;
+    for (const live of this.entries.values()) {
+      if (live.pending !== undefined) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  /** Takes no more calls; those that run go on. */
+  close(): void {
+    this.closed = true;
+  }
+
+  /** Dispatches the calls that an earlier holder accepted but did not start. */
+  resumeAccepted(): void {
+    for (const live of this.entries.values()) {
+      if (live.entry.state === EntryState.ACCEPTED) {
+        const order = toOrder(live.entry, this.options);
+        void track(live, this.executeAccepted(live, order));
+      }
+    }
+  }
+
+  /** Waits until no call runs here. */
+  async waitForPending(): Promise<void> {
+    for (const live of this.entries.values()) {
+      await live.pending;
+    }
+  }
+
+  /**
+   * Runs a call, or tells what came of it when its key was seen before.
+   * @param order - The call.
+   */
+  async run(order: CallOrder): Promise<CallOutcome> {
+    if (this.closed || this.journal.isFenced()) {
+      return {kind: OutcomeKind.MOVED};
+    }
+    const known = this.entries.get(order.entryKey);
+    if (known !== undefined) {
+      if (known.entry.fingerprint !== order.fingerprint) {
+        return fail(problems.keyReused());
+      }
+      if (known.pending !== undefined) {
+        return this.join(known, order);
+      }
+      if (known.entry.state !== EntryState.REFUSED) {
+        return this.repeat(known);
+      }
+      const refusal = known.refusals.get(order.instance);
+      if (refusal !== undefined) {
+        return fail(refusal);
+      }
+    }
+    const live: LiveEntry = {
+      entry: this.createEntry(order, EntryState.DISPATCHED),
+      durable: !this.options.recordsFirst,
+      refusals: known?.refusals ?? new Map<string, Problem>(),
+    };
+    this.entries.set(order.entryKey, live);
+    if (order.respondAsync) {
+      return this.accept(live, order);
+    }
+    return track(live, this.execute(live, order));
+  }
+
+  /**
+   * Tells what came of a call, without running it.
+   * @param entryKey - Key of the entry.
+   */
+  async getOutcome(entryKey: string): Promise<CallOutcome | undefined> {
+    const known = this.entries.get(entryKey);
+    if (known === undefined) {
+      return undefined;
+    }
+    return known.pending === undefined
+      ? this.repeat(known)
+      : {kind: OutcomeKind.ACCEPTED};
+  }
+
+  /**
+   * Takes in an outcome that an earlier holder of the book learnt late.
+   * @param entry - The entry with its final state.
+   */
+  addLateOutcome(entry: Entry): void {
+    const known = this.entries.get(entry.key);
+    const open =
+      known !== undefined &&
+      known.entry.requestId === entry.requestId &&
+      (known.entry.state === EntryState.DISPATCHED ||
+        known.entry.state === EntryState.UNKNOWN);
+    if (!open || known.pending !== undefined) {
+      return;
+    }
+    known.entry = entry;
+    void this.journal.add(entry);
+  }
+
+  /** Forgets entries that are older than the retention. */
+  trim(): void {
+    const oldestMs =
+      this.options.clock.now().getTime() - this.options.retentionMs;
+    for (const [key, live] of this.entries) {
+      if (live.pending === undefined && live.entry.atMs < oldestMs) {
+        this.entries.delete(key);
+      }
+    }
+  }
+
+  private async accept(
+    live: LiveEntry,
+    order: CallOrder,
+  ): Promise<CallOutcome> {
+    live.entry = {
+      ...this.createEntry(order, EntryState.ACCEPTED),
+      call: {
+        method: order.call.method,
+        path: order.call.path,
+        contentType: order.call.contentType,
+        bodyBase64: Buffer.from(order.call.body).toString('base64'),
+      },
+    };
+    const outcome = await track(live, this.recordAccepted(live, order));
+    if (outcome.kind === OutcomeKind.ACCEPTED) {
+      void track(live, this.executeAccepted(live, order));
+    }
+    return outcome;
+  }
+
+  private async recordAccepted(
+    live: LiveEntry,
+    order: CallOrder,
+  ): Promise<CallOutcome> {
+    const recorded = await this.journal.append(
+      live.entry,
+      this.getPatience(order),
+    );
+    if (recorded.isErr) {
+      return this.refuseUnrecorded(live, order, recorded.error);
+    }
+    live.durable = true;
+    return {kind: OutcomeKind.ACCEPTED};
+  }
+
+  /** Runs an accepted call; its promise outlives the caller's deadline. */
+  private async executeAccepted(
+    live: LiveEntry,
+    order: CallOrder,
+  ): Promise<CallOutcome> {
+    const {clock, acceptedRetryMs, retentionMs} = this.options;
+    const endMs = clock.monotonicMs() + retentionMs;
+    while (clock.monotonicMs() < endMs && !this.journal.isFenced()) {
+      const dispatched = this.createEntry(order, EntryState.DISPATCHED);
+      const recorded = await this.journal.append(dispatched, acceptedRetryMs);
+      if (recorded.isErr) {
+        // It may be recorded as dispatched although it never was: only this
+        // holder knows, and goes on trying while it holds the book.
+        await clock.sleep(acceptedRetryMs);
+        continue;
+      }
+      const result = await this.options.dispatch({
+        ...order,
+        deadlineMs: clock.monotonicMs() + acceptedRetryMs * 10,
+      });
+      if (result.kind !== DispatchKind.NOT_SENT) {
+        return this.conclude(live, order, result);
+      }
+      await this.journal.append(live.entry, acceptedRetryMs);
+      await clock.sleep(acceptedRetryMs);
+    }
+    return {kind: OutcomeKind.MOVED};
+  }
+
+  private async execute(
+    live: LiveEntry,
+    order: CallOrder,
+  ): Promise<CallOutcome> {
+    if (this.options.recordsFirst) {
+      const recorded = await this.journal.append(
+        live.entry,
+        this.getPatience(order),
+      );
+      if (recorded.isErr) {
+        return this.refuseUnrecorded(live, order, recorded.error);
+      }
+      live.durable = true;
+    }
+    if (this.options.clock.monotonicMs() >= order.deadlineMs) {
+      return this.refuse(live, order, problems.deadlinePassed(Ran.NO));
+    }
+    return this.conclude(live, order, await this.options.dispatch(order));
+  }
+
+  private async conclude(
+    live: LiveEntry,
+    order: CallOrder,
+    result: DispatchResult,
+  ): Promise<CallOutcome> {
+    if (result.kind === DispatchKind.NOT_SENT) {
+      return this.refuse(live, order, result.problem);
+    }
+    if (result.kind === DispatchKind.ANSWERED) {
+      return this.finish(live, result.answer, false);
+    }
+    const {deployment, call} = order;
+    const found = await this.options.lookUp(deployment, call.key ?? '');
+    if (found !== undefined) {
+      return this.finish(live, found, false);
+    }
+    this.settle(live, EntryState.UNKNOWN);
+    return fail(problems.outcomeUnknown(result.detail));
+  }
+
+  private async repeat(known: LiveEntry): Promise<CallOutcome> {
+    const {entry} = known;
+    if (entry.state === EntryState.FINISHED && entry.answer !== undefined) {
+      return {
+        kind: OutcomeKind.ANSWERED,
+        answer: entry.answer,
+        replayed: true,
+      };
+    }
+    const [, key = ''] = splitEntryKey(entry.key);
+    const found = await this.options.lookUp(entry.deployment, key);
+    if (found !== undefined) {
+      return this.finish(known, found, true);
+    }
+    return fail(
+      problems.outcomeUnknown('the call was begun and its answer was lost'),
+    );
+  }
+
+  private async join(known: LiveEntry, order: CallOrder): Promise<CallOutcome> {
+    const {clock} = this.options;
+    if (order.respondAsync) {
+      return {kind: OutcomeKind.ACCEPTED};
+    }
+    const over = new AbortController();
+    const late = clock
+      .sleep(order.deadlineMs - clock.monotonicMs(), over.signal)
+      .then(() => fail(problems.deadlinePassed(Ran.UNKNOWN)));
+    const outcome = await Promise.race([
+      known.pending ?? this.repeat(known),
+      late,
+    ]);
+    over.abort();
+    if (outcome.kind === OutcomeKind.FAILED && outcome.problem.ran === Ran.NO) {
+      known.refusals.set(order.instance, outcome.problem);
+    }
+    return outcome.kind === OutcomeKind.ANSWERED
+      ? {...outcome, replayed: true}
+      : outcome;
+  }
+
+  private refuseUnrecorded(
+    live: LiveEntry,
+    order: CallOrder,
+    failure: AppendFailure,
+  ): CallOutcome {
+    if (failure === AppendFailure.FENCED) {
+      this.entries.delete(live.entry.key);
+      return {kind: OutcomeKind.MOVED};
+    }
+    const offered = this.options.mintKey();
+    const problem = problems.storeUnavailable(Ran.NO, offered);
+    return this.refuse(live, order, problem);
+  }
+
+  private refuse(
+    live: LiveEntry,
+    order: CallOrder,
+    problem: Problem,
+  ): CallOutcome {
+    live.refusals.set(order.instance, problem);
+    this.settle(live, EntryState.REFUSED);
+    return fail(problem);
+  }
+
+  private finish(
+    live: LiveEntry,
+    answer: RecordedAnswer,
+    replayed: boolean,
+  ): CallOutcome {
+    this.settle(live, EntryState.FINISHED, answer);
+    return {kind: OutcomeKind.ANSWERED, answer, replayed};
+  }
+
+  /** Puts an entry in its final state and records that in the background. */
+  private settle(
+    live: LiveEntry,
+    state: EntryState,
+    answer?: RecordedAnswer,
+  ): void {
+    const {call: _call, ...common} = live.entry;
+    const entry: Entry = {
+      ...common,
+      state,
+      atMs: this.options.clock.now().getTime(),
+      ...(answer === undefined ? {} : {answer}),
+    };
+    live.entry = entry;
+    void this.journal.add(entry).then(recorded => {
+      if (recorded.isErr) {
+        this.options.onOrphanedOutcome(this.id, entry);
+      }
+    });
+  }
+
+  private createEntry(order: CallOrder, state: EntryState): Entry {
+    return {
+      key: order.entryKey,
+      requestId: order.requestId,
+      deployment: order.deployment,
+      fingerprint: order.fingerprint,
+      state,
+      atMs: this.options.clock.now().getTime(),
+    };
+  }
+
+  private getPatience(order: CallOrder): number {
+    const remainingMs = order.deadlineMs - this.options.clock.monotonicMs();
+    return Math.max(0, Math.min(remainingMs, this.options.recordPatienceMs));
+  }
+}
+
+/** Marks a call as running here until its outcome is known. */
+function track(
+  live: LiveEntry,
+  pending: Promise<CallOutcome>,
+): Promise<CallOutcome> {
+  live.pending = pending;
+  const clear = () => {
+    if (live.pending === pending) {
+      delete live.pending;
+    }
+  };
+  void pending.then(clear, clear);
+  return pending;
+}
+
+function fail(problem: Problem): CallOutcome {
+  return {kind: OutcomeKind.FAILED, problem};
+}
+
+function splitEntryKey(entryKey: string): [string, string] {
+  const slash = entryKey.indexOf('/');
+  return [entryKey.slice(0, slash), entryKey.slice(slash + 1)];
+}
+
+function toOrder(entry: Entry, options: BookOptions): CallOrder {
+  const [customer, key] = splitEntryKey(entry.key);
+  return {
+    entryKey: entry.key,
+    requestId: entry.requestId,
+    customer,
+    deployment: entry.deployment,
+    fingerprint: entry.fingerprint,
+    call: {
+      requestId: entry.requestId,
+      method: entry.call?.method ?? 'POST',
+      path: entry.call?.path ?? '/',
+      contentType: entry.call?.contentType ?? '',
+      body: Buffer.from(entry.call?.bodyBase64 ?? '', 'base64'),
+      key,
+    },
+    deadlineMs: options.clock.monotonicMs() + options.retentionMs,
+    respondAsync: true,
+    instance: entry.requestId,
+  };
+}
--- /dev/null
+++ b/src/journal/book_handover.ts
@@ -0,0 +1,42 @@
+import {z} from 'zod';
+import {EntryState} from './entry.js';
+
+/** Schema of an entry that comes from a peer. */
+export const entrySchema = z.object({
+  key: z.string(),
+  requestId: z.string(),
+  deployment: z.string(),
+  fingerprint: z.string(),
+  state: z.enum(Object.values(EntryState)),
+  atMs: z.number(),
+  answer: z
+    .object({
+      status: z.number().int(),
+      contentType: z.string(),
+      bodyBase64: z.string().optional(),
+    })
+    .optional(),
+  call: z
+    .object({
+      method: z.string(),
+      path: z.string(),
+      contentType: z.string(),
+      bodyBase64: z.string(),
+    })
+    .optional(),
+});
+
+/** Schema of a book on its way from one host to another. */
+export const bookHandoverSchema = z.object({
+  position: z.object({
+    book: z.string(),
+    fence: z.number().int(),
+    sequence: z.number().int(),
+    version: z.number().int(),
+  }),
+  entries: z.array(entrySchema),
+  batches: z.array(z.object({sequence: z.number().int(), atMs: z.number()})),
+});
+
+/** A book on its way from one host to another. */
+export type BookHandover = z.output<typeof bookHandoverSchema>;
--- /dev/null
+++ b/src/log/consola_log.ts
@@ -0,0 +1,45 @@
+import {ConsolaInstance, createConsola} from 'consola';
+import {Clock} from '../time/index.js';
+import {formatLine} from './format_line.js';
+import {Log, LogMembers} from './log.js';
+
+/** Log on standard error, by consola. */
+export class ConsolaLog implements Log {
+  private readonly consola: ConsolaInstance;
+
+  /**
+   * @param clock - Gives the time of each line.
+   * @param common - Members that stand on every line, such as the host.
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly common: LogMembers,
+  ) {
+    this.consola = createConsola({
+      reporters: [
+        {
+          log: entry => {
+            process.stderr.write(`${String(entry.args[0])}\n`);
+          },
+        },
+      ],
+    });
+  }
+
+  info(event: string, members: LogMembers = {}): void {
+    this.consola.info(this.format('info', event, members));
+  }
+
+  warn(event: string, members: LogMembers = {}): void {
+    this.consola.warn(this.format('warn', event, members));
+  }
+
+  error(event: string, members: LogMembers = {}): void {
+    this.consola.error(this.format('error', event, members));
+  }
+
+  private format(level: string, event: string, members: LogMembers): string {
+    const time = this.clock.now().toISOString();
+    return formatLine({time, level, event, ...this.common, ...members});
+  }
+}
--- /dev/null
+++ b/src/log/index.ts
@@ -0,0 +1,5 @@
+/** Logs: one line of key=value pairs per event. */
+export type {Log, LogMembers, LogValue} from './log.js';
+export {ConsolaLog} from './consola_log.js';
+export {SilentLog} from './silent_log.js';
+export {formatLine} from './format_line.js';
--- /dev/null
+++ b/src/membership/leaving_hosts.ts
@@ -0,0 +1,124 @@
+import {Log} from '../log/index.js';
+import {HostState, ListedHost, ReclaimNotice} from '../platform/index.js';
+import {Clock} from '../time/index.js';
+import {LeavingHost} from './host_status.js';
+
+/** Why a host is known to be leaving, and since when. */
+interface Departure {
+  /** When it was first known anywhere, on the local monotonic clock. */
+  readonly sinceMs: number;
+  /** When the platform takes it back, monotonic ms; absent if not announced. */
+  readonly deadlineMs?: number;
+  /** When the last evidence of it came in. */
+  readonly confirmedMs: number;
+}
+
+/** Time after the last evidence until a departure is forgotten, in ms. */
+const FORGET_MS = 120_000;
+
+/**
+ * Hosts of either role that are leaving, from every source of evidence: the
+ * platform's list and notices, peers' word, and operators through the records.
+ */
+export class LeavingHosts {
+  private readonly departures = new Map<string, Departure>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {}
+
+  /** Tells whether a host is leaving. */
+  isLeaving(host: string): boolean {
+    return this.departures.has(host);
+  }
+
+  /**
+   * Returns the notice that is left, in milliseconds; `undefined` when the
+   * host is not leaving or its end was not announced.
+   */
+  getRemainingMs(host: string): number | undefined {
+    const deadlineMs = this.departures.get(host)?.deadlineMs;
+    return deadlineMs === undefined
+      ? undefined
+      : deadlineMs - this.clock.monotonicMs();
+  }
+
+  /** Takes in the platform's list. */
+  addListed(listed: readonly ListedHost[]): void {
+    for (const entry of listed) {
+      if (entry.state === HostState.LEAVING) {
+        this.add(entry.name, 0, undefined, 'host-list');
+      }
+    }
+  }
+
+  /** Takes in the platform's reclaim notices. */
+  addNotices(notices: readonly ReclaimNotice[]): void {
+    const nowMs = this.clock.now().getTime();
+    for (const notice of notices) {
+      this.add(notice.host, 0, notice.deadlineMs - nowMs, 'notice');
+    }
+  }
+
+  /** Takes in a peer's word. */
+  addHeard(heard: readonly LeavingHost[], peer: string): void {
+    for (const leaving of heard) {
+      this.add(leaving.host, leaving.ageMs, leaving.remainingMs, peer);
+    }
+  }
+
+  /** Returns what to tell peers. */
+  list(): LeavingHost[] {
+    const nowMs = this.clock.monotonicMs();
+    const leaving: LeavingHost[] = [];
+    for (const [host, departure] of this.departures) {
+      const remaining =
+        departure.deadlineMs === undefined
+          ? {}
+          : {remainingMs: departure.deadlineMs - nowMs};
+      leaving.push({host, ageMs: nowMs - departure.sinceMs, ...remaining});
+    }
+    return leaving;
+  }
+
+  /** Forgets departures of which nothing was heard for long. */
+  trim(): void {
+    const oldestMs = this.clock.monotonicMs() - FORGET_MS;
+    for (const [host, departure] of this.departures) {
+      if (Math.max(departure.sinceMs, departure.confirmedMs) < oldestMs) {
+        this.departures.delete(host);
+      }
+    }
+  }
+
+  private add(
+    host: string,
+    ageMs: number,
+    remainingMs: number | undefined,
+    source: string,
+  ): void {
+    // Old word that only goes round among peers must die out.
+    if (ageMs > FORGET_MS) {
+      return;
+    }
+    const nowMs = this.clock.monotonicMs();
+    const known = this.departures.get(host);
+    if (known === undefined) {
+      this.log.info('host_leaving', {
+        leaving: host,
+        source,
+        remaining_ms:
+          remainingMs === undefined ? undefined : Math.round(remainingMs),
+      });
+    }
+    const deadlineMs =
+      remainingMs === undefined ? known?.deadlineMs : nowMs + remainingMs;
+    const direct = source === 'notice' || source === 'host-list';
+    this.departures.set(host, {
+      sinceMs: Math.min(known?.sinceMs ?? nowMs, nowMs - ageMs),
+      confirmedMs: direct ? nowMs : (known?.confirmedMs ?? nowMs - ageMs),
+      ...(deadlineMs === undefined ? {} : {deadlineMs}),
+    });
+  }
+}
--- /dev/null
+++ b/src/membership/membership.ts
@@ -0,0 +1,248 @@
+import {Log} from '../log/index.js';
+import {ListedHost, HostRole, HostState} from '../platform/index.js';
+import {Clock} from '../time/index.js';
+import {EntryHostState, HeardHost, HostStatus} from './host_status.js';
+
+/** An entry host as this host knows it. */
+export interface KnownHost {
+  readonly host: string;
+  readonly dataCentre: string;
+  readonly address: string;
+  readonly incarnation: string;
+  readonly state: EntryHostState;
+  /** When it was last heard, by itself or through a peer; monotonic ms. */
+  readonly heardMs: number;
+  /** Its last heartbeat to this host; absent when only heard of. */
+  readonly status?: HostStatus;
+}
+
+/** What the membership works with. */
+export interface MembershipOptions {
+  readonly self: {
+    readonly host: string;
+    readonly dataCentre: string;
+    readonly incarnation: string;
+    readonly address: string;
+  };
+  /** Silence after which a host counts as dead, in milliseconds. */
+  readonly deadAfterMs: number;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/** Silence after which a host is forgotten, as a multiple of `deadAfterMs`. */
+const FORGET_FACTOR = 30;
+
+/**
+ * The entry hosts: who lives, who is leaving, and since when.
+ *
+ * Evidence ranks by directness: a host's own heartbeat, then a peer's word
+ * with its age. The platform's list only names hosts to try; it lags.
+ */
+export class Membership {
+  private readonly hosts = new Map<string, KnownHost>();
+  private readonly endedIncarnations = new Set<string>();
+  private listed: ReadonlySet<string> = new Set();
+  private ownState: EntryHostState = EntryHostState.LIVE;
+
+  constructor(private readonly options: MembershipOptions) {}
+
+  /** Returns this host's own state. */
+  getOwnState(): EntryHostState {
+    return this.ownState;
+  }
+
+  /** Changes this host's own state. */
+  setOwnState(state: EntryHostState): void {
+    this.ownState = state;
+  }
+
+  /** Returns every entry host heard of, this one not included. */
+  listKnown(): readonly KnownHost[] {
+    return [...this.hosts.values()];
+  }
+
+  /** Returns a host heard of. */
+  getHost(name: string): KnownHost | undefined {
+    return this.hosts.get(name);
+  }
+
+  /** Tells whether a host was heard within the limit. */
+  isAlive(known: KnownHost): boolean {
+    const silentMs = this.options.clock.monotonicMs() - known.heardMs;
+    return silentMs <= this.options.deadAfterMs;
+  }
+
+  /** Returns the other hosts that live and take new work. */
+  listLivePeers(): readonly KnownHost[] {
+    return this.listKnown().filter(
+      known => known.state === EntryHostState.LIVE && this.isAlive(known),
+    );
+  }
+
+  /** Returns the names of hosts that live and take new work, own included. */
+  listLiveNames(): readonly string[] {
+    const names = this.listLivePeers().map(known => known.host);
+    if (this.ownState === EntryHostState.LIVE) {
+      names.push(this.options.self.host);
+    }
+    return names;
+  }
+
+  /** Returns the names of the live hosts of this data centre, own included. */
+  listLiveNamesHere(): readonly string[] {
+    const {dataCentre, host} = this.options.self;
+    const names = [host];
+    for (const known of this.listLivePeers()) {
+      if (known.dataCentre === dataCentre) {
+        names.push(known.host);
+      }
+    }
+    return names;
+  }
+
+  /** Tells whether a start of a host is known to have ended. */
+  isGone(host: string, incarnation: string): boolean {
+    const {self} = this.options;
+    if (host === self.host) {
+      return incarnation !== self.incarnation;
+    }
+    return this.endedIncarnations.has(`${host}/${incarnation}`);
+  }
+
+  /** Takes in a heartbeat that came from the host itself. */
+  addStatus(status: HostStatus): void {
+    if (status.host === this.options.self.host) {
+      return;
+    }
+    this.set({
+      host: status.host,
+      dataCentre: status.dataCentre,
+      address: status.address,
+      incarnation: status.incarnation,
+      state: status.state,
+      heardMs: this.options.clock.monotonicMs(),
+      status,
+    });
+    for (const heard of status.hosts) {
+      this.addHearsay(heard);
+    }
+  }
+
+  /** Takes in the platform's list: only names that are new matter. */
+  addListed(listed: readonly ListedHost[]): void {
+    this.listed = new Set(listed.map(entry => entry.name));
+    for (const entry of listed) {
+      const isPeer =
+        entry.role === HostRole.ENTRY && entry.name !== this.options.self.host;
+      if (isPeer && !this.hosts.has(entry.name)) {
+        this.set({
+          host: entry.name,
+          dataCentre: entry.dataCentre,
+          address: entry.address,
+          incarnation: '',
+          state:
+            entry.state === HostState.LEAVING
+              ? EntryHostState.LEAVING
+              : EntryHostState.LIVE,
+          heardMs: Number.NEGATIVE_INFINITY,
+        });
+      }
+    }
+  }
+
+  /**
+   * Forgets hosts that have been silent for long and that the platform no
+   * longer lists; one that is listed may only be cut off.
+   */
+  trim(): void {
+    const {clock, deadAfterMs} = this.options;
+    const oldestMs = clock.monotonicMs() - deadAfterMs * FORGET_FACTOR;
+    for (const known of this.hosts.values()) {
+      if (known.heardMs < oldestMs && !this.listed.has(known.host)) {
+        this.hosts.delete(known.host);
+      }
+    }
+  }
+
+  /** Returns what to tell peers about the hosts of this data centre. */
+  listHeard(): HeardHost[] {
+    const nowMs = this.options.clock.monotonicMs();
+    const heard: HeardHost[] = [];
+    for (const known of this.hosts.values()) {
+      if (known.status !== undefined && this.isAlive(known)) {
+        heard.push({
+          host: known.host,
+          dataCentre: known.dataCentre,
+          address: known.address,
+          incarnation: known.incarnation,
+          state: known.state,
+          ageMs: Math.max(0, nowMs - known.heardMs),
+        });
+      }
+    }
+    return heard;
+  }
+
+  /**
+   * Returns the lowest revision in force on the live hosts of this data centre.
+   * @param ownRevision - Revision in force on this host.
+   */
+  getCentreRevision(ownRevision: number): number {
+    let lowest = ownRevision;
+    for (const known of this.hosts.values()) {
+      const here = known.dataCentre === this.options.self.dataCentre;
+      if (here && known.status !== undefined && this.isAlive(known)) {
+        lowest = Math.min(lowest, known.status.revision);
+      }
+    }
+    return lowest;
+  }
+
+  private addHearsay(heard: HeardHost): void {
+    if (heard.host === this.options.self.host) {
+      return;
+    }
+    const heardMs = this.options.clock.monotonicMs() - heard.ageMs;
+    const known = this.hosts.get(heard.host);
+    if (known !== undefined && known.heardMs >= heardMs) {
+      return;
+    }
+    // Word through a peer must not keep a host alive that is silent to us
+    // directly for long; but it makes it known, and carries its leaving.
+    this.set({
+      host: heard.host,
+      dataCentre: heard.dataCentre,
+      address: heard.address,
+      incarnation: heard.incarnation,
+      state: heard.state,
+      heardMs,
+      ...(known?.status !== undefined && known.incarnation === heard.incarnation
+        ? {status: known.status}
+        : {}),
+    });
+  }
+
+  private set(next: KnownHost): void {
+    const known = this.hosts.get(next.host);
+    if (known === undefined || known.incarnation !== next.incarnation) {
+      if (this.isGone(next.host, next.incarnation)) {
+        return;
+      }
+      if (known !== undefined && known.incarnation !== '') {
+        this.endedIncarnations.add(`${known.host}/${known.incarnation}`);
+      }
+      this.options.log.info('host_known', {
+        peer: next.host,
+        data_centre: next.dataCentre,
+        incarnation: next.incarnation || undefined,
+      });
+    } else if (known.state !== next.state) {
+      this.options.log.info('host_state', {
+        peer: next.host,
+        state: next.state,
+      });
+    }
+    this.hosts.set(next.host, next);
+  }
+}
--- /dev/null
+++ b/src/metrics/metrics.ts
@@ -0,0 +1,152 @@
+import {BUCKETS_MS, DurationHistogram} from './duration_histogram.js';
+
+/** Labels of a sample. */
+export type Labels = Readonly<Record<string, string>>;
+
+/** A metric that is read when it is asked for. */
+interface Gauge {
+  readonly help: string;
+  readonly read: () => number;
+}
+
+/** A metric that adds up, by labels. */
+interface Counter {
+  readonly help: string;
+  readonly values: Map<string, number>;
+}
+
+/** A distribution of durations, by labels. */
+interface Distribution {
+  readonly help: string;
+  readonly histograms: Map<string, DurationHistogram>;
+}
+
+const MS_PER_SECOND = 1000;
+const PREFIX = 'sedgefall_';
+const PERCENTILES = [50, 95, 99] as const;
+
+/** Counters, gauges and histograms of one process. */
+export class Metrics {
+  private readonly counters = new Map<string, Counter>();
+  private readonly gauges = new Map<string, Gauge>();
+  private readonly distributions = new Map<string, Distribution>();
+
+  /** Declares a counter. */
+  addCounter(name: string, help: string): void {
+    this.counters.set(name, {help, values: new Map()});
+  }
+
+  /** Declares a gauge. */
+  addGauge(name: string, help: string, read: () => number): void {
+    this.gauges.set(name, {help, read});
+  }
+
+  /** Declares a histogram of durations. */
+  addHistogram(name: string, help: string): void {
+    this.distributions.set(name, {help, histograms: new Map()});
+  }
+
+  /** Counts one event. */
+  increment(name: string, labels: Labels = {}): void {
+    const values = this.counters.get(name)?.values;
+    const key = formatLabels(labels);
+    values?.set(key, (values.get(key) ?? 0) + 1);
+  }
+
+  /** Returns the value of a counter. */
+  getCount(name: string, labels: Labels = {}): number {
+    return this.counters.get(name)?.values.get(formatLabels(labels)) ?? 0;
+  }
+
+  /**
+   * Records a duration.
+   * @param name - Name of the histogram.
+   * @param ms - Duration in milliseconds.
+   * @param labels - Labels of the sample.
+   */
+  record(name: string, ms: number, labels: Labels = {}): void {
+    const histograms = this.distributions.get(name)?.histograms;
+    const key = formatLabels(labels);
+    const known = histograms?.get(key);
+    const histogram = known ?? new DurationHistogram();
+    if (known === undefined) {
+      histograms?.set(key, histogram);
+    }
+    histogram.record(ms);
+  }
+
+  /** Writes everything in the Prometheus text format. */
+  format(): string {
+    const lines: string[] = [];
+    for (const [name, counter] of this.counters) {
+      lines.push(...formatHead(name, counter.help, 'counter'));
+      for (const [labels, value] of counter.values) {
+        lines.push(`${PREFIX}${name}${wrap(labels)} ${value}`);
+      }
+    }
+    for (const [name, gauge] of this.gauges) {
+      lines.push(...formatHead(name, gauge.help, 'gauge'));
+      lines.push(`${PREFIX}${name} ${gauge.read()}`);
+    }
+    for (const [name, distribution] of this.distributions) {
+      lines.push(...formatHead(name, distribution.help, 'histogram'));
+      for (const [labels, histogram] of distribution.histograms) {
+        lines.push(...formatHistogram(name, labels, histogram));
+      }
+      lines.push(...formatPercentiles(name, distribution));
+    }
+    return lines.join('\n') + '\n';
+  }
+}
+
+function formatHead(name: string, help: string, type: string): string[] {
+  return [`# HELP ${PREFIX}${name} ${help}`, `# TYPE ${PREFIX}${name} ${type}`];
+}
+
+function formatHistogram(
+  name: string,
+  labels: string,
+  histogram: DurationHistogram,
+): string[] {
+  const lines: string[] = [];
+  const before = labels === '' ? '' : `${labels},`;
+  const cumulative = histogram.listCumulative();
+  for (const [index, boundMs] of BUCKETS_MS.entries()) {
+    const bound = boundMs / MS_PER_SECOND;
+    const count = cumulative[index] ?? 0;
+    lines.push(`${PREFIX}${name}_bucket{${before}le="${bound}"} ${count}`);
+  }
+  const total = histogram.getCount();
+  lines.push(
+    `${PREFIX}${name}_bucket{${before}le="+Inf"} ${total}`,
+    `${PREFIX}${name}_sum${wrap(labels)} ${histogram.getSumMs() / MS_PER_SECOND}`,
+    `${PREFIX}${name}_count${wrap(labels)} ${total}`,
+  );
+  return lines;
+}
+
+/** Percentiles from the HDR histograms, which buckets can only bracket. */
+function formatPercentiles(name: string, distribution: Distribution): string[] {
+  const gauge = `${name}_percentile`;
+  const lines = formatHead(gauge, `Percentiles of ${name}`, 'gauge');
+  for (const [labels, histogram] of distribution.histograms) {
+    const before = labels === '' ? '' : `${labels},`;
+    for (const percentile of PERCENTILES) {
+      const value = histogram.getPercentileMs(percentile) / MS_PER_SECOND;
+      lines.push(
+        `${PREFIX}${gauge}{${before}percentile="${percentile}"} ${value}`,
+      );
+    }
+  }
+  return lines;
+}
+
+function formatLabels(labels: Labels): string {
+  return Object.entries(labels)
+    .map(([key, value]) => `${key}="${value.replaceAll(/["\\\n]/g, '_')}"`)
+    .join(',');
+}
+
+function wrap(labels: string): string {
+  return labels === '' ? '' : `{${labels}}`;
+}
--- /dev/null
+++ b/src/operator/operator_api.ts
@@ -0,0 +1,287 @@
+import express, {
+  ErrorRequestHandler,
+  Express,
+  NextFunction,
+  Request,
+  Response,
+} from 'express';
+import {getKeyHash, sendProblem} from '../caller/index.js';
+import {
+  ConfigurationStore,
+  convertRecord,
+  CURRENT_SCHEMA_VERSION,
+  getRecordKey,
+  RecordKind,
+  SCHEMA_VERSIONS,
+  StoredRecord,
+} from '../configuration/index.js';
+import {Problem, problems} from '../errors/index.js';
+import {Metrics} from '../metrics/index.js';
+import {createOpenApi} from './openapi.js';
+import {RecordChange, RecordChanges} from './record_changes.js';
+import {SystemStatus} from './system_status.js';
+
+/** What the operators' interface works with. */
+export interface OperatorApiOptions {
+  readonly keyHashes: readonly string[];
+  readonly store: ConfigurationStore;
+  readonly changes: RecordChanges;
+  readonly metrics: Metrics;
+  readonly getStatus: () => SystemStatus;
+  /** Returns why the host is not ready; empty when it is. */
+  readonly listUnready: () => readonly string[];
+  /** Drains or undrains an entry host; returns whether it was reached. */
+  readonly setDrained: (host: string, on: boolean) => Promise<boolean>;
+}
+
+const MAX_BODY = '1mb';
+
+/** The HTTP interface for operators, the balancer and metrics. */
+export class OperatorApi {
+  constructor(private readonly options: OperatorApiOptions) {}
+
+  /** Builds the express app. */
+  createApp(): Express {
+    const app = express();
+    app.disable('x-powered-by');
+    app.disable('etag');
+    this.addOpenRoutes(app);
+    app.use('/admin', (request, response, next) =>
+      this.authorize(request, response, next),
+    );
+    app.use(express.json({limit: MAX_BODY, type: () => true}));
+    this.addRecordRoutes(app);
+    this.addHostRoutes(app);
+    app.use((_request, response) => {
+      sendProblem(response, problems.routeUnknown());
+    });
+    app.use(handleError);
+    return app;
+  }
+
+  /** Routes without a key: the balancer and metrics collectors have none. */
+  private addOpenRoutes(app: Express): void {
+    app.get('/health', (_request, response) => {
+      response.json({status: 'ok'});
+    });
+    app.get('/ready', (_request, response) => {
+      const unready = this.options.listUnready();
+      response
+        .status(unready.length === 0 ? 200 : 503)
+        .json({ready: unready.length === 0, reasons: unready});
+    });
+    app.get('/metrics', (_request, response) => {
+      response
+        .type('text/plain; version=0.0.4')
+        .send(this.options.metrics.format());
+    });
+    app.get('/openapi.json', (_request, response) => {
+      response.json(createOpenApi());
+    });
+  }
+
+  private addRecordRoutes(app: Express): void {
+    app.get('/admin/v1/records/:kind', (request, response) => {
+      this.withKind(request, response, kind => {
+        const records = this.options.store
+          .listRecords()
+          .filter(record => record.kind === kind && record.document !== null);
+        const items = records.map(record =>
+          toItem(record, readVersion(request)),
+        );
+        response.json({items, revision: this.options.store.getRevision()});
+      });
+    });
+    app.get('/admin/v1/records/:kind/:name', (request, response) => {
+      this.withKind(request, response, kind => {
+        const name = String(request.params['name']);
+        const record = this.options.store.getRecord(getRecordKey(kind, name));
+        if (record === undefined || record.document === null) {
+          sendProblem(response, problems.recordUnknown(kind, name));
+          return;
+        }
+        response.setHeader('ETag', toETag(record.revision));
+        response.json(toItem(record, readVersion(request)).document);
+      });
+    });
+    app.put('/admin/v1/records/:kind/:name', (request, response) =>
+      this.change(request, response, request.body as unknown),
+    );
+    app.delete('/admin/v1/records/:kind/:name', (request, response) =>
+      this.change(request, response, null),
+    );
+    app.post('/admin/v1/validate', (request, response) => {
+      const checked = this.options.changes.validate(request.body);
+      if (checked.isErr) {
+        sendProblem(response, checked.error);
+        return;
+      }
+      response.json({valid: true, document: checked.value});
+    });
+  }
+
+  private addHostRoutes(app: Express): void {
+    app.get('/admin/v1/status', (_request, response) => {
+      response.json(this.options.getStatus());
+    });
+    app.post('/admin/v1/hosts/:host/drain', (request, response) =>
+      this.drain(request, response, true),
+    );
+    app.post('/admin/v1/hosts/:host/undrain', (request, response) =>
+      this.drain(request, response, false),
+    );
+  }
+
+  private authorize(
+    request: Request,
+    response: Response,
+    next: NextFunction,
+  ): void {
+    const hash = getKeyHash(request.header('authorization'));
+    if (hash === undefined || !this.options.keyHashes.includes(hash)) {
+      sendProblem(response, {
+        ...problems.unauthenticated(),
+        remedy:
+          'Send "Authorization: Bearer KEY" with a key of operators.key_hashes.',
+      });
+      return;
+    }
+    next();
+  }
+
+  private withKind(
+    request: Request,
+    response: Response,
+    use: (kind: RecordKind) => void,
+  ): void {
+    const kind = findKind(String(request.params['kind']));
+    if (kind === undefined) {
+      sendProblem(response, unknownKind());
+      return;
+    }
+    use(kind);
+  }
+
+  private async change(
+    request: Request,
+    response: Response,
+    document: unknown,
+  ): Promise<void> {
+    const kind = findKind(String(request.params['kind']));
+    const madeOn = readPrecondition(request);
+    if (kind === undefined || madeOn === undefined) {
+      sendProblem(
+        response,
+        kind === undefined ? unknownKind() : problems.preconditionRequired(),
+      );
+      return;
+    }
+    const changed = await this.options.changes.apply({
+      kind,
+      name: String(request.params['name']),
+      document,
+      madeOn,
+      force: request.query['force'] === 'true',
+    });
+    if (changed.isErr) {
+      sendProblem(response, changed.error);
+      return;
+    }
+    sendChange(response, changed.value);
+  }
+
+  private async drain(
+    request: Request,
+    response: Response,
+    on: boolean,
+  ): Promise<void> {
+    const host = String(request.params['host']);
+    const reached = await this.options.setDrained(host, on);
+    if (!reached) {
+      sendProblem(response, problems.recordUnknown('host', host));
+      return;
+    }
+    response.json({host, draining: on});
+  }
+}
+
+/** 200 once in force everywhere; 202 while a data centre has not said so. */
+function sendChange(response: Response, change: RecordChange): void {
+  const {record, report} = change;
+  response.setHeader('ETag', toETag(record.revision));
+  const everywhere = report.pending.length === 0;
+  response.status(everywhere ? 200 : 202).json({
+    revision: record.revision,
+    state: everywhere ? 'in-force' : 'pending',
+    in_force: report.inForce,
+    pending: report.pending.map(pending => ({
+      data_centre: pending.dataCentre,
+      hosts: pending.hosts,
+    })),
+  });
+}
+
+function toItem(
+  record: StoredRecord,
+  version: number | undefined,
+): {name: string; revision: number; document: unknown} {
+  const document =
+    version === undefined || record.document === null
+      ? record.document
+      : convertRecord(record.document, version).unwrapOr(record.document);
+  return {name: record.name, revision: record.revision, document};
+}
+
+function readVersion(request: Request): number | undefined {
+  const wanted = Number(request.query['schema_version']);
+  return SCHEMA_VERSIONS.find(known => known === wanted) === undefined
+    ? request.query['schema_version'] === 'current'
+      ? CURRENT_SCHEMA_VERSION
+      : undefined
+    : wanted;
+}
+
+/** Reads the revision a change was made on; 0 for a record not there yet. */
+function readPrecondition(request: Request): number | undefined {
+  if (request.header('if-none-match') === '*') {
+    return 0;
+  }
+  const match = /^"r(\d+)"$/.exec(request.header('if-match') ?? '');
+  return match?.[1] === undefined ? undefined : Number(match[1]);
+}
+
+function toETag(revision: number): string {
+  return `"r${revision}"`;
+}
+
+function findKind(text: string): RecordKind | undefined {
+  return Object.values(RecordKind).find(kind => `${kind}s` === text);
+}
+
+function unknownKind(): Problem {
+  const kinds = Object.values(RecordKind).map(kind => `${kind}s`);
+  return {
+    ...problems.routeUnknown(),
+    detail: 'There is no such kind of record.',
+    remedy: `Use one of: ${kinds.join(', ')}.`,
+  };
+}
+
+const handleError: ErrorRequestHandler = (
+  error: unknown,
+  _request,
+  response,
+  next,
+) => {
+  if (response.headersSent) {
+    next(error);
+    return;
+  }
+  const {message, type} = error as {message?: string; type?: string};
+  sendProblem(
+    response,
+    type === 'entity.too.large'
+      ? problems.bodyTooLarge(1024 * 1024)
+      : problems.bodyInvalid(message ?? 'it cannot be read'),
+  );
+};
--- /dev/null
+++ b/src/peer/frame.ts
@@ -0,0 +1,78 @@
+import {Encoder} from 'cbor-x';
+import {Result} from 'true-myth';
+
+/** Bytes of the length that comes before each frame. */
+const HEADER_BYTES = 4;
+
+const encoder = new Encoder({useRecords: false, mapsAsObjects: true});
+
+/**
+ * Encodes a value as a frame: a 4-byte big-endian length, then CBOR.
+ * @param value - Value to send.
+ */
+export function encodeFrame(value: unknown): Buffer {
+  const body = encoder.encode(value);
+  const frame = Buffer.allocUnsafe(HEADER_BYTES + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  body.copy(frame, HEADER_BYTES);
+  return frame;
+}
+
+/** Cuts a byte stream into frames and decodes them. */
+export class FrameReader {
+  private buffered: Buffer[] = [];
+  private bufferedBytes = 0;
+
+  /** @param limitBytes - Largest body accepted; may be raised later. */
+  constructor(private limitBytes: number) {}
+
+  /** Changes the largest body accepted. */
+  setLimit(limitBytes: number): void {
+    this.limitBytes = limitBytes;
+  }
+
+  /** Adds bytes as they arrive. */
+  add(chunk: Buffer): void {
+    this.buffered.push(chunk);
+    this.bufferedBytes += chunk.length;
+  }
+
+  /**
+   * Takes the next whole frame.
+   * @returns The decoded value, `undefined` when more bytes are needed, or
+   *   what is wrong with the frame; after that the stream is of no more use.
+   */
+  read(): Result<{readonly value: unknown} | undefined, string> {
+    if (this.bufferedBytes < HEADER_BYTES) {
+      return Result.ok(undefined);
+    }
+    const all = this.join();
+    const length = all.readUInt32BE(0);
+    if (length > this.limitBytes) {
+      return Result.err(
+        `a frame of ${length} bytes exceeds ${this.limitBytes}`,
+      );
+    }
+    if (all.length < HEADER_BYTES + length) {
+      return Result.ok(undefined);
+    }
+    const body = all.subarray(HEADER_BYTES, HEADER_BYTES + length);
+    const rest = all.subarray(HEADER_BYTES + length);
+    this.buffered = rest.length === 0 ? [] : [rest];
+    this.bufferedBytes = rest.length;
+    try {
+      return Result.ok({value: encoder.decode(body)});
+    } catch (error) {
+      return Result.err(`a frame is not CBOR: ${String(error)}`);
+    }
+  }
+
+  private join(): Buffer {
+    if (this.buffered.length === 1 && this.buffered[0] !== undefined) {
+      return this.buffered[0];
+    }
+    const all = Buffer.concat(this.buffered, this.bufferedBytes);
+    this.buffered = [all];
+    return all;
+  }
+}
--- /dev/null
+++ b/src/peer/peer_link.ts
@@ -0,0 +1,121 @@
+import {connect, Socket} from 'node:net';
+import {Random} from '../random/index.js';
+import {PeerConnection, PeerConnectionOptions} from './peer_connection.js';
+
+/** What a link works with. */
+export interface PeerLinkOptions {
+  /** IP number and port of the peer. */
+  readonly address: string;
+  readonly connection: PeerConnectionOptions;
+  readonly random: Random;
+  /** Pause between heartbeats, in milliseconds. */
+  readonly heartbeatMs: number;
+  /** Wait for a heartbeat's reply before the connection counts as silent. */
+  readonly silenceMs: number;
+  /** Makes the heartbeat to send. */
+  readonly createHeartbeat: () => unknown;
+  /** Takes in the peer's reply to a heartbeat. */
+  readonly onHeartbeat: (reply: unknown) => void;
+  readonly onConnected: (connection: PeerConnection) => void;
+  readonly onClosed: (connection: PeerConnection) => void;
+}
+
+const CONNECT_MS = 1000;
+const FIRST_PAUSE_MS = 100;
+const MAX_PAUSE_MS = 2000;
+
+/**
+ * Keeps a connection to one peer: connects, sends heartbeats, and replaces a
+ * connection that has gone silent by a fresh one. One task, `run`.
+ */
+export class PeerLink {
+  private readonly stopped = new AbortController();
+  private beatNow = new AbortController();
+  private pauseMs = FIRST_PAUSE_MS;
+
+  constructor(private readonly options: PeerLinkOptions) {}
+
+  /** Connects and reconnects until stopped. */
+  async run(): Promise<void> {
+    const {clock} = this.options.connection;
+    while (!this.stopped.signal.aborted) {
+      const socket = await this.dial();
+      if (socket !== undefined) {
+        await this.serve(socket);
+      }
+      const jitter = 0.5 + this.options.random.next();
+      await clock.sleep(this.pauseMs * jitter, this.stopped.signal);
+      this.pauseMs = Math.min(MAX_PAUSE_MS, this.pauseMs * 2);
+    }
+  }
+
+  /** Sends the next heartbeat at once, since there is news. */
+  hurry(): void {
+    this.beatNow.abort();
+  }
+
+  /** Closes the connection and ends the task. */
+  stop(): void {
+    this.stopped.abort();
+  }
+
+  private async dial(): Promise<Socket | undefined> {
+    const colon = this.options.address.lastIndexOf(':');
+    const host = this.options.address.slice(0, colon);
+    const port = Number(this.options.address.slice(colon + 1));
+    return new Promise(resolve => {
+      const socket = connect({host, port});
+      const fail = () => {
+        socket.destroy();
+        resolve(undefined);
+      };
+      socket.setTimeout(CONNECT_MS, fail);
+      socket.once('error', fail);
+      socket.once('connect', () => {
+        socket.setTimeout(0);
+        socket.off('error', fail);
+        resolve(socket);
+      });
+    });
+  }
+
+  private async serve(socket: Socket): Promise<void> {
+    const {log} = this.options.connection;
+    const connection = new PeerConnection(socket, this.options.connection);
+    const stop = () => connection.close('stopped');
+    this.stopped.signal.addEventListener('abort', stop, {once: true});
+    const reason = await connection.run(peer => {
+      this.pauseMs = FIRST_PAUSE_MS;
+      log.info('peer_connected', {peer: peer.host});
+      this.options.onConnected(connection);
+      void this.beat(connection);
+    });
+    this.stopped.signal.removeEventListener('abort', stop);
+    const peer = connection.getPeer();
+    if (peer === undefined) {
+      log.warn('peer_refused', {address: this.options.address, reason});
+      return;
+    }
+    log.warn('peer_disconnected', {peer: peer.host, reason});
+    this.options.onClosed(connection);
+  }
+
+  /** Sends heartbeats until one goes unanswered. */
+  private async beat(connection: PeerConnection): Promise<void> {
+    const {clock} = this.options.connection;
+    const {heartbeatMs, silenceMs} = this.options;
+    while (!this.stopped.signal.aborted) {
+      const reply = await connection.request(
+        this.options.createHeartbeat(),
+        silenceMs,
+      );
+      if (reply.isErr) {
+        connection.close(`silent: ${reply.error.message}`);
+        return;
+      }
+      this.options.onHeartbeat(reply.value);
+      await clock.sleep(heartbeatMs, this.beatNow.signal);
+      this.beatNow = new AbortController();
+    }
+  }
+}
--- /dev/null
+++ b/src/platform/http_host_list.ts
@@ -0,0 +1,40 @@
+import {Result} from 'true-myth';
+import {HostList, ListedHost, ReclaimNotice} from './host_list.js';
+import {sendJson} from './http_request.js';
+
+/** The platform's host list and notices over HTTP. */
+export class HttpHostList implements HostList {
+  /**
+   * @param url - Base URL of the platform's host interface.
+   * @param timeoutMs - Limit per call, in milliseconds.
+   */
+  constructor(
+    private readonly url: string,
+    private readonly timeoutMs: number,
+  ) {}
+
+  listHosts(): Promise<Result<readonly ListedHost[], string>> {
+    return this.fetchList<ListedHost>('hosts');
+  }
+
+  listNotices(): Promise<Result<readonly ReclaimNotice[], string>> {
+    return this.fetchList<ReclaimNotice>('notices');
+  }
+
+  private async fetchList<T>(
+    path: string,
+  ): Promise<Result<readonly T[], string>> {
+    const answer = await sendJson({
+      method: 'GET',
+      url: `${this.url}/${path}`,
+      timeoutMs: this.timeoutMs,
+    });
+    if (answer.isErr) {
+      return Result.err(answer.error.detail);
+    }
+    if (answer.value.status !== 200 || !Array.isArray(answer.value.body)) {
+      return Result.err(`status ${answer.value.status}`);
+    }
+    return Result.ok(answer.value.body as readonly T[]);
+  }
+}
--- /dev/null
+++ b/src/platform/http_table_service.ts
@@ -0,0 +1,84 @@
+import {Result} from 'true-myth';
+import {HttpAnswer, HttpFailure, sendJson} from './http_request.js';
+import {
+  Commit,
+  Row,
+  Step,
+  TableFailure,
+  TableFailureKind,
+  TableService,
+} from './table_service.js';
+
+/** The platform's table service over HTTP with JSON bodies. */
+export class HttpTableService implements TableService {
+  /**
+   * @param url - Base URL of the table service.
+   * @param timeoutMs - Limit per call, in milliseconds.
+   */
+  constructor(
+    private readonly url: string,
+    private readonly timeoutMs: number,
+  ) {}
+
+  async get(key: string): Promise<Result<Row | undefined, TableFailure>> {
+    const answer = await sendJson({
+      method: 'GET',
+      url: `${this.url}/rows/${encodeURIComponent(key)}`,
+      timeoutMs: this.timeoutMs,
+    });
+    if (answer.isOk && answer.value.status === 404) {
+      return Result.ok(undefined);
+    }
+    return readAnswer<Row>(answer);
+  }
+
+  async list(prefix: string): Promise<Result<readonly Row[], TableFailure>> {
+    const answer = await sendJson({
+      method: 'GET',
+      url: `${this.url}/rows?prefix=${encodeURIComponent(prefix)}`,
+      timeoutMs: this.timeoutMs,
+    });
+    return readAnswer<readonly Row[]>(answer);
+  }
+
+  async transact(
+    steps: readonly Step[],
+  ): Promise<Result<Commit, TableFailure>> {
+    const answer = await sendJson({
+      method: 'POST',
+      url: `${this.url}/transactions`,
+      json: {steps},
+      timeoutMs: this.timeoutMs,
+    });
+    if (answer.isOk && answer.value.status === 412) {
+      const body = answer.value.body as {rows: readonly Row[]};
+      return Result.err({
+        kind: TableFailureKind.CONFLICT,
+        detail: 'a condition did not hold',
+        rows: body.rows,
+      });
+    }
+    return readAnswer<Commit>(answer);
+  }
+}
+
+function readAnswer<T>(
+  answer: Result<HttpAnswer, HttpFailure>,
+): Result<T, TableFailure> {
+  if (answer.isErr) {
+    return Result.err({
+      kind: answer.error.unreached
+        ? TableFailureKind.UNREACHED
+        : TableFailureKind.UNANSWERED,
+      detail: answer.error.detail,
+    });
+  }
+  if (answer.value.status !== 200) {
+    return Result.err({
+      // A gateway may answer 5xx for a write that went through.
+      kind: TableFailureKind.UNANSWERED,
+      detail: `status ${answer.value.status}`,
+    });
+  }
+  return Result.ok(answer.value.body as T);
+}
--- /dev/null
+++ b/src/routing/choose_server.ts
@@ -0,0 +1,100 @@
+import {Random} from '../random/index.js';
+import {predictFirstToken} from './predict_first_token.js';
+import {
+  RoutingDecision,
+  RoutingRequest,
+  ScoredServer,
+  ServerKnowledge,
+} from './server_knowledge.js';
+
+/** A policy that chooses a server; baselines share this shape. */
+export type ChooseServer = (
+  request: RoutingRequest,
+  servers: readonly ServerKnowledge[],
+  random: Random,
+) => RoutingDecision;
+
+/** Up to this many servers are all scored; of more, a sample. */
+const SCORE_ALL = 16;
+const SAMPLED = 8;
+const PREFIX_HOLDERS = 2;
+/** Predictions this close count as equal; chance decides, against herding. */
+const TIE_SHARE = 0.05;
+const TIE_MS = 2;
+const RUNNERS_UP = 2;
+
+/**
+ * Chooses the server with the earliest predicted first token.
+ *
+ * A cached prefix is worth the prefill it saves and a queue costs its wait, so
+ * affinity holds exactly as long as it pays. Of many servers a random sample
+ * and the best holders of the prefix are scored, which spreads the choices of
+ * hosts that all see the same late reports.
+ */
+export const chooseServer: ChooseServer = (request, servers, random) => {
+  const usable = getUsable(request, servers);
+  if (usable.length === 0) {
+    return {runnersUp: [], reason: 'no-server'};
+  }
+  const sample = getSample(usable, random);
+  const scored = sample.map(known => score(request, known));
+  scored.sort((a, b) => a.firstTokenMs - b.firstTokenMs);
+  const best = scored[0];
+  if (best === undefined) {
+    return {runnersUp: [], reason: 'no-server'};
+  }
+  const limitMs = best.firstTokenMs * (1 + TIE_SHARE) + TIE_MS;
+  const tied = scored.filter(option => option.firstTokenMs <= limitMs);
+  const chosen = tied[Math.floor(random.next() * tied.length)] ?? best;
+  const runnersUp = scored
+    .filter(option => option !== chosen)
+    .slice(0, RUNNERS_UP);
+  const cached = sample.find(known => known.server === chosen.server);
+  const reason =
+    (cached?.cachedTokens ?? 0) > 0 ? 'cached-prefix' : 'earliest-first-token';
+  return {chosen, runnersUp, reason};
+};
+
+/**
+ * Leaves out excluded and ejected servers; when that leaves none, ejected ones
+ * count again, since a server that may fail beats none.
+ */
+export function getUsable(
+  request: RoutingRequest,
+  servers: readonly ServerKnowledge[],
+): readonly ServerKnowledge[] {
+  const allowed = servers.filter(known => !request.excluded.has(known.server));
+  const healthy = allowed.filter(known => !known.ejected);
+  return healthy.length > 0 ? healthy : allowed;
+}
+
+function score(request: RoutingRequest, known: ServerKnowledge): ScoredServer {
+  const {queueMs, prefillMs} = predictFirstToken(
+    known,
+    request.promptTokens,
+    request.expectedTokens,
+  );
+  return {server: known.server, firstTokenMs: queueMs + prefillMs, queueMs};
+}
+
+function getSample(
+  usable: readonly ServerKnowledge[],
+  random: Random,
+): readonly ServerKnowledge[] {
+  if (usable.length <= SCORE_ALL) {
+    return usable;
+  }
+  const sample = new Set<ServerKnowledge>();
+  const holders = usable.filter(known => known.cachedTokens > 0);
+  holders.sort((a, b) => b.cachedTokens - a.cachedTokens);
+  for (const holder of holders.slice(0, PREFIX_HOLDERS)) {
+    sample.add(holder);
+  }
+  for (let draw = 0; draw < SAMPLED; draw++) {
+    const known = usable[Math.floor(random.next() * usable.length)];
+    if (known !== undefined) {
+      sample.add(known);
+    }
+  }
+  return [...sample];
+}
--- /dev/null
+++ b/src/service/index.ts
@@ -0,0 +1,12 @@
+/** Plain services: calls that may be repeated and calls that may not. */
+export {
+  callMessageSchema,
+  fromCallMessage,
+  readCallOutcome,
+  toCallMessage,
+} from './call_message.js';
+export type {CallMessage} from './call_message.js';
+export {getBookFor, OnceCalls} from './once_calls.js';
+export type {OnceCall, OnceCallsOptions, RequestPeer} from './once_calls.js';
+export {ServiceDispatcher} from './service_dispatcher.js';
+export type {ServiceDispatcherOptions} from './service_dispatcher.js';
--- /dev/null
+++ b/src/service/service_dispatcher.ts
@@ -0,0 +1,234 @@
+import {Reach, ServiceAnswer, ServiceCall} from '../backend/index.js';
+import {ConfigurationStore, Deployment} from '../configuration/index.js';
+import {problems, Ran} from '../errors/index.js';
+import {
+  CallOrder,
+  DispatchKind,
+  DispatchResult,
+  RecordedAnswer,
+} from '../journal/index.js';
+import {Log} from '../log/index.js';
+import {Random} from '../random/index.js';
+import {
+  chooseServer,
+  findCandidates,
+  RetryBudget,
+  RoutingDecision,
+  ServerDirectory,
+} from '../routing/index.js';
+import {Clock} from '../time/index.js';
+
+/** What the dispatcher works with. */
+export interface ServiceDispatcherOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly random: Random;
+  readonly configuration: ConfigurationStore;
+  readonly directory: ServerDirectory;
+  readonly budget: RetryBudget;
+  readonly isLeaving: (server: string) => boolean;
+  /** Data centre of this host: its servers are tried first. */
+  readonly dataCentre: string;
+}
+
+/** What a dispatch needs of a call. */
+export type DispatchOrder = Pick<
+  CallOrder,
+  'requestId' | 'deployment' | 'customer' | 'call' | 'deadlineMs'
+>;
+
+/** Sends calls to the plain services of a deployment. */
+export class ServiceDispatcher {
+  constructor(private readonly options: ServiceDispatcherOptions) {}
+
+  /**
+   * Sends a call that may run at most once: another server is tried only
+   * while it is certain that none has received it.
+   * @param order - The call.
+   */
+  dispatchOnce(order: DispatchOrder): Promise<DispatchResult> {
+    return this.dispatch(order, false);
+  }
+
+  /**
+   * Sends a call that may run several times: another server is tried after any
+   * failure, as long as the retry budget and the deadline allow.
+   * @param order - The call.
+   */
+  dispatchRepeatable(order: DispatchOrder): Promise<DispatchResult> {
+    return this.dispatch(order, true);
+  }
+
+  /**
+   * Asks the servers of a deployment for an answer that was lost.
+   * @param deploymentName - The deployment.
+   * @param key - Idempotency-Key the call was sent with.
+   * @returns The answer, if a server has it.
+   */
+  async lookUp(
+    deploymentName: string,
+    key: string,
+  ): Promise<RecordedAnswer | undefined> {
+    const deployment = this.getDeployment(deploymentName);
+    const target = deployment?.target;
+    if (!deployment || target?.kind !== 'service' || !target.answersLookups) {
+      return undefined;
+    }
+    for (const server of this.listCandidates(deployment, () => false)) {
+      const service = this.options.directory.getService(server);
+      const found = await service?.getOutcome(key);
+      if (found?.isOk === true && found.value !== undefined) {
+        return toRecordedAnswer(found.value);
+      }
+    }
+    return undefined;
+  }
+
+  private async dispatch(
+    order: DispatchOrder,
+    repeatable: boolean,
+  ): Promise<DispatchResult> {
+    const {clock, budget, directory} = this.options;
+    const excluded = new Set<string>();
+    let failure: DispatchResult = {
+      kind: DispatchKind.NOT_SENT,
+      problem: problems.noServer(order.deployment),
+    };
+    budget.addRequest();
+    for (let attempt = 0; ; attempt++) {
+      const remainingMs = order.deadlineMs - clock.monotonicMs();
+      if (remainingMs <= 0) {
+        return attempt === 0
+          ? {
+              kind: DispatchKind.NOT_SENT,
+              problem: problems.deadlinePassed(Ran.NO),
+            }
+          : failure;
+      }
+      if (attempt > 0 && !budget.spend()) {
+        return failure;
+      }
+      const decision = this.choose(order, excluded);
+      this.logDecision(order, decision, attempt);
+      const server = decision.chosen?.server;
+      const service = server && directory.getService(server);
+      if (!server || !service) {
+        return failure;
+      }
+      const result = await this.send(order.call, server, remainingMs);
+      if (result.kind === DispatchKind.ANSWERED) {
+        return result;
+      }
+      const lost = result.kind === DispatchKind.LOST;
+      if (lost && !repeatable) {
+        return result;
+      }
+      // Once one server may have run it, that is what the caller is told.
+      failure = failure.kind === DispatchKind.LOST ? failure : result;
+      excluded.add(server);
+    }
+  }
+
+  private async send(
+    call: ServiceCall,
+    server: string,
+    remainingMs: number,
+  ): Promise<DispatchResult> {
+    const {clock, directory} = this.options;
+    const service = directory.getService(server);
+    const flight = directory.startFlight(server, [], 0);
+    const startMs = clock.monotonicMs();
+    const answer = await service?.send(call, remainingMs);
+    if (answer === undefined || answer.isErr) {
+      flight.finish(false);
+      const reach = answer?.error.reach ?? Reach.NOT_SENT;
+      const detail = `${server}: ${answer?.error.message ?? 'not known'}`;
+      this.options.log.warn('call_failed', {
+        request: call.requestId,
+        server,
+        reach,
+        detail,
+      });
+      return reach === Reach.NOT_SENT
+        ? {
+            kind: DispatchKind.NOT_SENT,
+            problem: {...problems.serverFailed(detail), ran: Ran.NO},
+          }
+        : {kind: DispatchKind.LOST, detail};
+    }
+    flight.addFirstToken(clock.monotonicMs() - startMs, 0);
+    flight.finish(true);
+    return {
+      kind: DispatchKind.ANSWERED,
+      answer: toRecordedAnswer(answer.value),
+    };
+  }
+
+  private choose(
+    order: DispatchOrder,
+    excluded: ReadonlySet<string>,
+  ): RoutingDecision {
+    const deployment = this.getDeployment(order.deployment);
+    if (deployment === undefined) {
+      return {runnersUp: [], reason: 'deployment-unknown'};
+    }
+    const names = this.listCandidates(deployment, this.options.isLeaving);
+    const usable = names.filter(name => !excluded.has(name));
+    const here = usable.filter(name => this.isHere(name));
+    const known = this.options.directory.listKnowledge(
+      here.length > 0 ? here : usable,
+      [],
+    );
+    const request = {promptTokens: 0, expectedTokens: 1, excluded};
+    return chooseServer(request, known, this.options.random);
+  }
+
+  private listCandidates(
+    deployment: Deployment,
+    isLeaving: (server: string) => boolean,
+  ): string[] {
+    const {directory} = this.options;
+    const found = findCandidates({
+      deployment,
+      adapter: '',
+      servers: directory.listServers(),
+      isLeaving,
+      getLoad: () => undefined,
+    });
+    return found.map(server => server.name);
+  }
+
+  private isHere(name: string): boolean {
+    const server = this.options.configuration.getView().servers.get(name);
+    return server?.dataCentre === this.options.dataCentre;
+  }
+
+  private getDeployment(name: string): Deployment | undefined {
+    return this.options.configuration.getView().deployments.get(name);
+  }
+
+  private logDecision(
+    order: DispatchOrder,
+    decision: RoutingDecision,
+    attempt: number,
+  ): void {
+    this.options.log.info('route', {
+      request: order.requestId,
+      deployment: order.deployment,
+      customer: order.customer,
+      attempt,
+      server: decision.chosen?.server,
+      runners_up:
+        decision.runnersUp.map(other => other.server).join(',') || undefined,
+      reason: decision.reason,
+    });
+  }
+}
+
+function toRecordedAnswer(answer: ServiceAnswer): RecordedAnswer {
+  return {
+    status: answer.status,
+    contentType: answer.contentType,
+    bodyBase64: Buffer.from(answer.body).toString('base64'),
+  };
+}
--- /dev/null
+++ b/src/time/index.ts
@@ -0,0 +1,4 @@
+/** Time: the clock interface, the machine's clock and a virtual one. */
+export type {Clock} from './clock.js';
+export {SystemClock} from './system_clock.js';
+export {VirtualClock} from './virtual_clock.js';
--- /dev/null
+++ b/src/time/virtual_clock.ts
@@ -0,0 +1,94 @@
+import {Clock} from './clock.js';
+
+/** A waiter registered with `VirtualClock.sleep`. */
+interface Sleeper {
+  readonly wakeAtMs: number;
+  readonly order: number;
+  readonly wake: () => void;
+}
+
+/** Turns of the event loop given to woken tasks before time moves again. */
+const SETTLE_TURNS = 4;
+
+/** Clock that moves only when told to; used by tests, proofs and measurements. */
+export class VirtualClock implements Clock {
+  private currentMs = 0;
+  private order = 0;
+  private sleepers: Sleeper[] = [];
+
+  /** @param epochMs - Wall-clock time at virtual zero, in Unix milliseconds. */
+  constructor(private readonly epochMs = 0) {}
+
+  now(): Date {
+    return new Date(this.epochMs + this.currentMs);
+  }
+
+  monotonicMs(): number {
+    return this.currentMs;
+  }
+
+  sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted) {
+      return Promise.resolve();
+    }
+    return new Promise(resolve => {
+      const sleeper: Sleeper = {
+        wakeAtMs: this.currentMs + Math.max(0, ms),
+        order: this.order++,
+        wake: resolve,
+      };
+      this.sleepers.push(sleeper);
+      signal?.addEventListener(
+        'abort',
+        () => {
+          this.sleepers = this.sleepers.filter(other => other !== sleeper);
+          resolve();
+        },
+        {once: true},
+      );
+    });
+  }
+
+  /**
+   * Moves time forward and wakes every sleeper that falls due, in order.
+   * @param ms - Span to move by, in milliseconds.
+   */
+  async advance(ms: number): Promise<void> {
+    const endMs = this.currentMs + ms;
+    await this.settle();
+    for (;;) {
+      const next = this.getNextSleeper(endMs);
+      if (next === undefined) {
+        break;
+      }
+      this.sleepers = this.sleepers.filter(other => other !== next);
+      this.currentMs = Math.max(this.currentMs, next.wakeAtMs);
+      next.wake();
+      await this.settle();
+    }
+    this.currentMs = endMs;
+  }
+
+  private getNextSleeper(endMs: number): Sleeper | undefined {
+    let best: Sleeper | undefined;
+    for (const sleeper of this.sleepers) {
+      if (sleeper.wakeAtMs > endMs) {
+        continue;
+      }
+      const earlier =
+        best === undefined ||
+        sleeper.wakeAtMs < best.wakeAtMs ||
+        (sleeper.wakeAtMs === best.wakeAtMs && sleeper.order < best.order);
+      if (earlier) {
+        best = sleeper;
+      }
+    }
+    return best;
+  }
+
+  private async settle(): Promise<void> {
+    for (let turn = 0; turn < SETTLE_TURNS; turn++) {
+      await new Promise<void>(resolve => setImmediate(resolve));
+    }
+  }
+}
--- /dev/null
+++ b/src/trial/index.ts
@@ -0,0 +1,11 @@
+/** Trials: whole small systems as separate processes on one machine. */
+export {findFreePorts, getProgramPath, TrialProcess} from './child_process.js';
+export {TrialCaller} from './trial_caller.js';
+export type {CallResult, StreamResult} from './trial_caller.js';
+export {OPERATOR_KEY, TrialSystem} from './trial_system.js';
+export type {
+  RunningHost,
+  RunningServer,
+  TrialPlan,
+  TrialServer,
+} from './trial_system.js';
