Tie each outcome to its dispatch; never leave an accepted call's record in doubt

Tried and reverted: correcting the doubtful record afterwards and merging a handover over it whoever had written last; both only moved the fault. Now: entries name the dispatch they are about; the record of an accepted call is awaited until it is certain; a handover names its sender, and only that sender's late write is overridden; a leaving host counts the calls and outcomes of books it has handed on.

Conclusion: a record in doubt must be settled by its writer, not outvoted.

--- a/src/daemon/create_container.ts
+++ b/src/daemon/create_container.ts
@@ -15,6 +15,7 @@
 } from '../configuration/index.js';
 import {
   AnswerLengths,
+  checkToken,
   GenerationRunner,
   GenerationStore,
   ReclaimWatch,
@@ -258,6 +259,7 @@
           ),
       },
       chooseServer,
+      checkToken,
       isLeaving: createIsLeaving(context),
       dataCentre: context.get(SELF).dataCentre,
       firstTokenSilenceMs: engines.first_token_silence_ms,
--- a/src/generation/generation_runner.ts
+++ b/src/generation/generation_runner.ts
@@ -44,6 +44,8 @@
   readonly meter: GenerationMeter;
   readonly lengths: AnswerLengths;
   readonly chooseServer: ChooseServer;
+  /** Throws when a token must not reach the caller; see `checkToken`. */
+  readonly checkToken: (token: Token, generation: Generation) => void;
   readonly isLeaving: (server: string) => boolean;
   /** Data centre of this host: its servers are tried first. */
   readonly dataCentre: string;
@@ -264,7 +266,7 @@
         if (next === undefined) {
           throw new ServerFailure(Reach.SENT, 'the stream ended too early');
         }
-        checkToken(next, generation);
+        this.options.checkToken(next, generation);
         const nowMs = clock.monotonicMs();
         if (first) {
           flight.addFirstToken(nowMs - startMs, chosen.firstTokenMs);
@@ -390,8 +392,14 @@
   };
 }
 
-/** A token of another request, or out of place, must never reach the caller. */
-function checkToken(token: Token, generation: Generation): void {
+/**
+ * Checks that a token belongs to a generation and comes in its place: one of
+ * another request, or out of place, must never reach the caller.
+ * @param token - The token.
+ * @param generation - The generation it came for.
+ * @throws ServerFailure - When it does not.
+ */
+export function checkToken(token: Token, generation: Generation): void {
   if (token.requestId !== generation.request.id) {
     throw new ServerFailure(
       Reach.SENT,
--- a/src/generation/index.ts
+++ b/src/generation/index.ts
@@ -3,7 +3,7 @@
 export {Generation} from './generation.js';
 export type {GenerationEvent, GenerationRequest} from './generation.js';
 export type {GenerationMeter} from './generation_meter.js';
-export {GenerationRunner} from './generation_runner.js';
+export {checkToken, GenerationRunner} from './generation_runner.js';
 export type {GenerationRunnerOptions} from './generation_runner.js';
 export {GenerationStore} from './generation_store.js';
 export {RunningGenerations} from './running_generations.js';
--- a/src/journal/book.ts
+++ b/src/journal/book.ts
@@ -15,6 +15,8 @@
 
 /** What a book works with. */
 export interface BookOptions {
+  /** Start of this host; makes the names of attempts unique. */
+  readonly incarnation: string;
   readonly clock: Clock;
   readonly log: Log;
   readonly dispatch: Dispatch;
@@ -59,6 +61,7 @@
 export class Book {
   private readonly entries = new Map<string, LiveEntry>();
   private closed = false;
+  private attempts = 0;
 
   /**
    * @param id - Name of the book.
@@ -116,6 +119,15 @@
     return count;
   }
 
+  /** Writes the state of every settled entry again, where that is in doubt. */
+  record(): void {
+    for (const live of this.entries.values()) {
+      if (live.entry.state !== EntryState.DISPATCHED) {
+        void this.journal.add(live.entry);
+      }
+    }
+  }
+
   /** Takes no more calls; those that run go on. */
   close(): void {
     this.closed = true;
@@ -134,7 +146,9 @@
   /** Waits until no call runs here. */
   async waitForPending(): Promise<void> {
     for (const live of this.entries.values()) {
-      await live.pending;
+      while (live.pending !== undefined) {
+        await live.pending;
+      }
     }
   }
 
@@ -197,7 +211,8 @@
     const known = this.entries.get(entry.key);
     const open =
       known !== undefined &&
-      known.entry.requestId === entry.requestId &&
+      entry.attempt !== '' &&
+      known.entry.attempt === entry.attempt &&
       (known.entry.state === EntryState.DISPATCHED ||
         known.entry.state === EntryState.UNKNOWN);
     if (!open || known.pending !== undefined) {
@@ -272,16 +287,14 @@
     const endMs = clock.monotonicMs() + retentionMs;
     while (clock.monotonicMs() < endMs && !this.isClosed()) {
       const dispatched = this.createEntry(order, EntryState.DISPATCHED);
-      const recorded = await this.journal.append(dispatched, acceptedRetryMs);
+      // However long it takes: a record in doubt would leave others in doubt.
+      const recorded = await this.journal.add(dispatched);
       if (recorded.isErr) {
-        // It may be recorded as dispatched although it never was, and only
-        // this holder knows that: put the record right before anything else.
-        void this.journal.add(live.entry);
-        await clock.sleep(acceptedRetryMs);
-        continue;
+        live.entry = {...live.entry, attempt: dispatched.attempt};
+        break;
       }
       // From here on whoever takes the book over must not dispatch it again.
-      const accepted = live.entry;
+      const accepted = {...live.entry, attempt: dispatched.attempt};
       live.entry = dispatched;
       const result = await this.options.dispatch({
         ...order,
@@ -291,7 +304,7 @@
         return this.conclude(live, order, result);
       }
       live.entry = accepted;
-      await this.journal.append(accepted, acceptedRetryMs);
+      void this.journal.add(accepted);
       await clock.sleep(acceptedRetryMs);
     }
     this.options.onOrphanedOutcome(this.id, live.entry);
@@ -439,6 +452,10 @@
       requestId: order.requestId,
       deployment: order.deployment,
       fingerprint: order.fingerprint,
+      attempt:
+        state === EntryState.DISPATCHED
+          ? `${this.options.incarnation}-${this.journal.getPosition().fence}-${this.attempts++}`
+          : '',
       state,
       atMs: this.options.clock.now().getTime(),
     };
--- a/src/journal/book_handover.ts
+++ b/src/journal/book_handover.ts
@@ -7,6 +7,7 @@
   requestId: z.string(),
   deployment: z.string(),
   fingerprint: z.string(),
+  attempt: z.string(),
   state: z.enum(Object.values(EntryState)),
   atMs: z.number(),
   answer: z
@@ -28,6 +29,8 @@
 
 /** Schema of a book on its way from one host to another. */
 export const bookHandoverSchema = z.object({
+  /** Incarnation of the host that hands the book over. */
+  from: z.string(),
   position: z.object({
     book: z.string(),
     fence: z.number().int(),
--- a/src/journal/bookkeeper.ts
+++ b/src/journal/bookkeeper.ts
@@ -25,7 +25,10 @@
   /** Returns whether a start of a host is known to have ended. */
   readonly isGone: (host: string, incarnation: string) => boolean;
   /** Common options of all books. */
-  readonly book: Omit<BookOptions, 'recordsFirst' | 'onOrphanedOutcome'>;
+  readonly book: Omit<
+    BookOptions,
+    'incarnation' | 'recordsFirst' | 'onOrphanedOutcome'
+  >;
   /** Writes per second that all hosts together may spend on books. */
   readonly writesPerSecond: number;
   /** Time after which an unchanged row may be taken over, in milliseconds. */
@@ -74,6 +77,12 @@
   private readonly opening = new Set<string>();
   /** Books that another host should hold, and since when; monotonic ms. */
   private readonly misplaced = new Map<string, number>();
+  /** Incarnations that books were received from, by book. */
+  private readonly received = new Map<string, string>();
+  /** Books handed on, whose running calls end here. */
+  private readonly departed = new Set<Book>();
+  /** Outcomes on their way to the holders of their books. */
+  private delivering = 0;
   private readonly bookTable: BookTable;
   private readonly budget: CommitBudget;
   private leaving = false;
@@ -100,11 +109,15 @@
     return [...this.books.values()].map(book => book.journal.getPosition());
   }
 
-  /** Number of calls that run in books held here. */
+  /**
+   * Number of calls that run here, in books held here or handed on, and of
+   * outcomes on their way to another holder.
+   */
   countPending(): number {
-    let count = 0;
-    for (const book of this.books.values()) {
+    let count = this.delivering;
+    for (const book of [...this.books.values(), ...this.departed]) {
       count += book.countPending();
+      count += this.leaving && !book.journal.isIdle() ? 1 : 0;
     }
     return count;
   }
@@ -153,8 +166,11 @@
    */
   addLateOutcome(book: string, entry: Entry): boolean {
     const held = this.books.get(book);
-    held?.addLateOutcome(entry);
-    return held !== undefined;
+    if (held === undefined || held.journal.isFenced()) {
+      return false;
+    }
+    held.addLateOutcome(entry);
+    return true;
   }
 
   /**
@@ -203,6 +219,7 @@
     if (this.leaving || this.books.has(handover.position.book)) {
       return false;
     }
+    this.received.set(handover.position.book, handover.from);
     const book = this.addBook(
       handover.position,
       handover.entries,
@@ -282,13 +299,21 @@
       // The outcomes of minted keys must be complete before another runs them.
       await book.waitForPending();
     }
+    if (successors.length === 0) {
+      // The book stays until what it has to say is written.
+      this.logNotHandedOver(book);
+      return;
+    }
     await book.journal.release(HANDOVER_PATIENCE_MS);
     const ranked = rankByRendezvous(book.id, successors);
     const handover = {
+      from: this.options.incarnation,
       position: book.journal.getPosition(),
       entries: book.listEntries(),
       batches: [...book.journal.listBatches()],
     };
+    this.departed.add(book);
+    void book.waitForPending().then(() => this.departed.delete(book));
     for (const host of ranked) {
       if (await this.options.sendBook(host, handover)) {
         this.books.delete(book.id);
@@ -301,8 +326,12 @@
         return;
       }
     }
-    this.books.delete(book.id);
-    this.options.directory.remove(book.id, this.options.host);
+    book.journal.resume();
+    book.record();
+    this.logNotHandedOver(book);
+  }
+
+  private logNotHandedOver(book: Book): void {
     this.options.log.warn('book_not_handed_over', {
       book: book.id,
       remedy: 'another host takes it once its lease has lapsed',
@@ -378,7 +407,10 @@
     const listed = await this.bookTable.list(book.id);
     const row = listed.unwrapOr([])[0];
     const {fence} = book.journal.getPosition();
-    if (this.leaving || row === undefined || row.row.fence !== fence) {
+    const late =
+      row?.row.fence === fence &&
+      row.row.ownerIncarnation === this.received.get(book.id);
+    if (this.leaving || row === undefined || !late) {
       return;
     }
     await this.open(book.id, row, book.listEntries());
@@ -417,28 +449,37 @@
    * its book by now, so that it does not stay unknown.
    */
   private async deliver(book: string, entry: Entry): Promise<void> {
+    this.delivering++;
+    const delivered = await this.tryDeliver(book, entry);
+    this.delivering--;
+    if (!delivered) {
+      this.options.log.warn('outcome_not_delivered', {
+        book,
+        request: entry.requestId,
+        state: entry.state,
+      });
+    }
+  }
+
+  private async tryDeliver(book: string, entry: Entry): Promise<boolean> {
     const {clock, directory, host, sendOutcome, watchMs} = this.options;
     for (let attempt = 0; attempt < DELIVERY_ATTEMPTS; attempt++) {
       const holder = directory.getHolder(book);
       const own = this.books.get(book);
       if (own !== undefined && !own.journal.isFenced()) {
         own.addLateOutcome(entry);
-        return;
+        return true;
       }
       if (
         holder !== undefined &&
         holder !== host &&
         (await sendOutcome(holder, book, entry))
       ) {
-        return;
+        return true;
       }
       await clock.sleep(watchMs / 2);
     }
-    this.options.log.warn('outcome_not_delivered', {
-      book,
-      request: entry.requestId,
-      state: entry.state,
-    });
+    return false;
   }
 
   private addHostBook(): void {
@@ -464,6 +505,7 @@
     const journal = new Journal(position, batches, options);
     const book = new Book(position.book, journal, entries, {
       ...this.options.book,
+      incarnation: this.options.incarnation,
       onOrphanedOutcome: (id, entry) => void this.deliver(id, entry),
       recordsFirst: this.options.recordsFirst(position.book),
     });
--- a/src/journal/entry.ts
+++ b/src/journal/entry.ts
@@ -35,6 +35,11 @@
   readonly key: string;
   readonly requestId: string;
   readonly deployment: string;
+  /**
+   * Identifies the dispatch that this state is about; empty before the first.
+   * Word of one dispatch must never be taken for word of a later one.
+   */
+  readonly attempt: string;
   /** Hash of method, path and body: a key stands for one request only. */
   readonly fingerprint: string;
   readonly state: EntryState;
--- a/src/journal/journal.ts
+++ b/src/journal/journal.ts
@@ -115,6 +115,11 @@
     this.settleFenced();
   }
 
+  /** Writes again, since nobody took the book that was released. */
+  resume(): void {
+    this.fenced = false;
+  }
+
   /** Tells whether another host has taken the book. */
   isFenced(): boolean {
     return this.fenced;
--- /dev/null
+++ b/src/lease/lease.ts
@@ -0,0 +1,155 @@
+import {
+  ABSENT,
+  Row,
+  StepKind,
+  TableFailureKind,
+  TableService,
+} from '../platform/index.js';
+import {Clock} from '../time/index.js';
+
+/** Row of a lease. */
+interface LeaseRow {
+  readonly holder: string;
+  /** Rises with every change of holder; orders bear it. */
+  readonly fence: number;
+  /** Differs with every write, so that others see that the holder lives. */
+  readonly beat: number;
+}
+
+/** A lease that is held now. */
+export interface HeldLease {
+  /** Number that orders under this lease bear. */
+  readonly fence: number;
+  /** When the holder must stop, on its own monotonic clock, in ms. */
+  readonly untilMs: number;
+}
+
+/** What a lease works with. */
+export interface LeaseOptions {
+  readonly table: TableService;
+  readonly clock: Clock;
+  /** Name of the role, such as "placement"; part of the row's key. */
+  readonly role: string;
+  /** Host and incarnation of the would-be holder. */
+  readonly holder: string;
+  /** How long the lease holds without renewal, in milliseconds. */
+  readonly durationMs: number;
+  /** Time that others wait beyond the duration, for clocks that drift, in ms. */
+  readonly marginMs: number;
+  /**
+   * When a lease granted by an exchange ends for its holder.
+   * @param sentMs - When the request was sent.
+   * @param answeredMs - When the answer came.
+   */
+  readonly judge?: (sentMs: number, answeredMs: number) => number;
+}
+
+const PREFIX = 'leases/';
+
+/**
+ * A role that one host holds at a time.
+ *
+ * The holder counts the duration from before it sent the request, so its lease
+ * ends for itself before it can end for anybody else. Others take the row over
+ * once they have watched it unchanged for the duration and a margin.
+ */
+export class Lease {
+  private held: HeldLease | undefined;
+  private seenVersion = -1;
+  private seenMs = 0;
+
+  constructor(private readonly options: LeaseOptions) {}
+
+  /** Returns the lease while it is certainly held. */
+  getHeld(): HeldLease | undefined {
+    const held = this.held;
+    const nowMs = this.options.clock.monotonicMs();
+    return held !== undefined && nowMs < held.untilMs ? held : undefined;
+  }
+
+  /**
+   * Renews the lease, or takes it if nobody holds it. Call it several times
+   * per duration.
+   * @returns The lease, if it is held now.
+   */
+  async claim(): Promise<HeldLease | undefined> {
+    const key = PREFIX + this.options.role;
+    const found = await this.options.table.get(key);
+    if (found.isErr) {
+      return this.getHeld();
+    }
+    const row = found.value;
+    const current = row?.value as LeaseRow | undefined;
+    const own = current?.holder === this.options.holder;
+    if (row !== undefined && !own && !this.hasLapsed(row)) {
+      this.held = undefined;
+      return undefined;
+    }
+    await this.write(key, row, current, own);
+    return this.getHeld();
+  }
+
+  /** Gives the lease up, so that another host can take it at once. */
+  async release(): Promise<void> {
+    const key = PREFIX + this.options.role;
+    const found = await this.options.table.get(key);
+    this.held = undefined;
+    const row = found.unwrapOr(undefined);
+    const current = row?.value as LeaseRow | undefined;
+    if (row === undefined || current?.holder !== this.options.holder) {
+      return;
+    }
+    await this.options.table.transact([
+      {
+        kind: StepKind.PUT,
+        key,
+        ifVersion: row.version,
+        value: {...current, holder: ''},
+      },
+    ]);
+  }
+
+  private async write(
+    key: string,
+    row: Row | undefined,
+    current: LeaseRow | undefined,
+    own: boolean,
+  ): Promise<void> {
+    const {clock, holder, table, durationMs, judge} = this.options;
+    const previous = current?.fence ?? 0;
+    // A lapsed lease of one's own is a new one: others may have been told so.
+    const renews = own && this.getHeld() !== undefined;
+    const next: LeaseRow = {
+      holder,
+      fence: renews ? previous : previous + 1,
+      beat: (current?.beat ?? 0) + 1,
+    };
+    const sentMs = clock.monotonicMs();
+    const written = await table.transact([
+      {kind: StepKind.PUT, key, ifVersion: row?.version ?? ABSENT, value: next},
+    ]);
+    if (written.isOk) {
+      const startMs = judge?.(sentMs, clock.monotonicMs()) ?? sentMs;
+      this.held = {fence: next.fence, untilMs: startMs + durationMs};
+      return;
+    }
+    if (written.error.kind === TableFailureKind.CONFLICT) {
+      this.held = undefined;
+    }
+  }
+
+  /** Tells whether a row was watched unchanged for long enough. */
+  private hasLapsed(row: Row): boolean {
+    const {clock, durationMs, marginMs} = this.options;
+    const nowMs = clock.monotonicMs();
+    if ((row.value as LeaseRow).holder === '') {
+      return true;
+    }
+    if (row.version !== this.seenVersion) {
+      this.seenVersion = row.version;
+      this.seenMs = nowMs;
+      return false;
+    }
+    return nowMs - this.seenMs >= durationMs + marginMs;
+  }
+}
--- a/src/prove/call_world.ts
+++ b/src/prove/call_world.ts
@@ -60,6 +60,7 @@
 const LEASE_MS = 3000;
 const RETRY_MS = 100;
 const RETRIES = 2;
+const NOTICE_MS = 15_000;
 
 /**
  * Three entry hosts of the product's own books and calls, on a virtual clock,
@@ -165,8 +166,15 @@
     const successors = this.hosts
       .filter(other => this.isLive(other) && other !== host)
       .map(other => other.name);
-    await host.bookkeeper.handOver(successors);
+    const endMs = this.clock.monotonicMs() + NOTICE_MS;
+    const handedOver = host.bookkeeper.handOver(successors);
+    await Promise.race([handedOver, this.clock.sleep(NOTICE_MS)]);
     while (host.bookkeeper.countPending() > 0) {
+      if (this.clock.monotonicMs() >= endMs) {
+        // Neither a peer nor the table could be reached in all the notice.
+        this.recorder.addCrash();
+        break;
+      }
       await this.clock.sleep(RETRY_MS);
     }
     await this.clock.sleep(WATCH_MS);
