--- a/src/configuration/configuration_store.ts
+++ b/src/configuration/configuration_store.ts
@@ -90,6 +90,15 @@
     return true;
   }
 
+  /**
+   * Forgets everything; only the broken variant of a proof does that.
+   * @internal
+   */
+  protected reset(): void {
+    this.records = new Map();
+    this.currentView = createView(0, []).view;
+  }
+
   /** Registers a listener; returns a function that removes it. */
   addListener(listener: RevisionListener): () => void {
     this.listeners.add(listener);
--- a/src/daemon/index.ts
+++ b/src/daemon/index.ts
@@ -1,4 +1,5 @@
 /** The daemon: one entry host, put together. */
+export {ConfigurationFeed} from './configuration_feed.js';
 export {createContainer} from './create_container.js';
 export {Daemon} from './daemon.js';
 export {
@@ -11,5 +12,6 @@
   SETTINGS,
   TABLE,
 } from './identifiers.js';
+export {PlatformWatcher} from './platform_watcher.js';
 export {createSelf} from './self.js';
 export type {Self} from './self.js';
--- a/src/fakes/fake_engine.ts
+++ b/src/fakes/fake_engine.ts
@@ -40,7 +40,7 @@
 export interface FakeEngineCounts {
   generations: number;
   tokens: number;
-  /** Prompt and continuation tokens prefetched by computing them. */
+  /** Prompt and continuation tokens that had to be computed. */
   prefillTokens: number;
   /** Prompt tokens found in the cache. */
   cachedTokens: number;
@@ -234,7 +234,7 @@
   }
 
   private enter(urgency: number, signal: AbortSignal): Promise<void> {
-    if (this.running < this.options.capacity) {
+    if (signal.aborted || this.running < this.options.capacity) {
       this.running++;
       return Promise.resolve();
     }
--- a/src/generation/generation_runner.ts
+++ b/src/generation/generation_runner.ts
@@ -29,8 +29,8 @@
 import {AnswerLengths} from './answer_lengths.js';
 import {Generation} from './generation.js';
 import {GenerationMeter} from './generation_meter.js';
-import {nextWithin} from './next_within.js';
 import {RunningGenerations} from './running_generations.js';
+import {SilenceWatch} from './silence_watch.js';
 
 /** What the runner works with. */
 export interface GenerationRunnerOptions {
@@ -138,10 +138,15 @@
       const decision = prefer(this.choose(generation, excluded), preferred);
       this.logDecision(generation, decision, attempt);
       const {chosen} = decision;
+      if (chosen === undefined && excluded.size > 0) {
+        // Every server has failed it once; a retry may go to any of them.
+        excluded.clear();
+        continue;
+      }
       const engine = chosen && this.options.directory.getEngine(chosen.server);
       const deployment = this.getDeployment(generation);
       if (!chosen || !engine || !deployment) {
-        this.failWithoutServer(generation, excluded.size > 0, detail);
+        this.failWithoutServer(generation, attempt > 0, detail);
         return;
       }
       const ended = await this.attempt(
@@ -235,6 +240,7 @@
       flight.finish(true);
       return {detail: '', moved: false, preferred: undefined};
     } catch (error) {
+      await place.waitForMove();
       const moved = place.moved.aborted;
       flight.finish(moved || signal.aborted);
       const detail = error instanceof Error ? error.message : String(error);
@@ -251,56 +257,41 @@
   ): Promise<void> {
     const {generation, deployment, engine, chosen} = attempt;
     const {clock, meter, lengths} = this.options;
-    const broken = new AbortController();
+    const watch = new SilenceWatch(clock, this.options.firstTokenSilenceMs);
+    const stop = AbortSignal.any([signal, watch.getSignal()]);
     const order = this.createOrder(generation, deployment);
-    const tokens = engine.generate(
-      order,
-      AbortSignal.any([signal, broken.signal]),
-    );
     const startMs = clock.monotonicMs();
     let previousMs = startMs;
-    let first = true;
     try {
-      for (;;) {
-        const next = await this.nextToken(tokens, generation, first, signal);
-        if (next === undefined) {
-          throw new ServerFailure(Reach.SENT, 'the stream ended too early');
-        }
-        this.options.checkToken(next, generation);
+      for await (const token of engine.generate(order, stop)) {
+        this.options.checkToken(token, generation);
         const nowMs = clock.monotonicMs();
+        const first = previousMs === startMs;
         if (first) {
           flight.addFirstToken(nowMs - startMs, chosen.firstTokenMs);
         }
         meter.addToken(generation.request, nowMs - previousMs, first);
         previousMs = nowMs;
-        first = false;
-        generation.addToken(next.text);
-        if (next.finishReason !== undefined) {
+        watch.touch(this.options.silenceMs);
+        generation.addToken(token.text);
+        if (token.finishReason !== undefined) {
           lengths.add(deployment.name, generation.getTexts().length);
-          generation.finish(next.finishReason);
+          generation.finish(token.finishReason);
           return;
         }
       }
+      throw new ServerFailure(Reach.SENT, 'the stream ended too early');
+    } catch (error) {
+      if (watch.getSignal().aborted) {
+        const silence = `silent for ${watch.getLimitMs()} ms`;
+        throw new ServerFailure(Reach.SENT, silence);
+      }
+      throw error;
     } finally {
-      broken.abort();
+      watch.stop();
     }
   }
 
-  private async nextToken(
-    tokens: AsyncIterable<Token>,
-    generation: Generation,
-    first: boolean,
-    signal: AbortSignal,
-  ): Promise<Token | undefined> {
-    const {clock, firstTokenSilenceMs, silenceMs} = this.options;
-    const remainingMs = generation.request.deadlineMs - clock.monotonicMs();
-    const limitMs = Math.min(
-      first ? firstTokenSilenceMs : silenceMs,
-      remainingMs,
-    );
-    return nextWithin(tokens, limitMs, clock, signal);
-  }
-
   private createOrder(
     generation: Generation,
     deployment: Deployment,
--- a/src/generation/reclaim_watch.ts
+++ b/src/generation/reclaim_watch.ts
@@ -111,7 +111,13 @@
   }
 
   /** Exports a cache to the server that will go on, then moves there. */
-  private async export(item: RunningGeneration): Promise<void> {
+  private export(item: RunningGeneration): Promise<void> {
+    const move = this.exportAndMove(item);
+    item.hold(move);
+    return move;
+  }
+
+  private async exportAndMove(item: RunningGeneration): Promise<void> {
     const {directory, runner} = this.options;
     const {generation, server} = item;
     const next = runner.choose(generation, new Set([server])).chosen;
--- a/src/generation/running_generations.ts
+++ b/src/generation/running_generations.ts
@@ -6,6 +6,8 @@
   readonly server: string;
   /** Aborted to make it leave that server. */
   readonly move: AbortController;
+  /** Tells that it is being moved, until the promise settles. */
+  hold(move: Promise<void>): void;
   /** Names the server that holds its exported cache. */
   prefer(server: string): void;
 }
@@ -14,6 +16,8 @@
 export interface GenerationPlace {
   /** Aborted when the generation must leave its server. */
   readonly moved: AbortSignal;
+  /** Waits until a move under way is over; its end of stream is no failure. */
+  waitForMove(): Promise<void>;
   /** Returns the server that holds its exported cache, if there is one. */
   getPreferred(): string | undefined;
 }
@@ -29,9 +33,17 @@
     const prefer = (name: string) => {
       preferred = name;
     };
-    const running = {generation, server, move, prefer};
+    let moving = Promise.resolve();
+    const hold = (promise: Promise<void>) => {
+      moving = promise;
+    };
+    const running = {generation, server, move, hold, prefer};
     this.running.set(generation.request.id, running);
-    return {moved: move.signal, getPreferred: () => preferred};
+    return {
+      moved: move.signal,
+      waitForMove: () => moving,
+      getPreferred: () => preferred,
+    };
   }
 
   /** Notes that a generation runs nowhere. */
--- /dev/null
+++ b/src/generation/silence_watch.ts
@@ -0,0 +1,62 @@
+import {Clock} from '../time/index.js';
+
+/**
+ * Ends a stream that has been silent for too long. One timer per stream, not
+ * one per token: it is set again only when it has run out.
+ */
+export class SilenceWatch {
+  private readonly silent = new AbortController();
+  private readonly over = new AbortController();
+  private lastMs: number;
+
+  /**
+   * @param clock - Measures the silence.
+   * @param limitMs - Longest silence, in milliseconds.
+   */
+  constructor(
+    private readonly clock: Clock,
+    private limitMs: number,
+  ) {
+    this.lastMs = clock.monotonicMs();
+    void this.run();
+  }
+
+  /** Aborted after too long a silence. */
+  getSignal(): AbortSignal {
+    return this.silent.signal;
+  }
+
+  /** Returns the longest silence allowed now, in milliseconds. */
+  getLimitMs(): number {
+    return this.limitMs;
+  }
+
+  /**
+   * Notes a sign of life.
+   * @param limitMs - Longest silence from here on, in milliseconds.
+   */
+  touch(limitMs: number): void {
+    this.lastMs = this.clock.monotonicMs();
+    this.limitMs = limitMs;
+  }
+
+  /** Ends the watch. */
+  stop(): void {
+    this.over.abort();
+  }
+
+  private async run(): Promise<void> {
+    while (!this.over.signal.aborted) {
+      const silentMs = this.clock.monotonicMs() - this.lastMs;
+      if (silentMs >= this.limitMs) {
+        this.silent.abort();
+        return;
+      }
+      // The limit may shrink meanwhile, so look again soon enough.
+      const waitMs = Math.min(this.limitMs - silentMs, MAX_WAIT_MS);
+      await this.clock.sleep(waitMs, this.over.signal);
+    }
+  }
+}
+
+const MAX_WAIT_MS = 500;
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -42,7 +42,7 @@
 export class Membership {
   private readonly hosts = new Map<string, KnownHost>();
   private readonly endedIncarnations = new Set<string>();
-  private listed: ReadonlySet<string> = new Set();
+  private listed: ReadonlySet<string> | undefined;
   private ownState: EntryHostState = EntryHostState.LIVE;
 
   constructor(private readonly options: MembershipOptions) {}
@@ -57,6 +57,11 @@
     this.ownState = state;
   }
 
+  /** Tells whether the platform's list of hosts was ever read. */
+  hasList(): boolean {
+    return this.listed !== undefined;
+  }
+
   /** Returns every entry host heard of, this one not included. */
   listKnown(): readonly KnownHost[] {
     return [...this.hosts.values()];
@@ -159,7 +164,7 @@
     const {clock, deadAfterMs} = this.options;
     const oldestMs = clock.monotonicMs() - deadAfterMs * FORGET_FACTOR;
     for (const known of this.hosts.values()) {
-      if (known.heardMs < oldestMs && !this.listed.has(known.host)) {
+      if (known.heardMs < oldestMs && this.listed?.has(known.host) !== true) {
         this.hosts.delete(known.host);
       }
     }
--- a/src/operator/in_force.ts
+++ b/src/operator/in_force.ts
@@ -21,6 +21,12 @@
 
 /** Finds out where a revision is in force. */
 export class InForce {
+  /**
+   * @param dataCentre - Data centre of this host.
+   * @param configuration - Configuration of this host.
+   * @param membership - Tells which hosts there are, and their revisions.
+   * @param clock - Measures the waits.
+   */
   constructor(
     private readonly dataCentre: string,
     private readonly configuration: ConfigurationStore,
@@ -48,6 +54,10 @@
   getReport(revision: number): InForceReport {
     const pending = new Map<string, string[]>();
     const centres = new Set<string>([this.dataCentre]);
+    if (!this.membership.hasList()) {
+      // It cannot speak for hosts that it may not even know of.
+      pending.set(this.dataCentre, ['this host has not read the host list']);
+    }
     if (this.configuration.getRevision() < revision) {
       pending.set(this.dataCentre, ['this host']);
     }
@@ -64,6 +74,13 @@
         pending.set(known.dataCentre, [...hosts, known.host]);
       }
     }
+    for (const server of this.configuration.getView().servers.values()) {
+      if (!centres.has(server.dataCentre)) {
+        // It has servers, so it has hosts; none of them has been heard of.
+        centres.add(server.dataCentre);
+        pending.set(server.dataCentre, []);
+      }
+    }
     const inForce = [...centres].filter(centre => !pending.has(centre));
     return {
       revision,
--- /dev/null
+++ b/src/prove/all_proofs.ts
@@ -0,0 +1,27 @@
+import {
+  acceptedSurvives,
+  atMostOnce,
+  ownAnswers,
+  refusalsAreTrue,
+} from './call_proofs.js';
+import {configurationHolds} from './configuration_world.js';
+import {leasesExclude} from './lease_world.js';
+import {leavingGetsNothing} from './leaving_world.js';
+import {prove, ProofOptions, ProofResult} from './proof.js';
+import {reclaimCutsNothing, wholeStreams} from './stream_proofs.js';
+
+/** Runs one promise. */
+export type RunProof = (options: ProofOptions) => Promise<ProofResult>;
+
+/** Every promise that is proved by generated histories, by name. */
+export const PROOFS: ReadonlyMap<string, RunProof> = new Map<string, RunProof>([
+  [atMostOnce.name, options => prove(atMostOnce, options)],
+  [refusalsAreTrue.name, options => prove(refusalsAreTrue, options)],
+  [ownAnswers.name, options => prove(ownAnswers, options)],
+  [acceptedSurvives.name, options => prove(acceptedSurvives, options)],
+  [wholeStreams.name, options => prove(wholeStreams, options)],
+  [reclaimCutsNothing.name, options => prove(reclaimCutsNothing, options)],
+  [configurationHolds.name, options => prove(configurationHolds, options)],
+  [leavingGetsNothing.name, options => prove(leavingGetsNothing, options)],
+  [leasesExclude.name, options => prove(leasesExclude, options)],
+]);
--- /dev/null
+++ b/src/prove/configuration_world.ts
@@ -0,0 +1,463 @@
+import fc from 'fast-check';
+import {Result} from 'true-myth';
+import {
+  ChangeFailureKind,
+  ConfigurationDelta,
+  ConfigurationStore,
+  ConfigurationTable,
+  RecordKind,
+} from '../configuration/index.js';
+import {ConfigurationFeed} from '../daemon/index.js';
+import {SilentLog} from '../log/index.js';
+import {HostStatus, Membership} from '../membership/index.js';
+import {InForce} from '../operator/index.js';
+import {PeerFailure, PeerFailureKind} from '../peer/index.js';
+import {
+  HostRole,
+  HostState,
+  ListedHost,
+  MemoryTableService,
+} from '../platform/index.js';
+import {VirtualClock} from '../time/index.js';
+import {FaultyTable, TableFault} from './faulty_table.js';
+import {Gate, GatedClock} from './gate.js';
+import {Proof, RunReport} from './proof.js';
+
+/** One step of a schedule of changes and faults. */
+export type ConfigurationStep =
+  | {
+      readonly kind: 'change';
+      readonly host: number;
+      readonly record: number;
+      /** Schema version it is written in. */
+      readonly version: number;
+    }
+  | {
+      readonly kind: 'table';
+      readonly fault: TableFault;
+      readonly forMs: number;
+    }
+  | {
+      readonly kind: 'cut' | 'freeze';
+      readonly host: number;
+      readonly forMs: number;
+    }
+  | {readonly kind: 'restart'; readonly host: number}
+  | {readonly kind: 'slow-peers'; readonly forMs: number};
+
+/** A schedule: each step comes a while after the one before. */
+export type ConfigurationSchedule = readonly {
+  readonly afterMs: number;
+  readonly step: ConfigurationStep;
+}[];
+
+const HOSTS = 4;
+const IN_FORCE_MS = 4000;
+const HEARTBEAT_MS = 500;
+const POLL_MS = 1000;
+const SETTLE_MS = 30_000;
+const PEER_MS = 5;
+const SLOW_PEER_MS = 900;
+
+/** A store that takes over whatever it is given: the broken variant. */
+class ForgetfulStore extends ConfigurationStore {
+  override apply(delta: ConfigurationDelta, source: string): boolean {
+    if (delta.after === 0 && delta.revision < this.getRevision()) {
+      this.reset();
+    }
+    return super.apply(delta, source);
+  }
+}
+
+/** One start of one entry host, as far as configuration goes. */
+interface ProofHost {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly incarnation: string;
+  readonly gate: Gate;
+  readonly store: ConfigurationStore;
+  readonly feed: ConfigurationFeed;
+  readonly table: ConfigurationTable;
+  readonly membership: Membership;
+  readonly inForce: InForce;
+  readonly stop: AbortController;
+  highest: number;
+  cut: boolean;
+}
+
+/** Four entry hosts in two data centres, on a virtual clock. */
+class ConfigurationWorld {
+  private readonly clock = new VirtualClock();
+  private readonly table = new FaultyTable(
+    new MemoryTableService(),
+    this.clock,
+  );
+  private readonly hosts: ProofHost[] = [];
+  private readonly violations: string[] = [];
+  private readonly acceptedOn = new Map<string, string>();
+  private starts = 0;
+  private changes = 0;
+  private accepted = 0;
+  private refused = 0;
+  private unknown = 0;
+  private faults = 0;
+  private slowPeers = false;
+
+  constructor(private readonly broken: boolean) {}
+
+  async run(schedule: ConfigurationSchedule): Promise<RunReport> {
+    for (let index = 0; index < HOSTS; index++) {
+      this.hosts.push(this.startHost(index));
+    }
+    const stop = new AbortController();
+    void this.exchangeHeartbeats(stop.signal);
+    await this.clock.advance(POLL_MS);
+    for (const {afterMs, step} of schedule) {
+      await this.clock.advance(afterMs);
+      this.execute(step);
+    }
+    await this.clock.advance(SETTLE_MS);
+    this.checkConverged();
+    stop.abort();
+    for (const host of this.hosts) {
+      host.stop.abort();
+    }
+    return {
+      violations: this.violations,
+      operations: this.changes,
+      faults: this.faults,
+      answered: this.accepted,
+      refused: this.refused,
+      unknown: this.unknown,
+    };
+  }
+
+  private execute(step: ConfigurationStep): void {
+    if (step.kind === 'change') {
+      void this.change(step);
+      return;
+    }
+    this.faults++;
+    if (step.kind === 'table') {
+      this.table.fault = step.fault;
+      this.after(step.forMs, () => (this.table.fault = TableFault.NONE));
+      return;
+    }
+    if (step.kind === 'slow-peers') {
+      this.slowPeers = true;
+      this.after(step.forMs, () => (this.slowPeers = false));
+      return;
+    }
+    const host = this.getHost(step.host);
+    if (step.kind === 'cut') {
+      host.cut = true;
+      this.after(step.forMs, () => (host.cut = false));
+    } else if (step.kind === 'freeze') {
+      host.gate.freeze();
+      this.after(step.forMs, () => host.gate.thaw());
+    } else {
+      host.gate.kill();
+      host.stop.abort();
+      this.hosts[step.host % HOSTS] = this.startHost(step.host % HOSTS);
+    }
+  }
+
+  /** Changes a record on the revision the operator's host knows. */
+  private async change(
+    step: Extract<ConfigurationStep, {readonly kind: 'change'}>,
+  ): Promise<void> {
+    const host = this.getHost(step.host);
+    if (host.gate.isDead()) {
+      return;
+    }
+    const name = `record-${step.record}`;
+    const changeId = `change-${this.changes++}`;
+    const madeOn =
+      host.store.getRecord(`${RecordKind.CUSTOMER}/${name}`)?.revision ?? 0;
+    const written = await host.gate.call(() =>
+      host.table.write(
+        {
+          kind: RecordKind.CUSTOMER,
+          name,
+          document: createDocument(name, changeId, step.version),
+          madeOn,
+          changeId,
+        },
+        5000,
+      ),
+    );
+    if (written.isErr) {
+      const conflict = written.error.kind === ChangeFailureKind.CONFLICT;
+      const unreached = written.error.kind === ChangeFailureKind.UNREACHED;
+      this.refused += conflict || unreached ? 1 : 0;
+      this.unknown += conflict || unreached ? 0 : 1;
+      return;
+    }
+    this.accepted++;
+    this.checkSoleWinner(`${name}@${madeOn}`, changeId);
+    await host.feed.readTable();
+    const {revision} = written.value;
+    const report = await host.inForce.wait(revision, IN_FORCE_MS);
+    for (const centre of report.inForce) {
+      this.checkInForce(centre, revision);
+    }
+  }
+
+  /** Two operators on the same revision: only one may win. */
+  private checkSoleWinner(base: string, changeId: string): void {
+    const other = this.acceptedOn.get(base);
+    if (other !== undefined) {
+      this.violations.push(`${changeId} and ${other} both won on ${base}`);
+    }
+    this.acceptedOn.set(base, changeId);
+  }
+
+  private checkInForce(dataCentre: string, revision: number): void {
+    for (const host of this.hosts) {
+      const serving =
+        host.dataCentre === dataCentre &&
+        !host.gate.isDead() &&
+        host.store.getRevision() > 0;
+      if (serving && host.store.getRevision() < revision) {
+        this.violations.push(
+          `${revision} was said to be in force in ${dataCentre}, but ${host.name} is at ${host.store.getRevision()}`,
+        );
+      }
+    }
+  }
+
+  private checkConverged(): void {
+    const highest = Math.max(...this.hosts.map(host => host.highest));
+    for (const host of this.hosts) {
+      if (host.gate.isOpen() && host.store.getRevision() < highest) {
+        this.violations.push(
+          `${host.name} is still at ${host.store.getRevision()} of ${highest}`,
+        );
+      }
+    }
+    const contents = new Set(
+      this.hosts
+        .filter(host => host.gate.isOpen())
+        .map(host => JSON.stringify(sortRecords(host.store))),
+    );
+    if (contents.size > 1) {
+      this.violations.push('hosts at one revision hold different records');
+    }
+  }
+
+  private startHost(index: number): ProofHost {
+    const name = `host-${index}`;
+    const dataCentre = getCentre(index);
+    const incarnation = `start-${this.starts++}`;
+    const gate = new Gate();
+    const clock = new GatedClock(this.clock, gate);
+    const log = new SilentLog();
+    const store = this.broken
+      ? new ForgetfulStore(log)
+      : new ConfigurationStore(log);
+    const table = new ConfigurationTable(
+      {
+        get: key => gate.call(() => this.table.get(key)),
+        list: prefix => gate.call(() => this.table.list(prefix)),
+        transact: steps => gate.call(() => this.table.transact(steps)),
+      },
+      clock,
+    );
+    const membership = new Membership({
+      self: {host: name, dataCentre, incarnation, address: name},
+      deadAfterMs: 2000,
+      clock,
+      log,
+    });
+    const feed = new ConfigurationFeed({
+      clock,
+      log,
+      store,
+      table,
+      requestPeer: (to, body) =>
+        gate.call(() => this.requestPeer(name, to, body)),
+      host: name,
+      listLiveNamesHere: () => membership.listLiveNamesHere(),
+      pollMs: POLL_MS,
+    });
+    const host: ProofHost = {
+      name,
+      dataCentre,
+      incarnation,
+      gate,
+      store,
+      feed,
+      table,
+      membership,
+      inForce: new InForce(dataCentre, store, membership, clock),
+      stop: new AbortController(),
+      highest: 0,
+      cut: false,
+    };
+    store.addListener(view => {
+      if (view.revision < host.highest) {
+        this.violations.push(
+          `${name} fell from ${host.highest} to ${view.revision}`,
+        );
+      }
+      host.highest = Math.max(host.highest, view.revision);
+    });
+    membership.addListed(LISTED);
+    void feed.run(host.stop.signal);
+    return host;
+  }
+
+  /** Heartbeats, reduced to what the configuration depends on. */
+  private async exchangeHeartbeats(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      for (const from of this.hosts) {
+        for (const to of this.hosts) {
+          if (from !== to && this.isConnected(from, to)) {
+            this.beat(from, to);
+          }
+        }
+      }
+      await this.clock.sleep(HEARTBEAT_MS, signal);
+    }
+  }
+
+  private beat(from: ProofHost, to: ProofHost): void {
+    const status = this.createStatus(from);
+    to.membership.addStatus(status);
+    if (status.revision > to.store.getRevision()) {
+      void to.feed.pull(from.name);
+    }
+  }
+
+  private createStatus(host: ProofHost): HostStatus {
+    const revision = host.store.getRevision();
+    return {
+      host: host.name,
+      dataCentre: host.dataCentre,
+      incarnation: host.incarnation,
+      address: host.name,
+      state: 'live',
+      revision,
+      centreRevision: host.membership.getCentreRevision(revision),
+      books: [],
+      hosts: [],
+      leaving: [],
+      loads: [],
+      headroom: [],
+      usage: [],
+    };
+  }
+
+  private async requestPeer(
+    from: string,
+    to: string,
+    body: unknown,
+  ): Promise<Result<unknown, PeerFailure>> {
+    const source = this.hosts.find(host => host.name === from);
+    const target = this.hosts.find(host => host.name === to);
+    if (!source || !target || !this.isConnected(source, target)) {
+      await this.clock.sleep(PEER_MS);
+      const failure = new PeerFailure(PeerFailureKind.NOT_SENT, 'cut');
+      return Result.err(failure);
+    }
+    const {after} = body as {after: number};
+    const delta = target.store.getDelta(after);
+    await this.clock.sleep(this.slowPeers ? SLOW_PEER_MS : PEER_MS);
+    return Result.ok(delta);
+  }
+
+  private isConnected(a: ProofHost, b: ProofHost): boolean {
+    return a.gate.isOpen() && b.gate.isOpen() && !a.cut && !b.cut;
+  }
+
+  private getHost(index: number): ProofHost {
+    const host = this.hosts[index % HOSTS];
+    if (host === undefined) {
+      throw new Error(`there is no host ${index}`);
+    }
+    return host;
+  }
+
+  private after(ms: number, act: () => void): void {
+    void this.clock.sleep(ms).then(act);
+  }
+}
+
+function getCentre(index: number): string {
+  return index < HOSTS / 2 ? 'tac-hall' : 'pdx-hall';
+}
+
+/** The platform's list, which names every host throughout. */
+const LISTED: readonly ListedHost[] = Array.from(
+  {length: HOSTS},
+  (_unused, index) => ({
+    name: `host-${index}`,
+    role: HostRole.ENTRY,
+    dataCentre: getCentre(index),
+    zone: 'a',
+    machineClass: 'standard',
+    address: `host-${index}`,
+    state: HostState.LIVE,
+  }),
+);
+
+function createDocument(name: string, changeId: string, version: number) {
+  const common = {
+    kind: RecordKind.CUSTOMER,
+    name,
+    keyHashes: ['0'.repeat(64)],
+    note: changeId,
+  };
+  return version === 1
+    ? {...common, schemaVersion: 1, share: 2}
+    : {...common, schemaVersion: 2, weight: 2};
+}
+
+function sortRecords(store: ConfigurationStore): unknown[] {
+  const records = [...store.listRecords()];
+  records.sort((a, b) => (a.name < b.name ? -1 : 1));
+  return records;
+}
+
+const host = fc.integer({min: 0, max: HOSTS - 1});
+const forMs = fc.integer({min: 100, max: 6000});
+const steps: fc.Arbitrary<ConfigurationStep> = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant('change' as const),
+      host,
+      record: fc.integer({min: 0, max: 1}),
+      version: fc.constantFrom(1, 2),
+    }) as fc.Arbitrary<ConfigurationStep>,
+  },
+  fc.record({
+    kind: fc.constant('table' as const),
+    fault: fc.constantFrom(...Object.values(TableFault)),
+    forMs,
+  }) as fc.Arbitrary<ConfigurationStep>,
+  fc.record({
+    kind: fc.constantFrom('cut' as const, 'freeze' as const),
+    host,
+    forMs,
+  }) as fc.Arbitrary<ConfigurationStep>,
+  fc.record({
+    kind: fc.constant('restart' as const),
+    host,
+  }) as fc.Arbitrary<ConfigurationStep>,
+  fc.record({
+    kind: fc.constant('slow-peers' as const),
+    forMs,
+  }) as fc.Arbitrary<ConfigurationStep>,
+);
+
+/** Accepted configuration is in force everywhere in time, and never reverts. */
+export const configurationHolds: Proof<ConfigurationSchedule> = {
+  name: 'configuration-holds',
+  variant: 'takes over a lower revision',
+  schedules: fc.array(
+    fc.record({afterMs: fc.constantFrom(0, 10, 300, 1500), step: steps}),
+    {minLength: 4, maxLength: 14},
+  ),
+  run: (schedule, broken) => new ConfigurationWorld(broken).run(schedule),
+};
--- /dev/null
+++ b/src/prove/stream_world.ts
@@ -0,0 +1,368 @@
+import {
+  CacheExport,
+  EngineOrder,
+  GenerationFormat,
+  GenerationOrder,
+  ModelEngine,
+  Reach,
+  ServerFailure,
+  Token,
+} from '../backend/index.js';
+import {ConfigurationStore, RecordKind} from '../configuration/index.js';
+import {FakeEngine, getExpectedTokens} from '../fakes/index.js';
+import {
+  AnswerLengths,
+  checkToken,
+  Generation,
+  GenerationRunner,
+  ReclaimWatch,
+  RunningGenerations,
+} from '../generation/index.js';
+import {SilentLog} from '../log/index.js';
+import {SeededRandom} from '../random/index.js';
+import {chooseServer, RetryBudget, ServerDirectory} from '../routing/index.js';
+import {VirtualClock} from '../time/index.js';
+import {RunReport} from './proof.js';
+import {StreamSchedule, StreamStep} from './stream_schedule.js';
+
+/** How a variant differs from the product. */
+export interface StreamVariant {
+  /** Tokens are passed on without a look at whose they are. */
+  readonly checksNothing?: boolean;
+  /** A server that fails ends the stream. */
+  readonly givesUp?: boolean;
+}
+
+const ENGINES = 3;
+const DECODE_MS = 10;
+const SETTLE_MS = 60_000;
+const DEADLINE_MS = 50_000;
+
+/** An engine whose next stream can be spoilt. */
+class SpoiltEngine implements ModelEngine {
+  spoil: StreamStep['kind'] | 'none' = 'none';
+  private readonly killed = new AbortController();
+
+  constructor(
+    readonly engine: FakeEngine,
+    private readonly clock: VirtualClock,
+  ) {}
+
+  kill(): void {
+    this.killed.abort();
+  }
+
+  async *generate(
+    order: GenerationOrder,
+    signal: AbortSignal,
+  ): AsyncGenerator<Token> {
+    if (this.killed.signal.aborted) {
+      throw new ServerFailure(Reach.NOT_SENT, 'refused');
+    }
+    const {spoil} = this;
+    this.spoil = 'none';
+    const either = AbortSignal.any([signal, this.killed.signal]);
+    let sent = 0;
+    for await (const token of this.engine.generate(order, either)) {
+      sent++;
+      if (spoil === 'cross' && sent === 2) {
+        yield {...token, requestId: 'another', text: 'CROSSED '};
+        continue;
+      }
+      if (spoil === 'skip' && sent === 2) {
+        continue;
+      }
+      yield token;
+      if (spoil === 'double' && sent === 2) {
+        yield token;
+      }
+      if (spoil === 'break' && sent === 3) {
+        throw new ServerFailure(Reach.SENT, 'broken off');
+      }
+      if (spoil === 'silence' && sent === 3) {
+        await this.clock.sleep(SETTLE_MS, either);
+      }
+    }
+  }
+
+  getLoad() {
+    return this.engine.getLoad();
+  }
+
+  listCacheEvents(after: number) {
+    return this.engine.listCacheEvents(after);
+  }
+
+  exportCache(requestId: string) {
+    return this.engine.exportCache(requestId);
+  }
+
+  importCache(cache: CacheExport) {
+    return this.engine.importCache(cache);
+  }
+
+  give(order: EngineOrder) {
+    return this.engine.give(order);
+  }
+}
+
+/** A reader of one generation, which may come back after losing its place. */
+interface Reading {
+  readonly generation: Generation;
+  readonly texts: string[];
+  outcome: 'open' | 'finished' | 'failed';
+}
+
+/** One entry host's generations over three engines, on a virtual clock. */
+export class StreamWorld {
+  private readonly clock = new VirtualClock();
+  private readonly engines: SpoiltEngine[] = [];
+  private readonly readings: Reading[] = [];
+  private readonly notices = new Map<string, number>();
+  private readonly directory: ServerDirectory;
+  private readonly runner: GenerationRunner;
+  private readonly watch: ReclaimWatch;
+  private faults = 0;
+
+  constructor(
+    private readonly variant: StreamVariant,
+    private readonly mustFinish: boolean,
+  ) {
+    const configuration = createConfiguration();
+    for (let index = 0; index < ENGINES; index++) {
+      this.engines.push(new SpoiltEngine(this.createEngine(index), this.clock));
+    }
+    this.directory = new ServerDirectory(
+      {
+        createEngine: server => this.getEngine(Number(server.name.slice(-1))),
+        createService: () => {
+          throw new Error('there are only engines here');
+        },
+      },
+      this.clock,
+    );
+    this.directory.setServers(configuration.getView().servers.values());
+    const running = new RunningGenerations();
+    const lengths = new AnswerLengths();
+    const budget = new RetryBudget(this.clock);
+    const common = {clock: this.clock, log: new SilentLog(), configuration};
+    this.runner = new GenerationRunner({
+      ...common,
+      random: new SeededRandom(1),
+      directory: this.directory,
+      budget:
+        variant.givesUp === true
+          ? Object.assign(budget, {spend: () => false})
+          : budget,
+      running,
+      meter: {addToken: () => undefined},
+      lengths,
+      chooseServer,
+      checkToken: variant.checksNothing === true ? () => undefined : checkToken,
+      isLeaving: server =>
+        variant.givesUp !== true && this.notices.has(server),
+      dataCentre: 'tac-hall',
+      firstTokenSilenceMs: 5000,
+      silenceMs: 1000,
+    });
+    this.watch = new ReclaimWatch({
+      ...common,
+      directory: this.directory,
+      running,
+      lengths,
+      runner: this.runner,
+      getRemainingMs: server => this.getRemainingMs(server),
+      transferRate: 20_000,
+      importSlots: 2,
+    });
+  }
+
+  /** Runs a schedule and checks every stream. */
+  async run(schedule: StreamSchedule): Promise<RunReport> {
+    const stop = new AbortController();
+    void this.pollLoads(stop.signal);
+    if (this.variant.givesUp !== true) {
+      void this.watch.run(stop.signal);
+    }
+    await this.clock.advance(600);
+    for (const {afterMs, step} of schedule) {
+      await this.clock.advance(afterMs);
+      this.execute(step);
+    }
+    await this.clock.advance(SETTLE_MS);
+    stop.abort();
+    return this.report();
+  }
+
+  private execute(step: StreamStep): void {
+    if (step.kind === 'generate') {
+      this.generate(step.prompt, step.tokens);
+      return;
+    }
+    if (step.kind === 'reattach') {
+      const reading = this.readings[step.reading % (this.readings.length || 1)];
+      if (reading !== undefined) {
+        void this.read(reading);
+      }
+      return;
+    }
+    this.faults++;
+    const engine = this.getEngine(step.engine);
+    if (step.kind === 'reclaim') {
+      const {name} = engine.engine.options;
+      const isLast = this.notices.size >= ENGINES - 1;
+      if (!isLast && !this.notices.has(name)) {
+        this.notices.set(name, this.clock.monotonicMs() + step.noticeMs);
+        void this.clock.sleep(step.noticeMs).then(() => engine.kill());
+      }
+      return;
+    }
+    engine.spoil = step.kind;
+  }
+
+  private generate(prompt: number, tokens: number): void {
+    const nowMs = this.clock.monotonicMs();
+    const body = {prompt: `lot ${prompt} `.repeat(20), max_tokens: tokens};
+    const generation = new Generation(
+      {
+        id: `generation-${this.readings.length}`,
+        customer: 'north-house',
+        deployment: 'dossier',
+        adapter: '',
+        format: GenerationFormat.TEXT,
+        body: {...body, model: 'dossier'},
+        urgency: 3,
+        deadlineMs: nowMs + DEADLINE_MS,
+      },
+      [],
+      nowMs,
+    );
+    const reading: Reading = {generation, texts: [], outcome: 'open'};
+    this.readings.push(reading);
+    void this.runner.run(generation, new AbortController().signal);
+    void this.read(reading);
+  }
+
+  /** Reads on from the last token seen, as a caller does that came back. */
+  private async read(reading: Reading): Promise<void> {
+    const gone = new AbortController();
+    const events = reading.generation.read(
+      reading.texts.length,
+      gone.signal,
+      () => this.clock.monotonicMs(),
+    );
+    for await (const event of events) {
+      if (event.kind === 'token') {
+        if (event.position === reading.texts.length) {
+          reading.texts.push(event.text);
+        }
+        continue;
+      }
+      reading.outcome = event.kind;
+    }
+  }
+
+  private report(): RunReport {
+    const violations: string[] = [];
+    let answered = 0;
+    for (const {generation, texts, outcome} of this.readings) {
+      const expected = getExpectedTokens(generation.request.body);
+      const whole = texts.join('') === expected.join('');
+      const prefix = expected.join('').startsWith(texts.join(''));
+      answered += outcome === 'finished' ? 1 : 0;
+      if (outcome === 'finished' && !whole) {
+        violations.push(`${generation.request.id} is not whole`);
+      }
+      if (!prefix) {
+        violations.push(`${generation.request.id} got tokens of others`);
+      }
+      if (outcome !== 'finished' && this.mustFinish) {
+        violations.push(`${generation.request.id} was cut off`);
+      }
+    }
+    return {
+      violations,
+      operations: this.readings.length,
+      faults: this.faults,
+      answered,
+      refused: 0,
+      unknown: this.readings.length - answered,
+    };
+  }
+
+  private async pollLoads(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      for (const {engine} of this.engines) {
+        const load = await engine.getLoad();
+        if (load.isOk) {
+          this.directory.addLoad(engine.options.name, load.value, 0);
+        }
+      }
+      await this.clock.sleep(500, signal);
+    }
+  }
+
+  private getRemainingMs(server: string): number | undefined {
+    const deadlineMs = this.notices.get(server);
+    return deadlineMs === undefined
+      ? undefined
+      : deadlineMs - this.clock.monotonicMs();
+  }
+
+  private getEngine(index: number): SpoiltEngine {
+    const engine = this.engines[index % ENGINES];
+    if (engine === undefined) {
+      throw new Error(`there is no engine ${index}`);
+    }
+    return engine;
+  }
+
+  private createEngine(index: number): FakeEngine {
+    return new FakeEngine(
+      {
+        name: `engine-${index}`,
+        capacity: 4,
+        prefillRate: 8000,
+        decodeMs: DECODE_MS,
+        cacheBlocks: 256,
+        models: [{name: 'm', version: '1', adapters: []}],
+        checkFence: true,
+      },
+      this.clock,
+    );
+  }
+}
+
+function createConfiguration(): ConfigurationStore {
+  const store = new ConfigurationStore(new SilentLog());
+  const servers = Array.from({length: ENGINES}, (_unused, index) => ({
+    schemaVersion: 2,
+    kind: RecordKind.SERVER,
+    name: `engine-${index}`,
+    runs: 'engine',
+    dataCentre: 'tac-hall',
+    address: '127.0.0.1:1',
+  }));
+  const deployment = {
+    schemaVersion: 2,
+    kind: RecordKind.DEPLOYMENT,
+    name: 'dossier',
+    target: {kind: 'model', model: 'm', version: '1'},
+  };
+  const documents = [...servers, deployment];
+  store.apply(
+    {
+      after: 0,
+      revision: 1,
+      records: documents.map(document => ({
+        kind: document.kind,
+        name: document.name,
+        revision: 1,
+        document,
+        changeId: 'proof',
+      })),
+    },
+    'proof',
+  );
+  return store;
+}
