Cut the unknown share, tell late copies apart, and keep every found fault as a test

Callers know whether they send a key for the first time; the proof did not use that, and a host that could still read the table did not look there. Copies are now numbered, and old ones do nothing.

Conclusion: 'did not run' needs proof that no copy is still on its way.

--- a/src/caller/service_handler.ts
+++ b/src/caller/service_handler.ts
@@ -132,6 +132,7 @@
       deadlineMs: this.context.clock.monotonicMs() + timeout.value,
       respondAsync: prefersAsync(request),
       instance: this.context.mintId(),
+      copy: 0,
     };
     return {
       order,
--- a/src/journal/book.ts
+++ b/src/journal/book.ts
@@ -510,5 +510,6 @@
     deadlineMs: options.clock.monotonicMs() + options.retentionMs,
     respondAsync: true,
     instance: entry.requestId,
+    copy: 0,
   };
 }
--- a/src/journal/bookkeeper.ts
+++ b/src/journal/bookkeeper.ts
@@ -10,6 +10,7 @@
 import {CallOrder, CallOutcome, OutcomeKind} from './call_order.js';
 import {CommitBudget} from './commit_budget.js';
 import {Entry, EntryState} from './entry.js';
+import {SeenCopies} from './seen_copies.js';
 import {BookPosition, Journal, JournalOptions} from './journal.js';
 
 /** What the bookkeeper works with. */
@@ -77,6 +78,7 @@
   private readonly opening = new Set<string>();
   /** Books that another host should hold, and since when; monotonic ms. */
   private readonly misplaced = new Map<string, number>();
+  private readonly copies = new SeenCopies();
   /** Incarnations that books were received from, by book. */
   private readonly received = new Map<string, string>();
   /** Books handed on, whose running calls end here. */
@@ -129,7 +131,8 @@
    */
   async run(book: string, order: CallOrder): Promise<CallOutcome> {
     const held = this.books.get(book);
-    if (held === undefined) {
+    const isNew = this.copies.add(order.instance, order.copy);
+    if (held === undefined || !isNew) {
       return {kind: OutcomeKind.MOVED};
     }
     const outcome = await held.run(order);
--- a/src/journal/call_order.ts
+++ b/src/journal/call_order.ts
@@ -20,6 +20,8 @@
    * times: a copy that comes late must not run what was already refused.
    */
   readonly instance: string;
+  /** Number of this copy: each is sent under a higher one. */
+  readonly copy: number;
 }
 
 /** What came of a call. */
--- a/src/lease/lease.ts
+++ b/src/lease/lease.ts
@@ -55,6 +55,8 @@
  */
 export class Lease {
   private held: HeldLease | undefined;
+  /** Counts releases: an answer that comes after one grants nothing. */
+  private releases = 0;
   private seenVersion = -1;
   private seenMs = 0;
 
@@ -92,8 +94,9 @@
   /** Gives the lease up, so that another host can take it at once. */
   async release(): Promise<void> {
     const key = PREFIX + this.options.role;
-    const found = await this.options.table.get(key);
     this.held = undefined;
+    this.releases++;
+    const found = await this.options.table.get(key);
     const row = found.unwrapOr(undefined);
     const current = row?.value as LeaseRow | undefined;
     if (row === undefined || current?.holder !== this.options.holder) {
@@ -125,9 +128,13 @@
       beat: (current?.beat ?? 0) + 1,
     };
     const sentMs = clock.monotonicMs();
+    const {releases} = this;
     const written = await table.transact([
       {kind: StepKind.PUT, key, ifVersion: row?.version ?? ABSENT, value: next},
     ]);
+    if (releases !== this.releases) {
+      return;
+    }
     if (written.isOk) {
       const startMs = judge?.(sentMs, clock.monotonicMs()) ?? sentMs;
       this.held = {fence: next.fence, untilMs: startMs + durationMs};
--- a/src/prove/call_world.ts
+++ b/src/prove/call_world.ts
@@ -18,7 +18,7 @@
 import {PeerFailure, PeerFailureKind} from '../peer/index.js';
 import {MemoryTableService} from '../platform/index.js';
 import {fromCallMessage, OnceCalls} from '../service/index.js';
-import {CallMessage} from '../service/index.js';
+import {CallMessage, OnceCall} from '../service/index.js';
 import {VirtualClock} from '../time/index.js';
 import {CallSchedule, CallStep, HOSTS, ServiceFault} from './call_schedule.js';
 import {FaultyTable, TableFault} from './faulty_table.js';
@@ -79,6 +79,8 @@
   private duplicating = false;
   private starts = 0;
   private asks = 0;
+  /** Keys that were sent before: callers know that of their own. */
+  private readonly askedKeys = new Set<string>();
 
   constructor(private readonly variant: CallVariant) {}
 
@@ -209,7 +211,10 @@
         payload,
       });
       const order = this.createOrder(key, instance, payload, step);
-      const outcome = await this.callHost(host, order, key);
+      const firstAttempt = !this.askedKeys.has(key);
+      this.askedKeys.add(key);
+      const call = {order, key, firstAttempt};
+      const outcome = await this.callHost(host, call);
       const told = toTold(outcome);
       this.recorder.add({
         kind: 'told',
@@ -231,12 +236,10 @@
   /** Resolves to nothing when the host dies before it answers. */
   private async callHost(
     host: ProofHost,
-    order: CallOrder,
-    key: string,
+    call: OnceCall,
   ): Promise<CallOutcome | undefined> {
-    const limitMs = order.deadlineMs - this.clock.monotonicMs() + 10_000;
+    const limitMs = call.order.deadlineMs - this.clock.monotonicMs() + 10_000;
     const nothing = this.clock.sleep(limitMs).then(() => undefined);
-    const call = {order, key, firstAttempt: false};
     const asked = host.gate.isDead()
       ? Promise.resolve(undefined)
       : host.gate.call(() => host.calls.run(call));
@@ -266,6 +269,7 @@
       deadlineMs: this.clock.monotonicMs() + step.timeoutMs,
       respondAsync: step.async,
       instance,
+      copy: 0,
     };
   }
 
--- a/src/prove/fault_rates.ts
+++ b/src/prove/fault_rates.ts
@@ -29,7 +29,14 @@
   });
   const rates: FaultRate[] = [];
   for (const fault of listFaults(schedules.flat().map(item => item.step))) {
-    let rate = {fault, calls: 0, answered: 0, refused: 0, unknown: 0, nothing: 0};
+    let rate = {
+      fault,
+      calls: 0,
+      answered: 0,
+      refused: 0,
+      unknown: 0,
+      nothing: 0,
+    };
     for (const schedule of schedules) {
       const alone = schedule.filter(
         ({step}) => step.kind === 'call' || getFaultName(step) === fault,
--- a/src/prove/faulty_table.ts
+++ b/src/prove/faulty_table.ts
@@ -18,6 +18,8 @@
   SLOW: 'slow',
   /** Writes take effect; their answers are lost. */
   ANSWER_LOST: 'answer-lost',
+  /** Writes take effect at once; their answers take long. */
+  ANSWER_LATE: 'answer-late',
   /** The answer is lost, and the write takes effect later. */
   LATE: 'late',
 } as const;
@@ -27,6 +29,7 @@
 const SLOW_MS = 700;
 const TIMEOUT_MS = 1000;
 const LATE_MS = 2500;
+const ANSWER_LATE_MS = 900;
 
 /** A table whose faults are switched by a schedule. */
 export class FaultyTable implements TableService {
@@ -62,6 +65,11 @@
         await this.table.transact(steps);
         await this.clock.sleep(TIMEOUT_MS);
         return Result.err(fail(TableFailureKind.UNANSWERED));
+      case TableFault.ANSWER_LATE: {
+        const commit = await this.table.transact(steps);
+        await this.clock.sleep(ANSWER_LATE_MS);
+        return commit;
+      }
       case TableFault.LATE:
         void this.clock.sleep(LATE_MS).then(() => this.table.transact(steps));
         await this.clock.sleep(TIMEOUT_MS);
--- a/src/prove/leaving_world.ts
+++ b/src/prove/leaving_world.ts
@@ -107,9 +107,7 @@
     }
     if (step.kind === 'cut-platform') {
       host.platformCut = true;
-      void this.clock
-        .sleep(step.forMs)
-        .then(() => (host.platformCut = false));
+      void this.clock.sleep(step.forMs).then(() => (host.platformCut = false));
       return;
     }
     host.peersCut = true;
--- a/src/prove/stream_world.ts
+++ b/src/prove/stream_world.ts
@@ -159,8 +159,7 @@
       lengths,
       chooseServer,
       checkToken: variant.checksNothing === true ? () => undefined : checkToken,
-      isLeaving: server =>
-        variant.givesUp !== true && this.notices.has(server),
+      isLeaving: server => variant.givesUp !== true && this.notices.has(server),
       dataCentre: 'tac-hall',
       firstTokenSilenceMs: 5000,
       silenceMs: 1000,
--- a/src/service/call_message.ts
+++ b/src/service/call_message.ts
@@ -19,6 +19,7 @@
   remainingMs: z.number(),
   respondAsync: z.boolean(),
   instance: z.string(),
+  copy: z.number().int(),
 });
 
 /** A call on its way to the holder of its book. */
@@ -102,6 +103,7 @@
     deadlineMs: nowMs + message.remainingMs,
     respondAsync: message.respondAsync,
     instance: message.instance,
+    copy: message.copy,
   };
 }
 
--- a/src/service/once_calls.ts
+++ b/src/service/once_calls.ts
@@ -10,7 +10,6 @@
   getEntryKey,
   getHostBook,
   isMintedKey,
-  isSlotBook,
   OutcomeKind,
   parseMintedKey,
 } from '../journal/index.js';
@@ -84,8 +83,8 @@
       order.deadlineMs,
       clock.monotonicMs() + HOLDER_PATIENCE_MS,
     );
-    for (;;) {
-      const attempt = await this.ask(book, order);
+    for (let copy = 0; ; copy++) {
+      const attempt = await this.ask(book, {...order, copy});
       if (attempt.isOk && attempt.value.kind !== OutcomeKind.MOVED) {
         return attempt.value;
       }
@@ -187,14 +186,14 @@
     };
   }
 
-  /** Reads a recorded outcome from the table, when nobody holds the book. */
+  /**
+   * Reads a recorded outcome from the table, when its holder is out of reach.
+   * An answer that stands there is final; anything else is not conclusive.
+   */
   private async readOutcome(
     book: string,
     entryKey: string,
   ): Promise<CallOutcome | undefined> {
-    if (isSlotBook(book)) {
-      return undefined;
-    }
     const entry = await this.options.bookkeeper.readEntry(book, entryKey);
     if (entry?.state !== EntryState.FINISHED || entry.answer === undefined) {
       return undefined;
