Learn of a durable record in the turn that settles it

Ruled out: the table (both holders wrote in order, under the right versions).

The same gap stood open for plain calls, and is closed with it.

--- a/src/daemon/create_container.ts
+++ b/src/daemon/create_container.ts
@@ -119,6 +119,7 @@
     const directory = new ServerDirectory(
       context.get(CLIENTS),
       context.get(CLOCK),
+      context.get(SELF).dataCentre,
     );
     context
       .get(ConfigurationStore)
@@ -261,7 +262,6 @@
       chooseServer,
       checkToken,
       isLeaving: createIsLeaving(context),
-      dataCentre: context.get(SELF).dataCentre,
       firstTokenSilenceMs: engines.first_token_silence_ms,
       silenceMs: engines.silence_ms,
     });
--- a/src/fakes/fake_engine.ts
+++ b/src/fakes/fake_engine.ts
@@ -73,6 +73,8 @@
     recomputedTokens: 0,
   };
   private running = 0;
+  /** When the prompt computed last will be done; monotonic ms. */
+  private prefillFreeMs = 0;
   private waiterOrder = 0;
   private waiters: Waiter[] = [];
   private models: LoadedModel[];
@@ -204,8 +206,11 @@
     this.counts.cachedTokens += cached;
     this.counts.prefillTokens += whole - cached;
     this.storeBlocks(blocks);
+    // One prompt is computed at a time; the next waits for it.
+    const nowMs = this.clock.monotonicMs();
     const prefillMs = ((whole - cached) * 1000) / this.options.prefillRate;
-    await this.clock.sleep(prefillMs, signal);
+    this.prefillFreeMs = Math.max(nowMs, this.prefillFreeMs) + prefillMs;
+    await this.clock.sleep(this.prefillFreeMs - nowMs, signal);
   }
 
   private async *decode(
--- a/src/generation/generation_runner.ts
+++ b/src/generation/generation_runner.ts
@@ -47,8 +47,6 @@
   /** Throws when a token must not reach the caller; see `checkToken`. */
   readonly checkToken: (token: Token, generation: Generation) => void;
   readonly isLeaving: (server: string) => boolean;
-  /** Data centre of this host: its servers are tried first. */
-  readonly dataCentre: string;
   /** Longest silence before the first token, in milliseconds. */
   readonly firstTokenSilenceMs: number;
   /** Longest silence between tokens, in milliseconds. */
@@ -327,12 +325,11 @@
     return hashPrefixBlocks(salt, prompt, MAX_BLOCKS);
   }
 
-  /** Servers of this data centre; others only while it has none. */
   private listCandidates(
     generation: Generation,
     deployment: Deployment,
   ): string[] {
-    const {directory, dataCentre} = this.options;
+    const {directory} = this.options;
     const found = findCandidates({
       deployment,
       adapter: generation.request.adapter,
@@ -340,9 +337,7 @@
       isLeaving: this.options.isLeaving,
       getLoad: server => directory.getLoad(server)?.load,
     });
-    const here = found.filter(server => server.dataCentre === dataCentre);
-    const chosen = here.length > 0 ? here : found;
-    return chosen.map(server => server.name);
+    return found.map(server => server.name);
   }
 
   private logDecision(
--- a/src/journal/book.ts
+++ b/src/journal/book.ts
@@ -269,12 +269,14 @@
     const recorded = await this.journal.append(
       live.entry,
       this.getPatience(order),
+      () => {
+        live.durable = true;
+        live.accepted = true;
+      },
     );
     if (recorded.isErr) {
       return this.refuseUnrecorded(live, order, recorded.error);
     }
-    live.durable = true;
-    live.accepted = true;
     return {kind: OutcomeKind.ACCEPTED};
   }
 
@@ -288,14 +290,15 @@
     while (clock.monotonicMs() < endMs && !this.isClosed()) {
       const dispatched = this.createEntry(order, EntryState.DISPATCHED);
       // However long it takes: a record in doubt would leave others in doubt.
-      const recorded = await this.journal.add(dispatched);
+      const accepted = {...live.entry, attempt: dispatched.attempt};
+      const recorded = await this.journal.add(dispatched, () => {
+        // From here on whoever takes the book over must not dispatch it.
+        live.entry = dispatched;
+      });
       if (recorded.isErr) {
-        live.entry = {...live.entry, attempt: dispatched.attempt};
+        live.entry = accepted;
         break;
       }
-      // From here on whoever takes the book over must not dispatch it again.
-      const accepted = {...live.entry, attempt: dispatched.attempt};
-      live.entry = dispatched;
       const result = await this.options.dispatch({
         ...order,
         deadlineMs: clock.monotonicMs() + acceptedRetryMs * 10,
@@ -319,11 +322,13 @@
       const recorded = await this.journal.append(
         live.entry,
         this.getPatience(order),
+        () => {
+          live.durable = true;
+        },
       );
       if (recorded.isErr) {
         return this.refuseUnrecorded(live, order, recorded.error);
       }
-      live.durable = true;
     }
     if (this.options.clock.monotonicMs() >= order.deadlineMs) {
       return this.refuse(live, order, problems.deadlinePassed(Ran.NO));
--- a/src/journal/journal.ts
+++ b/src/journal/journal.ts
@@ -134,16 +134,18 @@
    * Writes an entry and waits until it is durable.
    * @param entry - The entry.
    * @param patienceMs - Longest wait, in milliseconds.
+   * @param onWritten - See `add`.
    */
   async append(
     entry: Entry,
     patienceMs: number,
+    onWritten: () => void,
   ): Promise<Result<void, AppendFailure>> {
     if (this.fenced) {
       return Result.err(AppendFailure.FENCED);
     }
     const over = new AbortController();
-    const written = this.enqueue(entry);
+    const written = this.enqueue(entry, onWritten);
     this.urgent.abort();
     const late = this.options.clock
       .sleep(patienceMs, over.signal)
@@ -156,12 +158,18 @@
   /**
    * Writes an entry in the background, in company where possible.
    * @param entry - The entry.
+   * @param onWritten - Called in the same turn in which the journal learns that
+   *   the entry is durable. The promise resolves turns later, and the book may
+   *   be handed over in between.
    */
-  add(entry: Entry): Promise<Result<void, AppendFailure>> {
+  add(
+    entry: Entry,
+    onWritten: () => void = () => undefined,
+  ): Promise<Result<void, AppendFailure>> {
     if (this.fenced) {
       return Promise.resolve(Result.err(AppendFailure.FENCED));
     }
-    return this.enqueue(entry);
+    return this.enqueue(entry, onWritten);
   }
 
   /**
@@ -179,8 +187,17 @@
     this.start();
   }
 
-  private enqueue(entry: Entry): Promise<Result<void, AppendFailure>> {
-    return new Promise(settle => {
+  private enqueue(
+    entry: Entry,
+    onWritten: () => void,
+  ): Promise<Result<void, AppendFailure>> {
+    return new Promise(resolve => {
+      const settle = (result: Result<void, AppendFailure>) => {
+        if (result.isOk) {
+          onWritten();
+        }
+        resolve(result);
+      };
       this.waiting.push({entry, settle});
       this.start();
     });
--- a/src/prove/stream_world.ts
+++ b/src/prove/stream_world.ts
@@ -140,6 +140,7 @@
         },
       },
       this.clock,
+      'tac-hall',
     );
     this.directory.setServers(configuration.getView().servers.values());
     const running = new RunningGenerations();
@@ -160,7 +161,6 @@
       chooseServer,
       checkToken: variant.checksNothing === true ? () => undefined : checkToken,
       isLeaving: server => variant.givesUp !== true && this.notices.has(server),
-      dataCentre: 'tac-hall',
       firstTokenSilenceMs: 5000,
       silenceMs: 1000,
     });
--- a/src/routing/choose_server.ts
+++ b/src/routing/choose_server.ts
@@ -74,7 +74,11 @@
     request.promptTokens,
     request.expectedTokens,
   );
-  return {server: known.server, firstTokenMs: queueMs + prefillMs, queueMs};
+  return {
+    server: known.server,
+    firstTokenMs: queueMs + prefillMs + known.hopMs,
+    queueMs,
+  };
 }
 
 function getSample(
--- a/src/routing/server_directory.ts
+++ b/src/routing/server_directory.ts
@@ -40,6 +40,8 @@
 const LOAD_MAX_AGE_MS = 10_000;
 /** Weight of the newest sample in the smoothed excess delay. */
 const EXCESS_WEIGHT = 0.3;
+/** Cost of a server in another data centre: the hop, and staler load. */
+const HOP_MS = 25;
 /** Send times kept per server; more than its reports can lag behind. */
 const MAX_SENT_TIMES = 512;
 
@@ -48,9 +50,15 @@
   private readonly tracked = new Map<string, TrackedServer>();
   private readonly outliers: OutlierDetector;
 
+  /**
+   * @param clients - Makes the clients of servers.
+   * @param clock - Measures ages and flights.
+   * @param dataCentre - Data centre of this host.
+   */
   constructor(
     private readonly clients: ServerClients,
     private readonly clock: Clock,
+    private readonly dataCentre: string,
   ) {
     this.outliers = new OutlierDetector(clock);
   }
@@ -170,6 +178,7 @@
         cachedTokens: tracked.prefixes.countCachedTokens(blocks),
         pendingPrefillTokens: tracked.pendingPrefillTokens,
         excessMs: tracked.excessMs,
+        hopMs: tracked.server.dataCentre === this.dataCentre ? 0 : HOP_MS,
         ejected: this.isEjected(name),
       });
     }
--- a/src/routing/server_knowledge.ts
+++ b/src/routing/server_knowledge.ts
@@ -16,6 +16,8 @@
   readonly pendingPrefillTokens: number;
   /** Extra delay seen on its answers beyond the prediction, smoothed, in ms. */
   readonly excessMs: number;
+  /** Extra milliseconds to reach it, when it stands in another data centre. */
+  readonly hopMs: number;
   /** Whether it has been taken out for failing. */
   readonly ejected: boolean;
 }
--- a/src/time/virtual_clock.ts
+++ b/src/time/virtual_clock.ts
@@ -1,11 +1,5 @@
 import {Clock} from './clock.js';
-
-/** A waiter registered with `VirtualClock.sleep`. */
-interface Sleeper {
-  readonly wakeAtMs: number;
-  readonly order: number;
-  readonly wake: () => void;
-}
+import {Sleeper, SleeperQueue} from './sleeper_queue.js';
 
 /** Turns of the event loop given to woken tasks before time moves again. */
 const SETTLE_TURNS = 4;
@@ -14,7 +8,7 @@
 export class VirtualClock implements Clock {
   private currentMs = 0;
   private order = 0;
-  private readonly sleepers = new Set<Sleeper>();
+  private readonly sleepers = new SleeperQueue();
 
   /** @param epochMs - Wall-clock time at virtual zero, in Unix milliseconds. */
   constructor(private readonly epochMs = 0) {}
@@ -33,12 +27,13 @@
     }
     return new Promise(resolve => {
       const cancel = () => {
-        this.sleepers.delete(sleeper);
+        sleeper.cancelled = true;
         resolve();
       };
       const sleeper: Sleeper = {
         wakeAtMs: this.currentMs + Math.max(0, ms),
         order: this.order++,
+        cancelled: false,
         wake: () => {
           signal?.removeEventListener('abort', cancel);
           resolve();
@@ -57,11 +52,10 @@
     const endMs = this.currentMs + ms;
     await this.settle();
     for (;;) {
-      const next = this.getNextSleeper(endMs);
+      const next = this.sleepers.takeNext(endMs);
       if (next === undefined) {
         break;
       }
-      this.sleepers.delete(next);
       this.currentMs = Math.max(this.currentMs, next.wakeAtMs);
       next.wake();
       await this.settle();
@@ -69,23 +63,6 @@
     this.currentMs = endMs;
   }
 
-  private getNextSleeper(endMs: number): Sleeper | undefined {
-    let best: Sleeper | undefined;
-    for (const sleeper of this.sleepers) {
-      if (sleeper.wakeAtMs > endMs) {
-        continue;
-      }
-      const earlier =
-        best === undefined ||
-        sleeper.wakeAtMs < best.wakeAtMs ||
-        (sleeper.wakeAtMs === best.wakeAtMs && sleeper.order < best.order);
-      if (earlier) {
-        best = sleeper;
-      }
-    }
-    return best;
-  }
-
   private async settle(): Promise<void> {
     for (let turn = 0; turn < SETTLE_TURNS; turn++) {
       await new Promise<void>(resolve => setImmediate(resolve));
--- a/test/prove/found_faults_test.ts
+++ b/test/prove/found_faults_test.ts
@@ -36,6 +36,15 @@
         at(0, call(0, 0)),
       ]));
 
+    it('a book was handed over between a record and its notice', () =>
+      doTest(atMostOnce, [
+        at(0, call(0, 0, true)),
+        at(10, call(0, 0)),
+        at(0, call(0, 0)),
+        at(0, {kind: 'leave', host: 1}),
+        at(0, {kind: 'freeze', host: 1, forMs: 2000}),
+      ]));
+
     it('late word of one attempt was taken for word of a later one', () =>
       doTest(atMostOnce, [
         at(0, {kind: 'freeze', host: 0, forMs: 2046}),
