--- a/src/caller/generation_handler.ts
+++ b/src/caller/generation_handler.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {decideAdmission, UsageCounter} from '../admission/index.js';
+import {UsageCounter} from '../admission/index.js';
 import {
   estimateTokens,
   GenerationFormat,
@@ -13,7 +13,6 @@
   GenerationRunner,
   GenerationStore,
 } from '../generation/index.js';
-import {Random} from '../random/index.js';
 import {
   CallerContext,
   CallerRequest,
@@ -21,6 +20,7 @@
   isProblem,
 } from './caller_context.js';
 import {createHead, toCompletion} from './completion_format.js';
+import {GenerationAdmission} from './generation_admission.js';
 import {readTimeoutMs, readUrgency} from './request_headers.js';
 import {REQUEST_ID_HEADER, sendProblem} from './send_problem.js';
 import {streamGeneration} from './stream_generation.js';
@@ -30,9 +30,7 @@
   readonly runner: GenerationRunner;
   readonly store: GenerationStore;
   readonly usage: UsageCounter;
-  readonly random: Random;
-  /** Returns how many generations the servers of a deployment can decode. */
-  readonly getCapacity: (deployment: string) => number;
+  readonly admission: GenerationAdmission;
 }
 
 const MAX_TOKENS = 1_000_000;
@@ -140,33 +138,9 @@
     if (this.context.isRefusing()) {
       throw new Refusal(problems.hostDraining());
     }
-    const {chosen} = this.options.runner.choose(generation, new Set());
-    if (chosen === undefined) {
-      throw new Refusal(problems.noServer(deployment.name));
-    }
-    const refusal = decideAdmission(
-      {
-        customer: caller.customer.name,
-        customers: caller.view.customers,
-        usage: this.options.usage.listAll(),
-        capacity: this.options.getCapacity(deployment.name),
-        firstTokenMs: chosen.firstTokenMs,
-        targetMs: deployment.latencyTarget.firstTokenMs,
-        remainingMs:
-          generation.request.deadlineMs - this.context.clock.monotonicMs(),
-        urgency: generation.request.urgency,
-      },
-      this.options.random,
-    );
+    const {view} = caller;
+    const refusal = this.options.admission.decide(view, deployment, generation);
     if (refusal !== undefined) {
-      this.context.log.info('refused', {
-        request: generation.request.id,
-        customer: caller.customer.name,
-        deployment: deployment.name,
-        reason: refusal.kind,
-        predicted_ms: Math.round(chosen.firstTokenMs),
-        retry_after_s: refusal.retryAfterSeconds,
-      });
       throw new Refusal(refusal);
     }
   }
--- a/src/caller/index.ts
+++ b/src/caller/index.ts
@@ -2,6 +2,8 @@
 export {getKeyHash, hashKey} from './authentication.js';
 export {CallerApi} from './caller_api.js';
 export type {CallerContext, CallerLimits} from './caller_context.js';
+export {GenerationAdmission} from './generation_admission.js';
+export type {GenerationAdmissionOptions} from './generation_admission.js';
 export {GenerationHandler} from './generation_handler.js';
 export type {GenerationHandlerOptions} from './generation_handler.js';
 export {RequestHandler} from './request_handler.js';
--- a/src/daemon/create_container.ts
+++ b/src/daemon/create_container.ts
@@ -5,6 +5,7 @@
 import {
   CallerApi,
   CallerContext,
+  GenerationAdmission,
   GenerationHandler,
   RequestHandler,
   ServiceHandler,
@@ -393,8 +394,14 @@
         runner: context.get(GenerationRunner),
         store,
         usage: context.get(UsageCounter),
-        random: context.get(RANDOM),
-        getCapacity: () => sumCapacity(directory),
+        admission: new GenerationAdmission({
+          clock: context.get(CLOCK),
+          log: context.get(LOG),
+          random: context.get(RANDOM),
+          runner: context.get(GenerationRunner),
+          usage: context.get(UsageCounter),
+          getCapacity: () => sumCapacity(directory),
+        }),
       }),
       new ServiceHandler(caller, {
         calls,
--- a/src/fakes/fake_engine.ts
+++ b/src/fakes/fake_engine.ts
@@ -72,6 +72,8 @@
     cachedTokens: 0,
     recomputedTokens: 0,
   };
+  /** Factor by which it is slower than its options say. */
+  slowdown = 1;
   private running = 0;
   /** When the prompt computed last will be done; monotonic ms. */
   private prefillFreeMs = 0;
@@ -208,7 +210,8 @@
     this.storeBlocks(blocks);
     // One prompt is computed at a time; the next waits for it.
     const nowMs = this.clock.monotonicMs();
-    const prefillMs = ((whole - cached) * 1000) / this.options.prefillRate;
+    const prefillMs =
+      ((whole - cached) * 1000 * this.slowdown) / this.options.prefillRate;
     this.prefillFreeMs = Math.max(nowMs, this.prefillFreeMs) + prefillMs;
     await this.clock.sleep(this.prefillFreeMs - nowMs, signal);
   }
@@ -223,7 +226,7 @@
       position < expected.length;
       position++
     ) {
-      await this.clock.sleep(this.options.decodeMs, signal);
+      await this.clock.sleep(this.options.decodeMs * this.slowdown, signal);
       if (signal.aborted) {
         throw new ServerFailure(Reach.SENT, 'the generation was stopped');
       }
--- a/src/generation/generation_runner.ts
+++ b/src/generation/generation_runner.ts
@@ -75,6 +75,8 @@
 
 const RETRY_PATIENCE_MS = 3000;
 const RETRY_POLL_MS = 100;
+/** Blocks that tell one kind of prompt from another. */
+const PREFIX_BLOCKS = 8;
 /** Blocks of a prompt that are looked up. */
 const MAX_BLOCKS = 1024;
 
@@ -104,8 +106,10 @@
     const blocks = this.getBlocks(generation, deployment, prompt);
     const names = this.listCandidates(generation, deployment);
     const known = this.options.directory.listKnowledge(names, blocks);
+    const prefix = blocks[Math.min(blocks.length, PREFIX_BLOCKS) - 1];
     return this.options.chooseServer(
       {
+        ...(prefix === undefined ? {} : {prefix}),
         promptTokens: estimateTokens(prompt) + generation.getTexts().length,
         expectedTokens: this.options.lengths.getExpected(deployment.name),
         excluded,
--- /dev/null
+++ b/src/measure/format_curve.ts
@@ -0,0 +1,52 @@
+/** A named curve. */
+export interface Curve {
+  readonly name: string;
+  readonly points: readonly {readonly x: number; readonly y: number}[];
+}
+
+const WIDTH = 640;
+const HEIGHT = 400;
+const MARGIN = 60;
+const COLOURS = ['#1b6ca8', '#c0392b', '#27815c'];
+
+/**
+ * Draws curves as SVG.
+ * @param title - Title above the plot.
+ * @param xLabel - What x stands for.
+ * @param yLabel - What y stands for.
+ * @param curves - The curves.
+ */
+export function formatCurve(
+  title: string,
+  xLabel: string,
+  yLabel: string,
+  curves: readonly Curve[],
+): string {
+  const points = curves.flatMap(curve => curve.points);
+  const maxX = Math.max(1, ...points.map(point => point.x));
+  const maxY = Math.max(1, ...points.map(point => point.y));
+  const toX = (x: number) => MARGIN + (x / maxX) * (WIDTH - 2 * MARGIN);
+  const toY = (y: number) =>
+    HEIGHT - MARGIN - (y / maxY) * (HEIGHT - 2 * MARGIN);
+  const lines = curves.map((curve, index) => {
+    const colour = COLOURS[index % COLOURS.length];
+    const path = curve.points
+      .map(({x, y}) => `${toX(x).toFixed(1)},${toY(y).toFixed(1)}`)
+      .join(' ');
+    const labelY = MARGIN + index * 18;
+    return (
+      `<polyline fill="none" stroke="${colour}" stroke-width="2" points="${path}"/>` +
+      `<text x="${WIDTH - MARGIN}" y="${labelY}" text-anchor="end" fill="${colour}">${curve.name}</text>`
+    );
+  });
+  return [
+    `<svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH}" height="${HEIGHT}" font-family="sans-serif" font-size="13">`,
+    `<text x="${WIDTH / 2}" y="24" text-anchor="middle">${title}</text>`,
+    `<path d="M${MARGIN},${MARGIN} V${HEIGHT - MARGIN} H${WIDTH - MARGIN}" fill="none" stroke="#444"/>`,
+    `<text x="${WIDTH / 2}" y="${HEIGHT - 16}" text-anchor="middle">${xLabel} (to ${maxX})</text>`,
+    `<text x="16" y="${HEIGHT / 2}" text-anchor="middle" transform="rotate(-90 16 ${HEIGHT / 2})">${yLabel} (to ${maxY.toFixed(0)})</text>`,
+    ...lines,
+    '</svg>',
+    '',
+  ].join('\n');
+}
--- /dev/null
+++ b/src/measure/measure_recording.ts
@@ -0,0 +1,172 @@
+import {Result} from 'true-myth';
+import {BookPosition, CommitBudget, EntryState, Journal} from '../journal/index.js';
+import {LogMembers} from '../log/index.js';
+import {
+  ABSENT,
+  Commit,
+  MemoryTableService,
+  Step,
+  StepKind,
+  TableFailure,
+  TableService,
+} from '../platform/index.js';
+import {SeededRandom} from '../random/index.js';
+import {VirtualClock} from '../time/index.js';
+import {getPercentile} from './figures.js';
+
+const TABLE_MS = 8;
+const DURATION_MS = 10_000;
+const WRITES_PER_SECOND = 25;
+const SERVICE_MS = 5;
+
+/** A table that takes its time and counts its writes. */
+class TimedTable implements TableService {
+  writes = 0;
+  private readonly table = new MemoryTableService();
+
+  constructor(private readonly clock: VirtualClock) {}
+
+  async get(key: string) {
+    await this.clock.sleep(TABLE_MS);
+    return this.table.get(key);
+  }
+
+  async list(prefix: string) {
+    await this.clock.sleep(TABLE_MS);
+    return this.table.list(prefix);
+  }
+
+  async transact(
+    steps: readonly Step[],
+  ): Promise<Result<Commit, TableFailure>> {
+    this.writes++;
+    await this.clock.sleep(TABLE_MS);
+    return this.table.transact(steps);
+  }
+}
+
+/** Records one booking before dispatch and its outcome after. */
+type Record = (key: string) => Promise<void>;
+
+/**
+ * Compares the ways to record a booking: a row per request, the journal of a
+ * slot, and keys minted by the host that runs them. One host, four slots.
+ * @returns A line per way and rate.
+ */
+export async function measureRecording(): Promise<LogMembers[]> {
+  const lines: LogMembers[] = [];
+  for (const rate of [5, 50, 500]) {
+    lines.push(await measure('row-per-request', rate, recordInRows));
+    lines.push(await measure('slot-journal', rate, recordInJournals));
+    lines.push(await measure('minted-key', rate, recordAfterwards));
+  }
+  return lines;
+}
+
+async function measure(
+  policy: string,
+  rate: number,
+  create: (table: TimedTable, clock: VirtualClock) => Record,
+): Promise<LogMembers> {
+  const clock = new VirtualClock();
+  const table = new TimedTable(clock);
+  const random = new SeededRandom(3);
+  const record = create(table, clock);
+  const added: number[] = [];
+  const send = async (key: string) => {
+    const startMs = clock.monotonicMs();
+    await record(key);
+    added.push(clock.monotonicMs() - startMs - SERVICE_MS);
+  };
+  const sending = (async () => {
+    for (let call = 0; clock.monotonicMs() < DURATION_MS; call++) {
+      void send(`key-${call}`);
+      await clock.sleep((-Math.log(1 - random.next()) * 1000) / rate);
+    }
+  })();
+  await clock.advance(DURATION_MS * 3);
+  await sending;
+  return {
+    experiment: 'recording',
+    policy,
+    bookings_per_s: rate,
+    writes_per_booking: (table.writes / added.length).toFixed(2),
+    added_p50_ms: Math.round(getPercentile(added, 0.5)),
+    added_p99_ms: Math.round(getPercentile(added, 0.99)),
+  };
+}
+
+/** Two conditional writes a booking, within the same budget of writes. */
+function recordInRows(table: TimedTable, clock: VirtualClock): Record {
+  const budget = new CommitBudget(() => WRITES_PER_SECOND, clock);
+  const write = async (key: string, ifVersion?: number) => {
+    await budget.spend();
+    await table.transact([
+      {
+        kind: StepKind.PUT,
+        key,
+        value: {},
+        ...(ifVersion === undefined ? {} : {ifVersion}),
+      },
+    ]);
+  };
+  return async key => {
+    await write(key, ABSENT);
+    await clock.sleep(SERVICE_MS);
+    void write(key);
+  };
+}
+
+function recordInJournals(table: TimedTable, clock: VirtualClock): Record {
+  const journals = createJournals(table, clock);
+  let next = 0;
+  return async key => {
+    const journal = journals[next++ % journals.length];
+    const entry = createEntry(key, EntryState.DISPATCHED);
+    await journal?.append(entry, DURATION_MS, () => undefined);
+    await clock.sleep(SERVICE_MS);
+    void journal?.add(createEntry(key, EntryState.FINISHED));
+  };
+}
+
+function recordAfterwards(table: TimedTable, clock: VirtualClock): Record {
+  const journal = createJournals(table, clock)[0];
+  return async key => {
+    await clock.sleep(SERVICE_MS);
+    void journal?.add(createEntry(key, EntryState.FINISHED));
+  };
+}
+
+function createJournals(table: TimedTable, clock: VirtualClock): Journal[] {
+  const budget = new CommitBudget(() => WRITES_PER_SECOND, clock);
+  return Array.from({length: 4}, (_unused, slot) => {
+    const position: BookPosition = {
+      book: `slot-${slot}`,
+      fence: 1,
+      sequence: 0,
+      version: ABSENT,
+    };
+    return new Journal(position, [], {
+      table,
+      clock,
+      host: 'host',
+      incarnation: 'start',
+      spendWrite: () => budget.spend(),
+      lingerMs: 50,
+      retryMs: 100,
+      retentionMs: DURATION_MS * 100,
+    });
+  });
+}
+
+function createEntry(key: string, state: EntryState) {
+  return {
+    key,
+    requestId: key,
+    deployment: 'bids',
+    attempt: '',
+    fingerprint: '',
+    state,
+    atMs: 0,
+  };
+}
--- a/src/routing/server_knowledge.ts
+++ b/src/routing/server_knowledge.ts
@@ -27,6 +27,8 @@
   readonly promptTokens: number;
   /** Mean tokens of an answer of this deployment. */
   readonly expectedTokens: number;
+  /** Hash of the first blocks of the prompt; absent for short prompts. */
+  readonly prefix?: number;
   /** Servers that have failed this request, or that it must avoid. */
   readonly excluded: ReadonlySet<string>;
 }
