Admit by the target, hold shares by places in use, count the other hosts' sends

Cause: at 4 times capacity every host saw the same late load and admitted up to 2.5 targets of predicted wait, so what was admitted came late; shares were held only once the queue was long, and then shared out every place. Now a normal request is admitted up to 0.9 targets, own sends since a report count once per live host, shares are held from 60% of the places in use, and 75% of the places are shared out.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -22,11 +22,11 @@
 }
 
 /** Longest wait a request of each urgency may be predicted, in targets. */
-const PATIENCE_BY_URGENCY = [4, 3.5, 3, 2.5, 2, 1.5, 1.2, 1] as const;
-/** Share of the target at which customers' shares begin to be held. */
-const CONTENDED_SHARE = 0.5;
-/** Over-commitment allowed against a share, since usage is known with a lag. */
-const SHARE_SLACK = 1.1;
+const PATIENCE_BY_URGENCY = [1.6, 1.3, 1.1, 0.9, 0.8, 0.7, 0.6, 0.5] as const;
+/** Share of the places in use from which customers' shares are held. */
+const CONTENDED_SHARE = 0.6;
+/** Share of the places that is shared out; the rest keeps queues short. */
+const SHARED_OUT = 0.75;
 
 /**
  * Decides whether to admit a generation now.
@@ -44,8 +44,7 @@
   random: Random,
 ): Problem | undefined {
   const {firstTokenMs, targetMs, remainingMs} = question;
-  const contended = firstTokenMs > targetMs * CONTENDED_SHARE;
-  if (contended && isOverShare(question)) {
+  if (isContended(question) && isOverShare(question)) {
     return problems.customerOverShare(
       question.customer,
       spreadRetry(firstTokenMs, random),
@@ -62,11 +61,20 @@
   return undefined;
 }
 
+function isContended(question: AdmissionQuestion): boolean {
+  let inUse = 0;
+  for (const {inFlight} of question.usage) {
+    inUse += inFlight;
+  }
+  return inUse > question.capacity * CONTENDED_SHARE;
+}
+
 function isOverShare(question: AdmissionQuestion): boolean {
-  const {customer, customers, usage, capacity} = question;
-  const share = getFairShare(customer, customers, usage, capacity);
+  const {customer, customers, usage} = question;
+  const shared = question.capacity * SHARED_OUT;
+  const share = getFairShare(customer, customers, usage, shared);
   const used = usage.find(entry => entry.customer === customer)?.inFlight ?? 0;
-  return used + 1 > Math.max(1, share * SHARE_SLACK);
+  return used + 1 > Math.max(1, share);
 }
 
 /** Spreads the time to come back over one to two predicted waits. */
--- a/src/daemon/create_container.ts
+++ b/src/daemon/create_container.ts
@@ -117,10 +117,12 @@
     context => new LeavingHosts(context.get(CLOCK), context.get(LOG)),
   );
   bind(container, ServerDirectory, context => {
+    const membership = context.get(Membership);
     const directory = new ServerDirectory(
       context.get(CLIENTS),
       context.get(CLOCK),
       context.get(SELF).dataCentre,
+      () => membership.listLiveNames().length,
     );
     context
       .get(ConfigurationStore)
--- a/src/measure/measured_world.ts
+++ b/src/measure/measured_world.ts
@@ -276,6 +276,7 @@
       },
       this.clock,
       dataCentre,
+      () => this.plan.serversPerCentre.length * ASSUMPTIONS.hostsPerCentre,
     );
     directory.setServers(this.configuration.getView().servers.values());
     const running = new RunningGenerations();
--- a/src/prove/stream_world.ts
+++ b/src/prove/stream_world.ts
@@ -141,6 +141,7 @@
       },
       this.clock,
       'tac-hall',
+      () => 1,
     );
     this.directory.setServers(configuration.getView().servers.values());
     const running = new RunningGenerations();
--- a/src/routing/server_directory.ts
+++ b/src/routing/server_directory.ts
@@ -54,11 +54,14 @@
    * @param clients - Makes the clients of servers.
    * @param clock - Measures ages and flights.
    * @param dataCentre - Data centre of this host.
+   * @param countHosts - Returns how many hosts send to the servers; the others
+   *   are taken to send as much as this one until their load is reported.
    */
   constructor(
     private readonly clients: ServerClients,
     private readonly clock: Clock,
     private readonly dataCentre: string,
+    private readonly countHosts: () => number,
   ) {
     this.outliers = new OutlierDetector(clock);
   }
@@ -163,6 +166,7 @@
     blocks: readonly number[],
   ): ServerKnowledge[] {
     const known: ServerKnowledge[] = [];
+    const hosts = Math.max(1, this.countHosts());
     for (const name of names) {
       const tracked = this.tracked.get(name);
       if (tracked === undefined) {
@@ -173,10 +177,10 @@
         server: name,
         dataCentre: tracked.server.dataCentre,
         ...(heard === undefined ? {} : {load: heard.load}),
-        sentSinceReport: tracked.sentMs.length,
+        sentSinceReport: tracked.sentMs.length * hosts,
         inFlight: tracked.inFlight,
         cachedTokens: tracked.prefixes.countCachedTokens(blocks),
-        pendingPrefillTokens: tracked.pendingPrefillTokens,
+        pendingPrefillTokens: tracked.pendingPrefillTokens * hosts,
         excessMs: tracked.excessMs,
         hopMs: tracked.server.dataCentre === this.dataCentre ? 0 : HOP_MS,
         ejected: this.isEjected(name),
