Send word of both attempts the next holder may know of

Cause: the long run broke accepted-survives after 3,869 histories: a call that was refused, tried again and then met a book that another host had taken reported the attempt it had last tried to record; the next holder knew only the one before, and took the word for one of a stranger. After: the shrunk schedule holds, and stands among the found faults.

--- a/src/bin/measure.ts
+++ b/src/bin/measure.ts
@@ -124,11 +124,17 @@
 }
 
 function average(values: readonly number[]): number {
-  return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+  return (
+    values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length)
+  );
 }
 
 function ratio(ours: number, theirs: number): string {
-  return theirs === 0 ? (ours === 0 ? '1.00' : 'inf') : (ours / theirs).toFixed(2);
+  return theirs === 0
+    ? ours === 0
+      ? '1.00'
+      : 'inf'
+    : (ours / theirs).toFixed(2);
 }
 
 async function plot(
--- a/src/journal/book.ts
+++ b/src/journal/book.ts
@@ -296,6 +296,9 @@
         live.entry = dispatched;
       });
       if (recorded.isErr) {
+        // The next holder may know of this attempt or only of the one before;
+        // neither is under way here.
+        this.options.onOrphanedOutcome(this.id, live.entry);
         live.entry = accepted;
         break;
       }
--- a/src/measure/measure_recording.ts
+++ b/src/measure/measure_recording.ts
@@ -1,5 +1,10 @@
 import {Result} from 'true-myth';
-import {BookPosition, CommitBudget, EntryState, Journal} from '../journal/index.js';
+import {
+  BookPosition,
+  CommitBudget,
+  EntryState,
+  Journal,
+} from '../journal/index.js';
 import {LogMembers} from '../log/index.js';
 import {
   ABSENT,
--- a/src/measure/measured_world.ts
+++ b/src/measure/measured_world.ts
@@ -226,9 +226,7 @@
       if (name.startsWith(`server-${event.dataCentre}-`)) {
         const endMs = this.clock.monotonicMs() + event.noticeMs;
         this.noticeEnds.set(name, endMs);
-        void this.clock
-          .sleep(event.noticeMs)
-          .then(() => engine.killed.abort());
+        void this.clock.sleep(event.noticeMs).then(() => engine.killed.abort());
       }
     }
   }
@@ -346,9 +344,8 @@
     const {signal: killed} = engine.killed;
     const generate = engine.generate.bind(engine);
     return Object.assign(Object.create(engine) as MeasuredEngine, {
-      generate: (
-        ...[order, signal]: Parameters<FakeEngine['generate']>
-      ) => generate(order, AbortSignal.any([signal, killed])),
+      generate: (...[order, signal]: Parameters<FakeEngine['generate']>) =>
+        generate(order, AbortSignal.any([signal, killed])),
     });
   }
 
--- a/test/prove/found_faults_test.ts
+++ b/test/prove/found_faults_test.ts
@@ -103,6 +103,17 @@
         at(0, {kind: 'restart', host: 0}),
       ]));
 
+    it('word was sent of an attempt that the next holder never saw', () =>
+      doTest(acceptedSurvives, [
+        at(0, {kind: 'service', fault: 'refuses', forMs: 1097}),
+        at(0, call(0, 2, true)),
+        at(900, call(0, 0)),
+        at(100, call(0, 0)),
+        at(10, {kind: 'cut', host: 0, forMs: 100}),
+        at(100, call(0, 0)),
+        at(0, {kind: 'freeze', host: 0, forMs: 3931}),
+      ]));
+
     it('a copy that came late ran what had been refused', () =>
       doTest(refusalsAreTrue, [
         at(0, {kind: 'cut', host: 2, forMs: 100}),
