Send what changes rarely only until it is acknowledged; measure slopes and the daemon

Every heartbeat carried every host, model and book, both ways, twice a second. Now a heartbeat carries load and revision; the detail follows when it changed and every 30 s; the reply is a version; one link to each other data centre; one heartbeat a second.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -22,8 +22,8 @@
       name: 'product-without-fakes',
       comment: 'Fakes and trials are for tests; the product does not use them.',
       severity: 'error',
-      from: {path: '^src/', pathNot: '^src/(bin|fakes|trial|measure|prove)/'},
-      to: {path: '^src/(fakes|trial|measure|prove)/'},
+      from: {path: '^src/', pathNot: '^src/(bin|fakes|trial|measure|prove|slopes)/'},
+      to: {path: '^src/(fakes|trial|measure|prove|slopes)/'},
     },
     {
       name: 'folders-through-their-index',
--- /dev/null
+++ b/src/bin/slopes.ts
@@ -0,0 +1,14 @@
+#!/usr/bin/env node
+/** Program: measures the slopes and benches of docs/CAPACITY.md. */
+import {formatLine} from '../log/index.js';
+import {measureDaemon, measureLeaving, measureSlopes} from '../slopes/index.js';
+
+for (const line of measureSlopes()) {
+  process.stdout.write(`${formatLine(line)}\n`);
+}
+for (const count of [10, 72]) {
+  process.stdout.write(`${formatLine(measureLeaving(count))}\n`);
+}
+for (const line of await measureDaemon()) {
+  process.stdout.write(`${formatLine(line)}\n`);
+}
--- a/src/daemon/create_container.ts
+++ b/src/daemon/create_container.ts
@@ -304,6 +304,7 @@
     context =>
       new Heartbeats({
         self: context.get(SELF),
+        clock: context.get(CLOCK),
         configuration: context.get(ConfigurationStore),
         membership: context.get(Membership),
         leavingHosts: context.get(LeavingHosts),
@@ -367,8 +368,10 @@
     silenceMs: peers.silence_ms,
     seeds: peers.seeds.filter(seed => seed !== self.address),
     listCandidates: () => membership.listKnown(),
-    createHeartbeat: () => ({kind: 'heartbeat', status: heartbeats.create()}),
-    onHeartbeat: reply => heartbeats.receiveReply(reply),
+    createHeartbeat: acknowledged => ({
+      kind: 'heartbeat',
+      status: heartbeats.create(acknowledged),
+    }),
   });
 }
 
--- a/src/daemon/heartbeats.ts
+++ b/src/daemon/heartbeats.ts
@@ -1,24 +1,24 @@
+import {z} from 'zod';
 import {UsageCounter} from '../admission/index.js';
 import {ConfigurationStore} from '../configuration/index.js';
 import {BookDirectory, Bookkeeper} from '../journal/index.js';
 import {
-  HeardLoad,
+  EngineFacts,
+  EngineLoad,
+  HostDetail,
   HostStatus,
-  hostStatusSchema,
   LeavingHosts,
   Membership,
 } from '../membership/index.js';
 import {ServerDirectory} from '../routing/index.js';
+import {Clock} from '../time/index.js';
 import {LoadPoller} from './load_poller.js';
+import {Self} from './self.js';
 
 /** What heartbeats are made of and bring news to. */
 export interface HeartbeatsOptions {
-  readonly self: {
-    readonly host: string;
-    readonly dataCentre: string;
-    readonly incarnation: string;
-    readonly address: string;
-  };
+  readonly self: Self;
+  readonly clock: Clock;
   readonly configuration: ConfigurationStore;
   readonly membership: Membership;
   readonly leavingHosts: LeavingHosts;
@@ -31,75 +31,155 @@
   readonly onHigherRevision: (host: string, revision: number) => void;
 }
 
-/** Makes and takes in the heartbeats between entry hosts. */
+/** Reply to a heartbeat: the version of the detail that was taken in. */
+const acknowledgementSchema = z.object({detailVersion: z.number().int()});
+
+/** Age at which an unchanged detail is sent again, in milliseconds. */
+const RESEND_MS = 30_000;
+/** Age up to which a detail is not even compared, in milliseconds. */
+const FRESH_MS = 200;
+
+/**
+ * Makes and takes in the heartbeats between entry hosts.
+ *
+ * A heartbeat is small. What changes rarely travels with it only until the
+ * peer has acknowledged it, which keeps the traffic of a large system low.
+ */
 export class Heartbeats {
+  private detail: HostDetail | undefined;
+  private detailText = '';
+  private detailVersion = 0;
+  private changedMs = 0;
+  private lookedMs = Number.NEGATIVE_INFINITY;
+  private readonly facts = new Map<string, EngineFacts>();
+
   constructor(private readonly options: HeartbeatsOptions) {}
 
-  /** Makes a heartbeat as it is now. */
-  create(): HostStatus {
-    const {self, membership, configuration, bookkeeper} = this.options;
+  /**
+   * Makes a heartbeat as it is now.
+   * @param acknowledged - The peer's last acknowledgement; see `acknowledge`.
+   */
+  create(acknowledged: unknown): HostStatus {
+    const {self, membership, configuration} = this.options;
+    const detail = this.getDetail();
+    const parsed = acknowledgementSchema.safeParse(acknowledged);
+    const known =
+      parsed.success && parsed.data.detailVersion === this.detailVersion;
     const revision = configuration.getRevision();
     return {
       host: self.host,
       dataCentre: self.dataCentre,
       incarnation: self.incarnation,
-      address: self.address,
       state: membership.getOwnState(),
       revision,
       centreRevision: membership.getCentreRevision(revision),
-      books: bookkeeper.listHeld().map(held => [held.book, held.fence]),
-      hosts: membership.listHeard(),
-      leaving: this.options.leavingHosts.list(),
-      loads: this.listOwnLoads(),
-      headroom: [],
+      loads: this.listLoads(),
       usage: this.options.usage
         .listOwn()
         .map(usage => [usage.customer, usage.inFlight]),
+      detailVersion: this.detailVersion,
+      ...(known ? {} : {detail}),
     };
   }
 
   /**
-   * Takes in a heartbeat.
+   * Takes in a heartbeat and makes the reply to it.
    * @param status - What a peer said of itself; already checked.
    */
-  receive(status: HostStatus): void {
-    const {configuration, membership, directory, servers} = this.options;
+  acknowledge(status: HostStatus): z.output<typeof acknowledgementSchema> {
+    this.receive(status);
+    return {detailVersion: status.detailVersion};
+  }
+
+  private receive(status: HostStatus): void {
+    const {configuration, membership, directory} = this.options;
     if (membership.isGone(status.host, status.incarnation)) {
       return;
     }
     membership.addStatus(status);
-    for (const [book, fence] of status.books) {
-      directory.add({book, host: status.host, fence});
+    if (status.detail !== undefined) {
+      for (const [book, fence] of status.detail.books) {
+        directory.add({book, host: status.host, fence});
+      }
+      for (const facts of status.detail.engines) {
+        this.facts.set(facts.server, facts);
+      }
+      const {leaving} = status.detail;
+      this.options.leavingHosts.addHeard(leaving, status.host);
     }
-    this.options.leavingHosts.addHeard(status.leaving, status.host);
-    servers.addHeardLoads(status.loads);
+    this.addLoads(status.loads);
     if (status.revision > configuration.getRevision()) {
       this.options.onHigherRevision(status.host, status.revision);
     }
   }
 
-  /**
-   * Takes in the reply to a heartbeat.
-   * @param reply - The peer's own heartbeat, not yet checked.
-   */
-  receiveReply(reply: unknown): void {
-    const parsed = hostStatusSchema.safeParse(reply);
-    if (parsed.success) {
-      this.receive(parsed.data);
+  private addLoads(loads: readonly EngineLoad[]): void {
+    for (const {server, ageMs, running, waiting} of loads) {
+      const facts = this.facts.get(server);
+      if (facts !== undefined) {
+        const load = {...facts, running, waiting};
+        this.options.servers.addLoad(server, load, ageMs);
+      }
     }
   }
 
-  private listOwnLoads(): HeardLoad[] {
-    const loads: HeardLoad[] = [];
+  /** Returns the detail, under a new version if it has changed. */
+  private getDetail(): HostDetail {
+    const nowMs = this.options.clock.monotonicMs();
+    if (this.detail !== undefined && nowMs - this.lookedMs < FRESH_MS) {
+      return this.detail;
+    }
+    this.lookedMs = nowMs;
+    const detail = this.createDetail();
+    const text = JSON.stringify({
+      ...detail,
+      // Ages change all the time; only who is leaving is news.
+      leaving: detail.leaving.map(leaving => leaving.host),
+    });
+    if (text !== this.detailText || nowMs - this.changedMs > RESEND_MS) {
+      this.detailText = text;
+      this.detailVersion++;
+      this.changedMs = nowMs;
+    }
+    this.detail = detail;
+    return detail;
+  }
+
+  private createDetail(): HostDetail {
+    const {self, membership, bookkeeper, leavingHosts} = this.options;
+    return {
+      address: self.address,
+      books: bookkeeper.listHeld().map(held => [held.book, held.fence]),
+      hosts: membership.listHeard(),
+      leaving: leavingHosts.list(),
+      engines: this.listFacts(),
+    };
+  }
+
+  private listFacts(): EngineFacts[] {
+    const facts: EngineFacts[] = [];
     for (const server of this.options.poller.listPolled()) {
-      const known = this.options.servers.getLoad(server);
-      if (known !== undefined) {
-        const {load, ageMs} = known;
+      const load = this.options.servers.getLoad(server)?.load;
+      if (load !== undefined) {
+        const {capacity, prefillRate, decodeMs} = load;
         const models = load.models.map(model => ({
           ...model,
           adapters: [...model.adapters],
         }));
-        loads.push({server, ageMs, ...load, models});
+        facts.push({server, capacity, prefillRate, decodeMs, models});
+      }
+    }
+    return facts;
+  }
+
+  private listLoads(): EngineLoad[] {
+    const loads: EngineLoad[] = [];
+    for (const server of this.options.poller.listPolled()) {
+      const known = this.options.servers.getLoad(server);
+      if (known !== undefined) {
+        const {running, waiting} = known.load;
+        const ageMs = Math.round(known.ageMs);
+        loads.push({server, ageMs, running, waiting});
       }
     }
     return loads;
--- a/src/daemon/peer_requests.ts
+++ b/src/daemon/peer_requests.ts
@@ -65,8 +65,7 @@
     const {bookkeeper, clock, configuration, heartbeats} = this.options;
     switch (message.kind) {
       case 'heartbeat':
-        heartbeats.receive(message.status);
-        return heartbeats.create();
+        return heartbeats.acknowledge(message.status);
       case 'pull-configuration':
         return configuration.getDelta(message.after);
       case 'run-call': {
--- a/src/daemon/status_builder.ts
+++ b/src/daemon/status_builder.ts
@@ -66,7 +66,7 @@
         ? Math.round(nowMs - known.heardMs)
         : null,
       revision: known.status?.revision ?? null,
-      books: known.status?.books.length ?? null,
+      books: known.detail?.books.length ?? null,
     }));
     const all = [own, ...others];
     all.sort((a, b) => (a.host < b.host ? -1 : 1));
--- a/src/membership/host_status.ts
+++ b/src/membership/host_status.ts
@@ -10,15 +10,13 @@
 const age = z.number().min(0);
 const state = z.enum(Object.values(EntryHostState));
 
-/** Another entry host that the sender has heard of. */
+/** Another entry host of the sender's data centre that lives. */
 export const heardHostSchema = z.object({
   host: name,
   dataCentre: name,
   address: z.string(),
   incarnation: name,
   state,
-  /** Time since it was last heard, in milliseconds. */
-  ageMs: age,
 });
 
 /** A host of either role that is known to be leaving. */
@@ -30,12 +28,9 @@
   remainingMs: z.number().optional(),
 });
 
-/** Load of one backend server, polled by the sender. */
-export const heardLoadSchema = z.object({
+/** What of an engine's load report changes rarely. */
+export const engineFactsSchema = z.object({
   server: name,
-  ageMs: age,
-  running: z.number().min(0),
-  waiting: z.number().min(0),
   capacity: z.number().min(0),
   prefillRate: z.number().positive(),
   decodeMs: z.number().min(0),
@@ -50,15 +45,23 @@
     .max(MAX_LISTED),
 });
 
-/** Room that a data centre has for one deployment. */
-export const headroomSchema = z.object({
-  dataCentre: name,
-  deployment: name,
-  /** Generations it could take at once. */
-  free: z.number(),
-  /** Predicted wait of one more request, in milliseconds. */
-  waitMs: z.number().min(0),
+/** What of an engine's load report changes all the time. */
+export const engineLoadSchema = z.object({
+  server: name,
   ageMs: age,
+  running: z.number().min(0),
+  waiting: z.number().min(0),
+});
+
+/** What changes rarely; sent when it has changed, and now and then. */
+export const hostDetailSchema = z.object({
+  /** IP number and port for peers. */
+  address: z.string(),
+  /** Books it holds: name and fence. */
+  books: z.array(z.tuple([z.string(), z.number().int()])).max(MAX_LISTED),
+  hosts: z.array(heardHostSchema).max(MAX_LISTED),
+  leaving: z.array(leavingHostSchema).max(MAX_LISTED),
+  engines: z.array(engineFactsSchema).max(MAX_LISTED),
 });
 
 /** What a host tells its peers in each heartbeat. */
@@ -66,26 +69,25 @@
   host: name,
   dataCentre: name,
   incarnation: name,
-  /** IP number and port for peers. */
-  address: z.string(),
   state,
   /** Configuration revision in force there. */
   revision: z.number().int().min(0),
   /** Lowest revision in force on the live hosts of its data centre. */
   centreRevision: z.number().int().min(0),
-  /** Books it holds: name and fence. */
-  books: z.array(z.tuple([z.string(), z.number().int()])).max(MAX_LISTED),
-  hosts: z.array(heardHostSchema).max(MAX_LISTED),
-  leaving: z.array(leavingHostSchema).max(MAX_LISTED),
-  loads: z.array(heardLoadSchema).max(MAX_LISTED),
-  headroom: z.array(headroomSchema).max(MAX_LISTED),
+  /** Engines polled by the sender. */
+  loads: z.array(engineLoadSchema).max(MAX_LISTED),
   /** Requests in flight per customer, those of the sender only. */
   usage: z.array(z.tuple([z.string(), z.number()])).max(MAX_LISTED),
+  /** Rises when the detail changes. */
+  detailVersion: z.number().int().min(0),
+  /** Present unless the receiver has said that it has this version. */
+  detail: hostDetailSchema.optional(),
 });
 
 /** What a host tells its peers in each heartbeat. */
 export type HostStatus = z.output<typeof hostStatusSchema>;
+export type HostDetail = z.output<typeof hostDetailSchema>;
 export type HeardHost = z.output<typeof heardHostSchema>;
 export type LeavingHost = z.output<typeof leavingHostSchema>;
-export type HeardLoad = z.output<typeof heardLoadSchema>;
-export type Headroom = z.output<typeof headroomSchema>;
+export type EngineFacts = z.output<typeof engineFactsSchema>;
+export type EngineLoad = z.output<typeof engineLoadSchema>;
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -1,7 +1,12 @@
 import {Log} from '../log/index.js';
 import {ListedHost, HostRole, HostState} from '../platform/index.js';
 import {Clock} from '../time/index.js';
-import {EntryHostState, HeardHost, HostStatus} from './host_status.js';
+import {
+  EntryHostState,
+  HeardHost,
+  HostDetail,
+  HostStatus,
+} from './host_status.js';
 
 /** An entry host as this host knows it. */
 export interface KnownHost {
@@ -10,10 +15,14 @@
   readonly address: string;
   readonly incarnation: string;
   readonly state: EntryHostState;
-  /** When it was last heard, by itself or through a peer; monotonic ms. */
+  /** When it was last heard itself; monotonic ms. */
   readonly heardMs: number;
   /** Its last heartbeat to this host; absent when only heard of. */
   readonly status?: HostStatus;
+  /** The last detail that came with a heartbeat. */
+  readonly detail?: HostDetail;
+  /** Peer of its data centre that last said it lives. */
+  readonly vouchedBy?: string;
 }
 
 /** What the membership works with. */
@@ -36,8 +45,8 @@
 /**
  * The entry hosts: who lives, who is leaving, and since when.
  *
- * Evidence ranks by directness: a host's own heartbeat, then a peer's word
- * with its age. The platform's list only names hosts to try; it lags.
+ * Evidence ranks by directness: a host's own heartbeat, then the word of a live
+ * peer of its data centre. The platform's list only names hosts to try; it lags.
  */
 export class Membership {
   private readonly hosts = new Map<string, KnownHost>();
@@ -72,8 +81,19 @@
     return this.hosts.get(name);
   }
 
-  /** Tells whether a host was heard within the limit. */
+  /**
+   * Tells whether a host was heard within the limit, or is vouched for by a
+   * peer that was. Where hosts are linked directly their own word decides.
+   */
   isAlive(known: KnownHost): boolean {
+    if (known.status !== undefined || known.vouchedBy === undefined) {
+      return this.isHeard(known);
+    }
+    const voucher = this.hosts.get(known.vouchedBy);
+    return voucher !== undefined && this.isHeard(voucher);
+  }
+
+  private isHeard(known: KnownHost): boolean {
     const silentMs = this.options.clock.monotonicMs() - known.heardMs;
     return silentMs <= this.options.deadAfterMs;
   }
@@ -120,17 +140,21 @@
     if (status.host === this.options.self.host) {
       return;
     }
+    const known = this.hosts.get(status.host);
+    const same = known?.incarnation === status.incarnation;
+    const detail = status.detail ?? (same ? known?.detail : undefined);
     this.set({
       host: status.host,
       dataCentre: status.dataCentre,
-      address: status.address,
+      address: detail?.address ?? known?.address ?? '',
       incarnation: status.incarnation,
       state: status.state,
       heardMs: this.options.clock.monotonicMs(),
       status,
+      ...(detail === undefined ? {} : {detail}),
     });
-    for (const heard of status.hosts) {
-      this.addHearsay(heard);
+    if (status.detail !== undefined) {
+      this.setVouched(status.host, status.detail.hosts);
     }
   }
 
@@ -164,28 +188,29 @@
     const {clock, deadAfterMs} = this.options;
     const oldestMs = clock.monotonicMs() - deadAfterMs * FORGET_FACTOR;
     for (const known of this.hosts.values()) {
-      if (known.heardMs < oldestMs && this.listed?.has(known.host) !== true) {
+      const silent = known.heardMs < oldestMs && !this.isAlive(known);
+      if (silent && this.listed?.has(known.host) !== true) {
         this.hosts.delete(known.host);
       }
     }
   }
 
-  /** Returns what to tell peers about the hosts of this data centre. */
+  /** Returns what to tell peers: the other live hosts of this data centre. */
   listHeard(): HeardHost[] {
-    const nowMs = this.options.clock.monotonicMs();
     const heard: HeardHost[] = [];
     for (const known of this.hosts.values()) {
-      if (known.status !== undefined && this.isAlive(known)) {
+      const here = known.dataCentre === this.options.self.dataCentre;
+      if (here && known.status !== undefined && this.isHeard(known)) {
         heard.push({
           host: known.host,
           dataCentre: known.dataCentre,
           address: known.address,
           incarnation: known.incarnation,
           state: known.state,
-          ageMs: Math.max(0, nowMs - known.heardMs),
         });
       }
     }
+    heard.sort((a, b) => (a.host < b.host ? -1 : 1));
     return heard;
   }
 
@@ -204,27 +229,36 @@
     return lowest;
   }
 
-  private addHearsay(heard: HeardHost): void {
-    if (heard.host === this.options.self.host) {
-      return;
+  /** Takes over which hosts a peer says are alive. */
+  private setVouched(voucher: string, vouched: readonly HeardHost[]): void {
+    const names = new Set(vouched.map(heard => heard.host));
+    for (const known of this.hosts.values()) {
+      if (known.vouchedBy === voucher && !names.has(known.host)) {
+        const {vouchedBy: _vouchedBy, ...rest} = known;
+        this.hosts.set(known.host, rest);
+      }
+    }
+    for (const heard of vouched) {
+      if (heard.host !== this.options.self.host) {
+        this.addVouched(voucher, heard);
+      }
     }
-    const heardMs = this.options.clock.monotonicMs() - heard.ageMs;
+  }
+
+  private addVouched(voucher: string, heard: HeardHost): void {
     const known = this.hosts.get(heard.host);
-    if (known !== undefined && known.heardMs >= heardMs) {
+    if (known?.incarnation === heard.incarnation) {
+      this.hosts.set(heard.host, {...known, vouchedBy: voucher});
+      return;
+    }
+    if (known !== undefined && this.isAlive(known)) {
+      // Its own word, or an earlier voucher's, stands until it falls silent.
       return;
     }
-    // Word through a peer must not keep a host alive that is silent to us
-    // directly for long; but it makes it known, and carries its leaving.
     this.set({
-      host: heard.host,
-      dataCentre: heard.dataCentre,
-      address: heard.address,
-      incarnation: heard.incarnation,
-      state: heard.state,
-      heardMs,
-      ...(known?.status !== undefined && known.incarnation === heard.incarnation
-        ? {status: known.status}
-        : {}),
+      ...heard,
+      heardMs: Number.NEGATIVE_INFINITY,
+      vouchedBy: voucher,
     });
   }
 
--- a/src/peer/choose_links.ts
+++ b/src/peer/choose_links.ts
@@ -9,8 +9,11 @@
 
 /** Up to this many hosts in all, everyone is linked with everyone. */
 const FULL_MESH_HOSTS = 32;
-/** Links to each other data centre beyond that. */
-const LINKS_PER_CENTRE = 2;
+/**
+ * Links to each other data centre beyond that. The hosts of a data centre
+ * choose differently, so two data centres have as many links as hosts.
+ */
+const LINKS_PER_CENTRE = 1;
 
 /**
  * Chooses the peers a host keeps a connection to: all of its own data centre,
--- a/src/peer/peer_link.ts
+++ b/src/peer/peer_link.ts
@@ -12,10 +12,12 @@
   readonly heartbeatMs: number;
   /** Wait for a heartbeat's reply before the connection counts as silent. */
   readonly silenceMs: number;
-  /** Makes the heartbeat to send. */
-  readonly createHeartbeat: () => unknown;
-  /** Takes in the peer's reply to a heartbeat. */
-  readonly onHeartbeat: (reply: unknown) => void;
+  /**
+   * Makes the heartbeat to send.
+   * @param acknowledged - What the peer has acknowledged last on this
+   *   connection; `undefined` at first.
+   */
+  readonly createHeartbeat: (acknowledged: unknown) => unknown;
   readonly onConnected: (connection: PeerConnection) => void;
   readonly onClosed: (connection: PeerConnection) => void;
 }
@@ -104,16 +106,17 @@
   private async beat(connection: PeerConnection): Promise<void> {
     const {clock} = this.options.connection;
     const {heartbeatMs, silenceMs} = this.options;
+    let acknowledged: unknown;
     while (!this.stopped.signal.aborted) {
       const reply = await connection.request(
-        this.options.createHeartbeat(),
+        this.options.createHeartbeat(acknowledged),
         silenceMs,
       );
       if (reply.isErr) {
         connection.close(`silent: ${reply.error.message}`);
         return;
       }
-      this.options.onHeartbeat(reply.value);
+      acknowledged = reply.value;
       await clock.sleep(heartbeatMs, this.beatNow.signal);
       this.beatNow = new AbortController();
     }
--- a/src/peer/peers.ts
+++ b/src/peer/peers.ts
@@ -16,8 +16,8 @@
   readonly seeds: readonly string[];
   /** Returns the hosts that could be linked to. */
   readonly listCandidates: () => readonly LinkCandidate[];
-  readonly createHeartbeat: () => unknown;
-  readonly onHeartbeat: (reply: unknown) => void;
+  /** See `PeerLinkOptions.createHeartbeat`. */
+  readonly createHeartbeat: (acknowledged: unknown) => unknown;
 }
 
 const UPDATE_MS = 500;
@@ -159,7 +159,6 @@
       heartbeatMs: this.options.heartbeatMs,
       silenceMs: this.options.silenceMs,
       createHeartbeat: this.options.createHeartbeat,
-      onHeartbeat: this.options.onHeartbeat,
       onConnected: connection => this.addConnection(connection),
       onClosed: connection => this.removeConnection(connection),
     });
--- a/src/routing/server_directory.ts
+++ b/src/routing/server_directory.ts
@@ -1,6 +1,5 @@
 import {LoadReport, ModelEngine, PlainService} from '../backend/index.js';
 import {Server, ServerKind} from '../configuration/index.js';
-import {HeardLoad} from '../membership/index.js';
 import {Clock} from '../time/index.js';
 import {OutlierDetector} from './outlier_detector.js';
 import {PrefixIndex} from './prefix_index.js';
@@ -148,14 +147,6 @@
     }
   }
 
-  /** Takes in load reports that a peer has polled. */
-  addHeardLoads(loads: readonly HeardLoad[]): void {
-    for (const heard of loads) {
-      const {server, ageMs, ...load} = heard;
-      this.addLoad(server, load, ageMs);
-    }
-  }
-
   /**
    * Tells what is known of servers, for a choice among them.
    * @param names - The candidates.
--- a/src/settings/settings_schema.ts
+++ b/src/settings/settings_schema.ts
@@ -57,9 +57,9 @@
       .string()
       .min(MIN_PEER_KEY, `must have at least ${MIN_PEER_KEY} characters`),
     seeds: z.array(address).default([]),
-    heartbeat_ms: positive(500),
+    heartbeat_ms: positive(1000),
     silence_ms: positive(1500),
-    dead_after_ms: positive(3000),
+    dead_after_ms: positive(4000),
     max_frame_bytes: positive(16_777_216),
   }),
   platform: z.strictObject({
@@ -202,7 +202,7 @@
     key: 'peers.heartbeat_ms',
     description: 'Pause between heartbeats on a connection.',
     unit: MS,
-    default: '500',
+    default: '1000',
     allowed: whole,
   },
   {
@@ -216,7 +216,7 @@
     key: 'peers.dead_after_ms',
     description: 'Silence after which a host counts as dead.',
     unit: MS,
-    default: '3000',
+    default: '4000',
     allowed: whole,
   },
   {
--- /dev/null
+++ b/src/slopes/measure_slopes.ts
@@ -0,0 +1,354 @@
+import {Encoder} from 'cbor-x';
+import {GenerationFormat} from '../backend/index.js';
+import {
+  ConfigurationStore,
+  RecordKind,
+  Server,
+  ServerKind,
+} from '../configuration/index.js';
+import {Generation} from '../generation/index.js';
+import {EntryState} from '../journal/index.js';
+import {LogMembers, SilentLog} from '../log/index.js';
+import {
+  HostDetail,
+  HostStatus,
+  hostStatusSchema,
+  LeavingHosts,
+  Membership,
+} from '../membership/index.js';
+import {chooseLinks, encodeFrame} from '../peer/index.js';
+import {SeededRandom} from '../random/index.js';
+import {chooseServer, ServerDirectory} from '../routing/index.js';
+import {SystemClock} from '../time/index.js';
+
+/** Hosts in all, and per data centre, at each size that is measured. */
+const MEMBER_SIZES = [
+  {hosts: 8, centres: 4},
+  {hosts: 32, centres: 8},
+  {hosts: 100, centres: 12},
+  {hosts: 350, centres: 25},
+] as const;
+const SERVER_SIZES = [12, 72, 300, 1800] as const;
+const RECORD_SIZES = [20, 200, 2000] as const;
+const GENERATION_SIZES = [100, 1000, 4000] as const;
+const ENTRY_SIZES = [1000, 10_000, 100_000] as const;
+const REPEATS = 200;
+const HEARTBEATS_PER_SECOND = 1;
+/** Details are sent again this often, and on changes. */
+const RESEND_SECONDS = 30;
+const REPLY_BYTES = 45;
+const LOADS_POLLED_SHARE = 2;
+const SERVERS_IN_ALL = 1800;
+const clock = new SystemClock();
+
+/** Measures every slope that docs/CAPACITY.md works with. */
+export function measureSlopes(): LogMembers[] {
+  return [
+    ...MEMBER_SIZES.map(measureMembership),
+    ...SERVER_SIZES.map(measureRouting),
+    ...RECORD_SIZES.map(measureConfiguration),
+    ...GENERATION_SIZES.map(measureGenerations),
+    ...ENTRY_SIZES.map(measureEntries),
+  ];
+}
+
+/** Bytes and processor time of the heartbeats of one host. */
+function measureMembership(size: {hosts: number; centres: number}): LogMembers {
+  const perCentre = Math.ceil(size.hosts / size.centres);
+  const servers = Math.min(
+    SERVERS_IN_ALL,
+    Math.ceil((size.hosts * SERVERS_IN_ALL) / 350),
+  );
+  const serversHere = Math.ceil(servers / size.centres);
+  const polled = Math.ceil((serversHere * LOADS_POLLED_SHARE) / perCentre);
+  const hosts = Array.from({length: size.hosts}, (_unused, index) => ({
+    host: `host-${index}`,
+    dataCentre: `centre-${index % size.centres}`,
+    address: `10.0.${index >> 8}.${index & 255}:7100`,
+  }));
+  const links = chooseLinks(
+    {host: 'host-0', dataCentre: 'centre-0'},
+    hosts.slice(1),
+  );
+  const here = hosts.filter(host => host.dataCentre === 'centre-0');
+  const pulse = createStatus(polled);
+  const detail = createDetail(here, polled);
+  const pulseBytes = encodeFrame(wrap(pulse)).length;
+  const detailBytes = encodeFrame(wrap({...pulse, detail})).length;
+  const membership = createMembership();
+  const startMs = performance.now();
+  for (let turn = 0; turn < REPEATS; turn++) {
+    const sent = encodeFrame(wrap(pulse));
+    const received = new Encoder({useRecords: false}).decode(
+      sent.subarray(4),
+    ) as {body: {status: unknown}};
+    membership.addStatus(hostStatusSchema.parse(received.body.status));
+  }
+  const cpuMs = (performance.now() - startMs) / REPEATS;
+  // Each link carries this host's heartbeat and its reply to the peer's.
+  const beats = links.length * HEARTBEATS_PER_SECOND;
+  const details = (links.length * detailBytes) / RESEND_SECONDS;
+  const bytesPerSecond = beats * (pulseBytes + REPLY_BYTES) + details;
+  return {
+    slope: 'membership',
+    hosts: size.hosts,
+    links: links.length,
+    heartbeat_bytes: pulseBytes,
+    detail_bytes: detailBytes,
+    sent_kb_per_s: (bytesPerSecond / 1000).toFixed(1),
+    cpu_ms_per_heartbeat: cpuMs.toFixed(3),
+    cpu_percent_of_core: ((cpuMs * beats) / 10).toFixed(2),
+  };
+}
+
+function wrap(status: unknown): unknown {
+  return {kind: 'request', id: 1, body: {kind: 'heartbeat', status}};
+}
+
+function createStatus(polled: number): HostStatus {
+  return {
+    host: 'host-1',
+    dataCentre: 'centre-1',
+    incarnation: 'tpfkv517gyp5j',
+    state: 'live',
+    revision: 1234,
+    centreRevision: 1234,
+    loads: Array.from({length: polled}, (_unused, index) => ({
+      server: `server-${index}`,
+      ageMs: 200,
+      running: 12,
+      waiting: 1,
+    })),
+    usage: [
+      ['large-1', 12],
+      ['small-1', 2],
+    ],
+    detailVersion: 17,
+  };
+}
+
+function createDetail(
+  hosts: readonly {host: string; dataCentre: string; address: string}[],
+  polled: number,
+): HostDetail {
+  return {
+    address: '10.0.0.1:7100',
+    books: [
+      ['slot-01', 3],
+      ['host-host-1-tpfkv517gyp5j', 0],
+    ],
+    hosts: hosts.map(host => ({
+      ...host,
+      incarnation: 'tpfkv517gyp5j',
+      state: 'live',
+    })),
+    leaving: [{host: 'server-17', ageMs: 1000, remainingMs: 20_000}],
+    engines: Array.from({length: polled}, (_unused, index) => ({
+      server: `server-${index}`,
+      capacity: 32,
+      prefillRate: 12_000,
+      decodeMs: 20,
+      models: [{name: 'provenance-8b', version: '3', adapters: []}],
+    })),
+  };
+}
+
+function createMembership(): Membership {
+  return new Membership({
+    self: {
+      host: 'host-0',
+      dataCentre: 'centre-0',
+      incarnation: 'a',
+      address: '10.0.0.0:7100',
+    },
+    deadAfterMs: 3000,
+    clock,
+    log: new SilentLog(),
+  });
+}
+
+/** Time of one routing decision, and memory, by servers known. */
+function measureRouting(count: number): LogMembers {
+  const before = getHeapBytes();
+  const directory = new ServerDirectory(
+    {
+      createEngine: () => undefined as never,
+      createService: () => undefined as never,
+    },
+    clock,
+    'centre-0',
+    () => 14,
+  );
+  const servers = Array.from({length: count}, (_unused, index) =>
+    createServer(index),
+  );
+  directory.setServers(servers);
+  for (const server of servers) {
+    directory.addLoad(
+      server.name,
+      {
+        running: 4,
+        waiting: 0,
+        capacity: 32,
+        prefillRate: 12_000,
+        decodeMs: 20,
+        models: [{name: 'm', version: '1', adapters: []}],
+      },
+      0,
+    );
+  }
+  const bytes = getHeapBytes() - before;
+  const random = new SeededRandom(1);
+  const names = servers.map(server => server.name);
+  const blocks = Array.from({length: 64}, (_unused, index) => index);
+  const startMs = performance.now();
+  for (let turn = 0; turn < REPEATS; turn++) {
+    const known = directory.listKnowledge(names, blocks);
+    chooseServer(
+      {promptTokens: 1000, expectedTokens: 100, excluded: new Set()},
+      known,
+      random,
+    );
+  }
+  return {
+    slope: 'routing',
+    servers: count,
+    decision_us: (((performance.now() - startMs) * 1000) / REPEATS).toFixed(1),
+    memory_kb: (bytes / 1000).toFixed(0),
+  };
+}
+
+function createServer(index: number): Server {
+  return {
+    name: `server-${index}`,
+    kind: ServerKind.ENGINE,
+    dataCentre: 'centre-0',
+    zone: 'a',
+    machineClass: 'standard',
+    address: `10.1.${index >> 8}.${index & 255}:8000`,
+    service: '',
+    checksFence: true,
+    drained: false,
+  };
+}
+
+/** Time to step to a revision, and memory, by records. */
+function measureConfiguration(count: number): LogMembers {
+  const before = getHeapBytes();
+  const store = new ConfigurationStore(new SilentLog());
+  const records = Array.from({length: count}, (_unused, index) => ({
+    kind: RecordKind.SERVER,
+    name: `server-${index}`,
+    revision: 1,
+    document: {
+      schemaVersion: 2,
+      kind: RecordKind.SERVER,
+      name: `server-${index}`,
+      runs: 'engine',
+      dataCentre: 'centre-0',
+      address: '10.0.0.1:8000',
+    },
+    changeId: 'slope',
+  }));
+  store.apply({after: 0, revision: 1, records}, 'slope');
+  const bytes = getHeapBytes() - before;
+  const startMs = performance.now();
+  const steps = 5;
+  for (let revision = 2; revision < 2 + steps; revision++) {
+    const changed = records.slice(0, 1).map(record => ({...record, revision}));
+    store.apply({after: revision - 1, revision, records: changed}, 'slope');
+  }
+  return {
+    slope: 'configuration',
+    records: count,
+    step_ms: ((performance.now() - startMs) / steps).toFixed(2),
+    memory_kb: (bytes / 1000).toFixed(0),
+    delta_bytes: encodeFrame(store.getDelta(steps)).length,
+  };
+}
+
+/** Memory of open generations with 200 tokens each. */
+function measureGenerations(count: number): LogMembers {
+  const before = getHeapBytes();
+  const open: Generation[] = [];
+  for (let index = 0; index < count; index++) {
+    const generation = new Generation(
+      {
+        id: `sf1.host.start.${index}`,
+        customer: 'north-house',
+        deployment: 'dossier',
+        adapter: '',
+        format: GenerationFormat.TEXT,
+        body: {model: 'dossier', prompt: `lot ${index} `.repeat(400)},
+        urgency: 3,
+        deadlineMs: 0,
+      },
+      [],
+      0,
+    );
+    for (let token = 0; token < 200; token++) {
+      generation.addToken(`w${token} `);
+    }
+    open.push(generation);
+  }
+  const bytes = getHeapBytes() - before;
+  return {
+    slope: 'generations',
+    open: open.length,
+    memory_kb: (bytes / 1000).toFixed(0),
+    bytes_each: Math.round(bytes / count),
+  };
+}
+
+/** Memory and record size of entries with small answers. */
+function measureEntries(count: number): LogMembers {
+  const before = getHeapBytes();
+  const entries = new Map<string, unknown>();
+  for (let index = 0; index < count; index++) {
+    const key = `north-house/bid-${index}`;
+    entries.set(key, {
+      key,
+      requestId: `key.${index}`,
+      deployment: 'bids',
+      attempt: `start-1-${index}`,
+      fingerprint: 'wL0xO7Rk3D1cV9f8wL0xO7Rk3D1cV9f8wL0xO7Rk3D0=',
+      state: EntryState.FINISHED,
+      atMs: index,
+      answer: {
+        status: 201,
+        contentType: 'application/json',
+        bodyBase64: `${index}`.padEnd(160, 'A'),
+      },
+    });
+  }
+  const bytes = getHeapBytes() - before;
+  const last = entries.get(`north-house/bid-${count - 1}`);
+  return {
+    slope: 'entries',
+    entries: entries.size,
+    memory_kb: (bytes / 1000).toFixed(0),
+    bytes_each: Math.round(bytes / count),
+    record_bytes: JSON.stringify(last).length,
+  };
+}
+
+/** Leaving hosts cost next to nothing; kept here so that the claim is run. */
+export function measureLeaving(count: number): LogMembers {
+  const leaving = new LeavingHosts(clock, new SilentLog());
+  leaving.addNotices(
+    Array.from({length: count}, (_unused, index) => ({
+      host: `server-${index}`,
+      deadlineMs: Date.now() + 30_000,
+    })),
+  );
+  return {
+    slope: 'leaving',
+    hosts: count,
+    heartbeat_bytes: encodeFrame(leaving.list()).length,
+  };
+}
+
+function getHeapBytes(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+}
--- a/src/trial/child_process.ts
+++ b/src/trial/child_process.ts
@@ -41,6 +41,11 @@
     clearTimeout(timer);
   }
 
+  /** Returns the id of the process. */
+  getPid(): number {
+    return this.child.pid ?? 0;
+  }
+
   /** Sends a signal. */
   kill(signal: NodeJS.Signals): void {
     this.child.kill(signal);
