Name the dispatches that ended, so that word of them survives two changes of holder

Entries now name the dispatches that certainly ended. Ruled out for the rest: in what was left all hosts had left for good, and nobody was there to go on; the proof now starts a host, as the platform does.

--- a/src/journal/book.ts
+++ b/src/journal/book.ts
@@ -10,7 +10,13 @@
   Lookup,
   OutcomeKind,
 } from './call_order.js';
-import {Entry, EntryState, RecordedAnswer} from './entry.js';
+import {
+  Entry,
+  EntryState,
+  RecordedAnswer,
+  withAttempt,
+  withEnded,
+} from './entry.js';
 import {AppendFailure, Journal} from './journal.js';
 
 /** What a book works with. */
@@ -209,13 +215,21 @@
    */
   addLateOutcome(entry: Entry): void {
     const known = this.entries.get(entry.key);
+    if (known === undefined) {
+      return;
+    }
+    const settles =
+      known.entry.attempt !== '' &&
+      [entry.attempt, ...(entry.ended ?? [])].includes(known.entry.attempt);
     const open =
-      known !== undefined &&
-      entry.attempt !== '' &&
-      known.entry.attempt === entry.attempt &&
-      (known.entry.state === EntryState.DISPATCHED ||
-        known.entry.state === EntryState.UNKNOWN);
-    if (!open || known.pending !== undefined) {
+      known.entry.state === EntryState.DISPATCHED ||
+      known.entry.state === EntryState.UNKNOWN;
+    if (!open || !settles || known.pending !== undefined) {
+      const ended = [entry.attempt, ...(entry.ended ?? [])];
+      if (entry.state === EntryState.ACCEPTED) {
+        // Kept for whoever reads of those attempts in the table.
+        known.entry = withEnded(known.entry, ended);
+      }
       return;
     }
     known.entry = entry;
@@ -289,17 +303,18 @@
     const endMs = clock.monotonicMs() + retentionMs;
     while (clock.monotonicMs() < endMs && !this.isClosed()) {
       const dispatched = this.createEntry(order, EntryState.DISPATCHED);
+      const {attempt} = dispatched;
+      let accepted = live.entry;
       // However long it takes: a record in doubt would leave others in doubt.
-      const accepted = {...live.entry, attempt: dispatched.attempt};
       const recorded = await this.journal.add(dispatched, () => {
         // From here on whoever takes the book over must not dispatch it.
+        accepted = withAttempt(live.entry, attempt);
         live.entry = dispatched;
       });
       if (recorded.isErr) {
-        // The next holder may know of this attempt or only of the one before;
-        // neither is under way here.
-        this.options.onOrphanedOutcome(this.id, live.entry);
-        live.entry = accepted;
+        // The next holder may know of this attempt or of an earlier one;
+        // none of them is under way here.
+        live.entry = withAttempt(live.entry, attempt);
         break;
       }
       const result = await this.options.dispatch({
--- a/src/journal/book_handover.ts
+++ b/src/journal/book_handover.ts
@@ -8,6 +8,7 @@
   deployment: z.string(),
   fingerprint: z.string(),
   attempt: z.string(),
+  ended: z.array(z.string()).readonly().optional(),
   state: z.enum(Object.values(EntryState)),
   atMs: z.number(),
   answer: z
--- a/src/journal/entry.ts
+++ b/src/journal/entry.ts
@@ -40,6 +40,11 @@
    * Word of one dispatch must never be taken for word of a later one.
    */
   readonly attempt: string;
+  /**
+   * Earlier dispatches under this key that certainly reached no back end; what
+   * another host knows of them is out of date.
+   */
+  readonly ended?: readonly string[];
   /** Hash of method, path and body: a key stands for one request only. */
   readonly fingerprint: string;
   readonly state: EntryState;
@@ -58,3 +63,22 @@
 export function getEntryKey(customer: string, key: string): string {
   return `${customer}/${key}`;
 }
+
+/** Ended dispatches that an entry names; older ones no host can still know. */
+const MAX_ENDED = 8;
+
+/**
+ * Moves an entry on to another dispatch; the one before is named as ended.
+ * @param entry - The entry.
+ * @param attempt - The other dispatch.
+ */
+export function withAttempt(entry: Entry, attempt: string): Entry {
+  return {...withEnded(entry, [entry.attempt]), attempt};
+}
+
+/** Names further dispatches of an entry as ended. */
+export function withEnded(entry: Entry, attempts: readonly string[]): Entry {
+  const ended = new Set([...(entry.ended ?? []), ...attempts]);
+  ended.delete('');
+  return {...entry, ended: [...ended].slice(-MAX_ENDED)};
+}
--- a/src/prove/call_world.ts
+++ b/src/prove/call_world.ts
@@ -98,6 +98,11 @@
       await this.clock.advance(afterMs);
       this.execute(step);
     }
+    await this.clock.advance(SETTLE_MS / 2);
+    if (!this.hosts.some(host => this.isLive(host))) {
+      // The platform replaces hosts: what was accepted waits for the next one.
+      this.hosts[0] = this.startHost(0);
+    }
     await this.clock.advance(SETTLE_MS);
     for (const host of this.hosts) {
       host.stop.abort();
--- a/test/prove/found_faults_test.ts
+++ b/test/prove/found_faults_test.ts
@@ -114,6 +114,28 @@
         at(0, {kind: 'freeze', host: 0, forMs: 3931}),
       ]));
 
+    it('a record in doubt outlived two changes of holder', () =>
+      doTest(acceptedSurvives, [
+        at(0, {kind: 'leave', host: 2}),
+        at(900, {kind: 'cut', host: 0, forMs: 100}),
+        at(900, {kind: 'cut', host: 0, forMs: 100}),
+        at(0, call(2, 2, true)),
+        at(100, {kind: 'table', fault: 'answer-lost', forMs: 2101}),
+        at(100, call(0, 0)),
+        at(0, call(0, 0)),
+        at(0, {kind: 'service', fault: 'refuses', forMs: 100}),
+        at(0, {kind: 'restart', host: 0}),
+      ]));
+
+    it('all hosts left, and the next one had to go on', () =>
+      doTest(acceptedSurvives, [
+        at(0, {kind: 'service', fault: 'refuses', forMs: 100}),
+        at(0, call(0, 0, true)),
+        at(10, {kind: 'leave', host: 2}),
+        at(0, {kind: 'leave', host: 0}),
+        at(0, {kind: 'leave', host: 1}),
+      ]));
+
     it('a copy that came late ran what had been refused', () =>
       doTest(refusalsAreTrue, [
         at(0, {kind: 'cut', host: 2, forMs: 100}),
