--- a/src/bin/slopes.ts
+++ b/src/bin/slopes.ts
@@ -1,7 +1,12 @@
 #!/usr/bin/env node
 /** Program: measures the slopes and benches of docs/CAPACITY.md. */
 import {formatLine} from '../log/index.js';
-import {measureDaemon, measureLeaving, measureSlopes} from '../slopes/index.js';
+import {
+  measureDaemon,
+  measureLeaving,
+  measureSlopes,
+  measureToday,
+} from '../slopes/index.js';
 
 for (const line of measureSlopes()) {
   process.stdout.write(`${formatLine(line)}\n`);
@@ -12,3 +17,4 @@
 for (const line of await measureDaemon()) {
   process.stdout.write(`${formatLine(line)}\n`);
 }
+process.stdout.write(`${formatLine(await measureToday())}\n`);
--- a/src/daemon/create_container.ts
+++ b/src/daemon/create_container.ts
@@ -368,9 +368,9 @@
     silenceMs: peers.silence_ms,
     seeds: peers.seeds.filter(seed => seed !== self.address),
     listCandidates: () => membership.listKnown(),
-    createHeartbeat: acknowledged => ({
+    createHeartbeat: (peer, acknowledged) => ({
       kind: 'heartbeat',
-      status: heartbeats.create(acknowledged),
+      status: heartbeats.create(peer, acknowledged),
     }),
   });
 }
--- a/src/daemon/heartbeats.ts
+++ b/src/daemon/heartbeats.ts
@@ -5,11 +5,13 @@
 import {
   EngineFacts,
   EngineLoad,
+  Heartbeat,
   HostDetail,
   HostStatus,
   LeavingHosts,
   Membership,
 } from '../membership/index.js';
+import {PeerIdentity} from '../peer/index.js';
 import {ServerDirectory} from '../routing/index.js';
 import {Clock} from '../time/index.js';
 import {LoadPoller} from './load_poller.js';
@@ -35,7 +37,9 @@
 const acknowledgementSchema = z.object({detailVersion: z.number().int()});
 
 /** Age at which an unchanged detail is sent again, in milliseconds. */
-const RESEND_MS = 30_000;
+const RESEND_MS = 60_000;
+/** Hosts up to which every host hears the load of every engine. */
+const SMALL_SYSTEM_HOSTS = 32;
 /** Age up to which a detail is not even compared, in milliseconds. */
 const FRESH_MS = 200;
 
@@ -57,23 +61,21 @@
 
   /**
    * Makes a heartbeat as it is now.
+   * @param peer - Whom it is for.
    * @param acknowledged - The peer's last acknowledgement; see `acknowledge`.
    */
-  create(acknowledged: unknown): HostStatus {
-    const {self, membership, configuration} = this.options;
+  create(peer: PeerIdentity, acknowledged: unknown): Heartbeat {
+    const {membership, configuration} = this.options;
     const detail = this.getDetail();
     const parsed = acknowledgementSchema.safeParse(acknowledged);
     const known =
       parsed.success && parsed.data.detailVersion === this.detailVersion;
     const revision = configuration.getRevision();
     return {
-      host: self.host,
-      dataCentre: self.dataCentre,
-      incarnation: self.incarnation,
       state: membership.getOwnState(),
       revision,
       centreRevision: membership.getCentreRevision(revision),
-      loads: this.listLoads(),
+      loads: this.isNear(peer) ? this.listLoads() : [],
       usage: this.options.usage
         .listOwn()
         .map(usage => [usage.customer, usage.inFlight]),
@@ -91,6 +93,15 @@
     return {detailVersion: status.detailVersion};
   }
 
+  /** Hosts of other data centres need loads only while the system is small. */
+  private isNear(peer: PeerIdentity): boolean {
+    const {membership, self} = this.options;
+    return (
+      peer.dataCentre === self.dataCentre ||
+      membership.listKnown().length < SMALL_SYSTEM_HOSTS
+    );
+  }
+
   private receive(status: HostStatus): void {
     const {configuration, membership, directory} = this.options;
     if (membership.isGone(status.host, status.incarnation)) {
@@ -114,7 +125,7 @@
   }
 
   private addLoads(loads: readonly EngineLoad[]): void {
-    for (const {server, ageMs, running, waiting} of loads) {
+    for (const [server, ageMs, running, waiting] of loads) {
       const facts = this.facts.get(server);
       if (facts !== undefined) {
         const load = {...facts, running, waiting};
@@ -179,7 +190,7 @@
       if (known !== undefined) {
         const {running, waiting} = known.load;
         const ageMs = Math.round(known.ageMs);
-        loads.push({server, ageMs, running, waiting});
+        loads.push([server, ageMs, running, waiting]);
       }
     }
     return loads;
--- a/src/daemon/peer_message.ts
+++ b/src/daemon/peer_message.ts
@@ -1,12 +1,12 @@
 import {z} from 'zod';
 import {bookHandoverSchema, entrySchema} from '../journal/index.js';
-import {hostStatusSchema} from '../membership/index.js';
+import {heartbeatSchema} from '../membership/index.js';
 import {callMessageSchema} from '../service/index.js';
 import {generationRecordSchema} from './generation_record.js';
 
 /** Every request that one entry host may send another. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
-  z.object({kind: z.literal('heartbeat'), status: hostStatusSchema}),
+  z.object({kind: z.literal('heartbeat'), status: heartbeatSchema}),
   z.object({
     kind: z.literal('pull-configuration'),
     after: z.number().int().min(0),
--- a/src/daemon/peer_requests.ts
+++ b/src/daemon/peer_requests.ts
@@ -65,7 +65,7 @@
     const {bookkeeper, clock, configuration, heartbeats} = this.options;
     switch (message.kind) {
       case 'heartbeat':
-        return heartbeats.acknowledge(message.status);
+        return heartbeats.acknowledge({...message.status, ...from});
       case 'pull-configuration':
         return configuration.getDelta(message.after);
       case 'run-call': {
--- a/src/membership/host_status.ts
+++ b/src/membership/host_status.ts
@@ -45,13 +45,17 @@
     .max(MAX_LISTED),
 });
 
-/** What of an engine's load report changes all the time. */
-export const engineLoadSchema = z.object({
-  server: name,
-  ageMs: age,
-  running: z.number().min(0),
-  waiting: z.number().min(0),
-});
+/**
+ * What of an engine's load report changes all the time: name of the server,
+ * age of the report in milliseconds, generations running, and waiting. A tuple,
+ * as most bytes of control traffic are these.
+ */
+export const engineLoadSchema = z.tuple([
+  name,
+  age,
+  z.number().min(0),
+  z.number().min(0),
+]);
 
 /** What changes rarely; sent when it has changed, and now and then. */
 export const hostDetailSchema = z.object({
@@ -64,11 +68,11 @@
   engines: z.array(engineFactsSchema).max(MAX_LISTED),
 });
 
-/** What a host tells its peers in each heartbeat. */
-export const hostStatusSchema = z.object({
-  host: name,
-  dataCentre: name,
-  incarnation: name,
+/**
+ * What a host tells its peers in each heartbeat. Who it is, the handshake of
+ * the connection has shown.
+ */
+export const heartbeatSchema = z.object({
   state,
   /** Configuration revision in force there. */
   revision: z.number().int().min(0),
@@ -85,7 +89,15 @@
 });
 
 /** What a host tells its peers in each heartbeat. */
-export type HostStatus = z.output<typeof hostStatusSchema>;
+export type Heartbeat = z.output<typeof heartbeatSchema>;
+
+/** A heartbeat and the host it came from. */
+export interface HostStatus extends Heartbeat {
+  readonly host: string;
+  readonly dataCentre: string;
+  readonly incarnation: string;
+}
+
 export type HostDetail = z.output<typeof hostDetailSchema>;
 export type HeardHost = z.output<typeof heardHostSchema>;
 export type LeavingHost = z.output<typeof leavingHostSchema>;
--- a/src/peer/peer_link.ts
+++ b/src/peer/peer_link.ts
@@ -1,5 +1,6 @@
 import {connect, Socket} from 'node:net';
 import {Random} from '../random/index.js';
+import {PeerIdentity} from './handshake.js';
 import {PeerConnection, PeerConnectionOptions} from './peer_connection.js';
 
 /** What a link works with. */
@@ -14,10 +15,14 @@
   readonly silenceMs: number;
   /**
    * Makes the heartbeat to send.
+   * @param peer - Whom it is for.
    * @param acknowledged - What the peer has acknowledged last on this
    *   connection; `undefined` at first.
    */
-  readonly createHeartbeat: (acknowledged: unknown) => unknown;
+  readonly createHeartbeat: (
+    peer: PeerIdentity,
+    acknowledged: unknown,
+  ) => unknown;
   readonly onConnected: (connection: PeerConnection) => void;
   readonly onClosed: (connection: PeerConnection) => void;
 }
@@ -90,7 +95,7 @@
       this.pauseMs = FIRST_PAUSE_MS;
       log.info('peer_connected', {peer: peer.host});
       this.options.onConnected(connection);
-      void this.beat(connection);
+      void this.beat(connection, peer);
     });
     this.stopped.signal.removeEventListener('abort', stop);
     const peer = connection.getPeer();
@@ -103,13 +108,16 @@
   }
 
   /** Sends heartbeats until one goes unanswered. */
-  private async beat(connection: PeerConnection): Promise<void> {
+  private async beat(
+    connection: PeerConnection,
+    peer: PeerIdentity,
+  ): Promise<void> {
     const {clock} = this.options.connection;
     const {heartbeatMs, silenceMs} = this.options;
     let acknowledged: unknown;
     while (!this.stopped.signal.aborted) {
       const reply = await connection.request(
-        this.options.createHeartbeat(acknowledged),
+        this.options.createHeartbeat(peer, acknowledged),
         silenceMs,
       );
       if (reply.isErr) {
--- a/src/peer/peers.ts
+++ b/src/peer/peers.ts
@@ -3,7 +3,7 @@
 import {chooseLinks, LinkCandidate} from './choose_links.js';
 import {PeerConnection, PeerConnectionOptions} from './peer_connection.js';
 import {PeerFailure, PeerFailureKind} from './peer_failure.js';
-import {PeerLink} from './peer_link.js';
+import {PeerLink, PeerLinkOptions} from './peer_link.js';
 import {PeerListener} from './peer_listener.js';
 
 /** What the peers façade works with. */
@@ -17,7 +17,7 @@
   /** Returns the hosts that could be linked to. */
   readonly listCandidates: () => readonly LinkCandidate[];
   /** See `PeerLinkOptions.createHeartbeat`. */
-  readonly createHeartbeat: (acknowledged: unknown) => unknown;
+  readonly createHeartbeat: PeerLinkOptions['createHeartbeat'];
 }
 
 const UPDATE_MS = 500;
--- a/src/slopes/index.ts
+++ b/src/slopes/index.ts
@@ -1,3 +1,3 @@
 /** Slopes and benches that docs/CAPACITY.md works with. */
-export {measureDaemon} from './measure_daemon.js';
+export {measureDaemon, measureToday} from './measure_daemon.js';
 export {measureLeaving, measureSlopes} from './measure_slopes.js';
--- a/src/slopes/measure_daemon.ts
+++ b/src/slopes/measure_daemon.ts
@@ -9,6 +9,8 @@
 const STREAMS = 100;
 const OPEN_STREAMS = 1000;
 const IDLE_MS = 5000;
+/** Time until the books are spread over the hosts, in milliseconds. */
+const SETTLE_MS = 15_000;
 const TICKS_PER_SECOND = 100;
 
 const PLAN: TrialPlan = {
@@ -34,6 +36,44 @@
   ],
 };
 
+const CENTRES = ['tac-hall', 'pdx-hall', 'geg-hall', 'bli-hall'];
+
+/** The size of today: four data centres, 8 hosts, 8 engines, 4 services. */
+const TODAY: TrialPlan = {
+  hosts: CENTRES.flatMap(dataCentre =>
+    [1, 2].map(index => ({name: `${dataCentre}-entry-${index}`, dataCentre})),
+  ),
+  servers: CENTRES.flatMap(dataCentre => [
+    ...[1, 2].map(index => ({
+      name: `${dataCentre}-model-${index}`,
+      dataCentre,
+      kind: 'engine' as const,
+      service: '',
+      args: [],
+    })),
+    {
+      name: `${dataCentre}-bids-1`,
+      dataCentre,
+      kind: 'service' as const,
+      service: 'bids',
+      args: [],
+    },
+  ]),
+};
+
+/** Control costs of one host in a system of today's size that serves nothing. */
+export async function measureToday(): Promise<LogMembers> {
+  const system = new TrialSystem(TODAY);
+  try {
+    await system.start();
+    await applyRecords(system);
+    await delay(SETTLE_MS);
+    return {...(await measureIdle(system)), bench: 'idle-host-of-8'};
+  } finally {
+    await system.stop();
+  }
+}
+
 /** Benches the running daemon over loopback against the fakes called directly. */
 export async function measureDaemon(): Promise<LogMembers[]> {
   const system = new TrialSystem(PLAN);
@@ -68,7 +108,9 @@
     kind: 'deployment',
     name: 'dossier',
     target: {kind: 'model', model: 'provenance-8b', version: '1'},
-    servers: ['tac-model-1'],
+    servers: system.servers
+      .filter(server => server.plan.kind === 'engine')
+      .map(server => server.plan.name),
     latencyTarget: {firstTokenMs: 10_000, betweenTokensMs: 1000},
   });
   await system.apply({
--- a/src/slopes/measure_slopes.ts
+++ b/src/slopes/measure_slopes.ts
@@ -10,9 +10,9 @@
 import {EntryState} from '../journal/index.js';
 import {LogMembers, SilentLog} from '../log/index.js';
 import {
+  Heartbeat,
+  heartbeatSchema,
   HostDetail,
-  HostStatus,
-  hostStatusSchema,
   LeavingHosts,
   Membership,
 } from '../membership/index.js';
@@ -35,7 +35,9 @@
 const REPEATS = 200;
 const HEARTBEATS_PER_SECOND = 1;
 /** Details are sent again this often, and on changes. */
-const RESEND_SECONDS = 30;
+const RESEND_SECONDS = 60;
+/** As in the daemon's heartbeats. */
+const SMALL_SYSTEM_HOSTS = 32;
 const REPLY_BYTES = 45;
 const LOADS_POLLED_SHARE = 2;
 const SERVERS_IN_ALL = 1800;
@@ -71,7 +73,8 @@
     hosts.slice(1),
   );
   const here = hosts.filter(host => host.dataCentre === 'centre-0');
-  const pulse = createStatus(polled);
+  const pulse = createHeartbeat(polled);
+  const farBytes = encodeFrame(wrap(createHeartbeat(0))).length;
   const detail = createDetail(here, polled);
   const pulseBytes = encodeFrame(wrap(pulse)).length;
   const detailBytes = encodeFrame(wrap({...pulse, detail})).length;
@@ -81,19 +84,28 @@
     const sent = encodeFrame(wrap(pulse));
     const received = new Encoder({useRecords: false}).decode(
       sent.subarray(4),
-    ) as {body: {status: unknown}};
-    membership.addStatus(hostStatusSchema.parse(received.body.status));
+    ) as {body: {body?: unknown; status: unknown}};
+    const status = heartbeatSchema.parse(received.body.status);
+    membership.addStatus({...IDENTITY, ...status});
   }
   const cpuMs = (performance.now() - startMs) / REPEATS;
   // Each link carries this host's heartbeat and its reply to the peer's.
   const beats = links.length * HEARTBEATS_PER_SECOND;
   const details = (links.length * detailBytes) / RESEND_SECONDS;
-  const bytesPerSecond = beats * (pulseBytes + REPLY_BYTES) + details;
+  const near = links.filter(link => link.dataCentre === 'centre-0').length;
+  const far = links.length - near;
+  const small = size.hosts <= SMALL_SYSTEM_HOSTS;
+  const pulses = small
+    ? links.length * pulseBytes
+    : near * pulseBytes + far * farBytes;
+  const bytesPerSecond =
+    HEARTBEATS_PER_SECOND * (pulses + links.length * REPLY_BYTES) + details;
   return {
     slope: 'membership',
     hosts: size.hosts,
     links: links.length,
     heartbeat_bytes: pulseBytes,
+    far_heartbeat_bytes: farBytes,
     detail_bytes: detailBytes,
     sent_kb_per_s: (bytesPerSecond / 1000).toFixed(1),
     cpu_ms_per_heartbeat: cpuMs.toFixed(3),
@@ -105,20 +117,23 @@
   return {kind: 'request', id: 1, body: {kind: 'heartbeat', status}};
 }
 
-function createStatus(polled: number): HostStatus {
+const IDENTITY = {
+  host: 'host-1',
+  dataCentre: 'centre-1',
+  incarnation: 'tpfkv517gyp5j',
+};
+
+function createHeartbeat(polled: number): Heartbeat {
   return {
-    host: 'host-1',
-    dataCentre: 'centre-1',
-    incarnation: 'tpfkv517gyp5j',
     state: 'live',
     revision: 1234,
     centreRevision: 1234,
-    loads: Array.from({length: polled}, (_unused, index) => ({
-      server: `server-${index}`,
-      ageMs: 200,
-      running: 12,
-      waiting: 1,
-    })),
+    loads: Array.from({length: polled}, (_unused, index) => [
+      `server-${index}`,
+      200,
+      12,
+      1,
+    ]),
     usage: [
       ['large-1', 12],
       ['small-1', 2],
