--- a/src/backend/http_model_engine.ts
+++ b/src/backend/http_model_engine.ts
@@ -1,6 +1,7 @@
 import {got} from 'got';
 import {Result} from 'true-myth';
 import {HttpRequest, sendJson, toHttpFailure} from '../platform/index.js';
+import {loadReportSchema} from './load_report_schema.js';
 import {readEventStream} from './event_stream.js';
 import {
   CacheEvent,
@@ -77,8 +78,21 @@
     }
   }
 
-  getLoad(): Promise<Result<LoadReport, ServerFailure>> {
-    return this.control({method: 'GET', url: `${this.url}/load`});
+  async getLoad(): Promise<Result<LoadReport, ServerFailure>> {
+    const url = `${this.url}/load`;
+    const answer = await this.control<unknown>({method: 'GET', url});
+    return answer.andThen(body => {
+      const parsed = loadReportSchema.safeParse(body);
+      if (parsed.success) {
+        return Result.ok<LoadReport, ServerFailure>(parsed.data);
+      }
+      // One engine's nonsense must not travel on to every peer.
+      const [issue] = parsed.error.issues;
+      const detail = `load report: ${issue?.path.join('.')}: ${issue?.message}`;
+      return Result.err<LoadReport, ServerFailure>(
+        new ServerFailure(Reach.SENT, detail),
+      );
+    });
   }
 
   listCacheEvents(
--- /dev/null
+++ b/src/backend/load_report_schema.ts
@@ -0,0 +1,17 @@
+import {z} from 'zod';
+
+/** A load report as an engine must give it; others are not believed. */
+export const loadReportSchema = z.object({
+  running: z.number().min(0),
+  waiting: z.number().min(0),
+  capacity: z.number().min(0),
+  prefillRate: z.number().positive(),
+  decodeMs: z.number().min(0),
+  models: z.array(
+    z.object({
+      name: z.string(),
+      version: z.string(),
+      adapters: z.array(z.string()),
+    }),
+  ),
+});
--- /dev/null
+++ b/src/daemon/container/bind_generations.ts
@@ -0,0 +1,82 @@
+/** Generations: their store, runner and reclaim. */
+import {Container} from 'inversify';
+import {ConfigurationStore} from '../../configuration/index.js';
+import {
+  AnswerLengths,
+  checkToken,
+  GenerationRunner,
+  GenerationStore,
+  ReclaimWatch,
+  RunningGenerations,
+} from '../../generation/index.js';
+import {LeavingHosts} from '../../membership/index.js';
+import {Metrics} from '../../metrics/index.js';
+import {
+  chooseServer,
+  RetryBudget,
+  ServerDirectory,
+} from '../../routing/index.js';
+import {CLOCK, LOG, RANDOM, SETTINGS} from '../identifiers.js';
+import {bind} from './bind.js';
+import {createIsLeaving} from './create_is_leaving.js';
+
+/** Tokens a second at which a KV cache moves between engines. */
+const CACHE_TRANSFER_RATE = 20_000;
+/** KV caches that survivors take in at once. */
+const IMPORT_SLOTS = 8;
+
+/** Binds the parts. */
+export function bindGenerations(container: Container): void {
+  bind(container, AnswerLengths, () => new AnswerLengths());
+  bind(container, RunningGenerations, () => new RunningGenerations());
+  bind(container, GenerationStore, context => {
+    const {engines} = context.get(SETTINGS);
+    return new GenerationStore({
+      clock: context.get(CLOCK),
+      keepMs: engines.keep_ms,
+      unreadMs: engines.unread_ms,
+    });
+  });
+  bind(container, GenerationRunner, context => {
+    const {engines} = context.get(SETTINGS);
+    const metrics = context.get(Metrics);
+    return new GenerationRunner({
+      clock: context.get(CLOCK),
+      log: context.get(LOG),
+      random: context.get(RANDOM),
+      configuration: context.get(ConfigurationStore),
+      directory: context.get(ServerDirectory),
+      budget: context.get(RetryBudget),
+      running: context.get(RunningGenerations),
+      lengths: context.get(AnswerLengths),
+      meter: {
+        addToken: (request, gapMs, first) =>
+          metrics.record(
+            first ? 'first_token_seconds' : 'between_tokens_seconds',
+            gapMs,
+            {deployment: request.deployment},
+          ),
+      },
+      chooseServer,
+      checkToken,
+      isLeaving: createIsLeaving(context),
+      firstTokenSilenceMs: engines.first_token_silence_ms,
+      silenceMs: engines.silence_ms,
+    });
+  });
+  bind(container, ReclaimWatch, context => {
+    const leavingHosts = context.get(LeavingHosts);
+    return new ReclaimWatch({
+      clock: context.get(CLOCK),
+      log: context.get(LOG),
+      configuration: context.get(ConfigurationStore),
+      directory: context.get(ServerDirectory),
+      running: context.get(RunningGenerations),
+      lengths: context.get(AnswerLengths),
+      runner: context.get(GenerationRunner),
+      getRemainingMs: server => leavingHosts.getRemainingMs(server),
+      transferRate: CACHE_TRANSFER_RATE,
+      importSlots: IMPORT_SLOTS,
+    });
+  });
+}
--- /dev/null
+++ b/src/daemon/container/bind_peers.ts
@@ -0,0 +1,109 @@
+/** Peers: connections, heartbeats and what they bring. */
+import {Container, ResolutionContext} from 'inversify';
+import {UsageCounter} from '../../admission/index.js';
+import {
+  ConfigurationStore,
+  ConfigurationTable,
+} from '../../configuration/index.js';
+import {GenerationRunner, GenerationStore} from '../../generation/index.js';
+import {BookDirectory, Bookkeeper} from '../../journal/index.js';
+import {LeavingHosts, Membership} from '../../membership/index.js';
+import {Peers} from '../../peer/index.js';
+import {ServerDirectory} from '../../routing/index.js';
+import {ConfigurationFeed} from '../configuration_feed.js';
+import {Drain} from '../drain.js';
+import {Heartbeats} from '../heartbeats.js';
+import {CLOCK, LOG, RANDOM, SELF, SETTINGS} from '../identifiers.js';
+import {LoadPoller} from '../load_poller.js';
+import {PeerRequests} from '../peer_requests.js';
+import {bind} from './bind.js';
+
+/** Binds the parts. */
+export function bindPeers(container: Container): void {
+  bind(container, LoadPoller, context => {
+    const membership = context.get(Membership);
+    return new LoadPoller({
+      clock: context.get(CLOCK),
+      directory: context.get(ServerDirectory),
+      host: context.get(SELF).host,
+      dataCentre: context.get(SELF).dataCentre,
+      listLiveNamesHere: () => membership.listLiveNamesHere(),
+      pollMs: context.get(SETTINGS).engines.poll_ms,
+    });
+  });
+  bind(
+    container,
+    Heartbeats,
+    context =>
+      new Heartbeats({
+        self: context.get(SELF),
+        clock: context.get(CLOCK),
+        configuration: context.get(ConfigurationStore),
+        membership: context.get(Membership),
+        leavingHosts: context.get(LeavingHosts),
+        bookkeeper: context.get(Bookkeeper),
+        directory: context.get(BookDirectory),
+        servers: context.get(ServerDirectory),
+        poller: context.get(LoadPoller),
+        usage: context.get(UsageCounter),
+        onHigherRevision: host =>
+          void container.get(ConfigurationFeed).pull(host),
+      }),
+  );
+  bind(container, Peers, context => createPeers(container, context));
+  bind(container, ConfigurationFeed, context => {
+    const membership = context.get(Membership);
+    return new ConfigurationFeed({
+      clock: context.get(CLOCK),
+      log: context.get(LOG),
+      store: context.get(ConfigurationStore),
+      table: context.get(ConfigurationTable),
+      requestPeer: (...request) => container.get(Peers).request(...request),
+      host: context.get(SELF).host,
+      listLiveNamesHere: () => membership.listLiveNamesHere(),
+      pollMs: context.get(SETTINGS).configuration.poll_ms,
+    });
+  });
+  bind(
+    container,
+    PeerRequests,
+    context =>
+      new PeerRequests({
+        clock: context.get(CLOCK),
+        log: context.get(LOG),
+        configuration: context.get(ConfigurationStore),
+        bookkeeper: context.get(Bookkeeper),
+        heartbeats: context.get(Heartbeats),
+        store: context.get(GenerationStore),
+        runner: context.get(GenerationRunner),
+        setDrained: on => container.get(Drain).set(on),
+      }),
+  );
+}
+
+function createPeers(container: Container, context: ResolutionContext): Peers {
+  const {peers} = context.get(SETTINGS);
+  const self = context.get(SELF);
+  const membership = context.get(Membership);
+  const heartbeats = context.get(Heartbeats);
+  return new Peers({
+    connection: {
+      self,
+      key: peers.key,
+      maxFrameBytes: peers.max_frame_bytes,
+      idleLimitMs: 2 * (peers.heartbeat_ms + peers.silence_ms),
+      handle: (...request) => container.get(PeerRequests).handle(...request),
+      clock: context.get(CLOCK),
+      log: context.get(LOG),
+    },
+    random: context.get(RANDOM),
+    heartbeatMs: peers.heartbeat_ms,
+    silenceMs: peers.silence_ms,
+    seeds: peers.seeds.filter(seed => seed !== self.address),
+    listCandidates: () => membership.listKnown(),
+    createHeartbeat: (peer, acknowledged) => ({
+      kind: 'heartbeat',
+      status: heartbeats.create(peer, acknowledged),
+    }),
+  });
+}
--- /dev/null
+++ b/src/daemon/container/bind_placement.ts
@@ -0,0 +1,61 @@
+/** Placement: claimed by one host of each data centre at a time. */
+import {Container} from 'inversify';
+import {ConfigurationStore, ServerKind} from '../../configuration/index.js';
+import {Lease} from '../../lease/index.js';
+import {Placer} from '../../placement/index.js';
+import {ServerDirectory} from '../../routing/index.js';
+import {CLOCK, LOG, SELF, TABLE} from '../identifiers.js';
+import {bind} from './bind.js';
+import {createIsLeaving} from './create_is_leaving.js';
+
+const LEASE_MS = 6000;
+const MARGIN_MS = 1000;
+const POLL_MS = 2000;
+/** Loads that the weight store allows a data centre per second. */
+const LOADS_PER_SECOND = 0.5;
+
+/** Binds the parts. */
+export function bindPlacement(container: Container): void {
+  bind(container, Lease, context => {
+    const self = context.get(SELF);
+    return new Lease({
+      table: context.get(TABLE),
+      clock: context.get(CLOCK),
+      role: `placement/${self.dataCentre}`,
+      holder: `${self.host}/${self.incarnation}`,
+      durationMs: LEASE_MS,
+      marginMs: MARGIN_MS,
+    });
+  });
+  bind(container, Placer, context => {
+    const {dataCentre} = context.get(SELF);
+    const store = context.get(ConfigurationStore);
+    const directory = context.get(ServerDirectory);
+    const isLeaving = createIsLeaving(context);
+    return new Placer({
+      clock: context.get(CLOCK),
+      log: context.get(LOG),
+      lease: context.get(Lease),
+      listDeployments: () => store.getView().deployments.values(),
+      listServers: () =>
+        directory
+          .listServers()
+          .filter(
+            server =>
+              server.kind === ServerKind.ENGINE &&
+              server.dataCentre === dataCentre &&
+              // What is loaded is not known before the first report.
+              directory.getLoad(server.name) !== undefined,
+          )
+          .map(server => ({
+            name: server.name,
+            dataCentre: server.dataCentre,
+            models: directory.getLoad(server.name)?.load.models ?? [],
+            usable: !isLeaving(server.name),
+          })),
+      getEngine: server => directory.getEngine(server),
+      loadsPerSecond: LOADS_PER_SECOND,
+      pollMs: POLL_MS,
+    });
+  });
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -6,6 +6,7 @@
 import {Metrics} from '../metrics/index.js';
 import {OperatorApi} from '../operator/index.js';
 import {Peers} from '../peer/index.js';
+import {Placer} from '../placement/index.js';
 import {Settings} from '../settings/index.js';
 import {Clock} from '../time/index.js';
 import {ConfigurationFeed} from './configuration_feed.js';
@@ -33,6 +34,7 @@
   readonly poller: LoadPoller;
   readonly platform: PlatformWatcher;
   readonly reclaimWatch: ReclaimWatch;
+  readonly placer: Placer;
 }
 
 const TRIM_MS = 1000;
@@ -136,6 +138,7 @@
     void bookkeeper.watch(signal);
     void poller.run(signal);
     void reclaimWatch.run(signal);
+    void this.options.placer.run(signal);
     void this.trim(signal);
   }
 
--- a/src/daemon/index.ts
+++ b/src/daemon/index.ts
@@ -1,6 +1,6 @@
 /** The daemon: one entry host, put together. */
 export {ConfigurationFeed} from './configuration_feed.js';
-export {createContainer} from './create_container.js';
+export {createContainer} from './container/create_container.js';
 export {Daemon} from './daemon.js';
 export {
   CLIENTS,
--- a/src/daemon/peer_requests.ts
+++ b/src/daemon/peer_requests.ts
@@ -49,8 +49,9 @@
   ): Promise<unknown> {
     const parsed = peerMessageSchema.safeParse(request);
     if (!parsed.success) {
+      const [issue] = parsed.error.issues;
       throw new Error(
-        'the request is none this release knows; finish the upgrade of all hosts',
+        `the request is none this release knows (${issue?.path.join('.')}: ${issue?.message}); finish the upgrade of all hosts`,
       );
     }
     return this.serve(parsed.data, from, sendPart, signal);
--- /dev/null
+++ b/test/admission/admission_test.ts
@@ -0,0 +1,107 @@
+import {expect} from 'chai';
+import {
+  AdmissionQuestion,
+  decideAdmission,
+  getFairShare,
+} from '../../src/admission/index.js';
+import {Customer} from '../../src/configuration/index.js';
+import {SeededRandom} from '../../src/random/index.js';
+
+function customers(weights: Readonly<Record<string, number>>) {
+  return new Map<string, Customer>(
+    Object.entries(weights).map(([name, weight]) => [
+      name,
+      {name, keyHashes: [], weight, mostUrgent: 0},
+    ]),
+  );
+}
+
+describe('getFairShare', () => {
+  it('gives what others leave to those who want more', () => {
+    const usage = [
+      {customer: 'big', inFlight: 90},
+      {customer: 'small', inFlight: 10},
+    ];
+    const all = customers({big: 1, small: 1});
+    expect(getFairShare('big', all, usage, 100)).to.equal(90);
+  });
+
+  it('divides by weight when all want more', () => {
+    const usage = [
+      {customer: 'a', inFlight: 100},
+      {customer: 'b', inFlight: 100},
+    ];
+    const all = customers({a: 3, b: 1});
+    expect(getFairShare('a', all, usage, 100)).to.equal(75);
+    expect(getFairShare('b', all, usage, 100)).to.equal(25);
+  });
+});
+
+describe('decideAdmission', () => {
+  function doTest(change: Partial<AdmissionQuestion>): string | undefined {
+    const problem = decideAdmission(
+      {
+        customer: 'a',
+        customers: customers({a: 1, b: 1}),
+        usage: [],
+        capacity: 100,
+        firstTokenMs: 100,
+        targetMs: 310,
+        remainingMs: 10_000,
+        urgency: 3,
+        ...change,
+      },
+      new SeededRandom(1),
+    );
+    expect(problem?.ran ?? 'no').to.equal('no');
+    return problem?.kind;
+  }
+
+  it('admits what will be in time', () => {
+    expect(doTest({})).to.equal(undefined);
+  });
+
+  it('refuses at once what cannot meet its deadline', () => {
+    expect(doTest({remainingMs: 50})).to.equal('deadline-unreachable');
+  });
+
+  it('refuses the less urgent first', () => {
+    expect(doTest({firstTokenMs: 260, urgency: 1})).to.equal(undefined);
+    expect(doTest({firstTokenMs: 260, urgency: 6})).to.equal(
+      'deadline-unreachable',
+    );
+  });
+
+  it('holds a customer to its share while places are scarce', () => {
+    const usage = [
+      {customer: 'a', inFlight: 60},
+      {customer: 'b', inFlight: 20},
+    ];
+    expect(doTest({usage})).to.equal('customer-over-share');
+    expect(doTest({usage, customer: 'b'})).to.equal(undefined);
+  });
+
+  it('spreads the times to come back', () => {
+    const random = new SeededRandom(2);
+    const times = new Set<number | undefined>();
+    for (let turn = 0; turn < 50; turn++) {
+      const problem = decideAdmission(
+        {
+          customer: 'a',
+          customers: customers({a: 1}),
+          usage: [],
+          capacity: 1,
+          firstTokenMs: 5000,
+          targetMs: 310,
+          remainingMs: 10_000,
+          urgency: 3,
+        },
+        random,
+      );
+      times.add(problem?.retryAfterSeconds);
+    }
+    expect([...times].sort((a, b) => (a ?? 0) - (b ?? 0))).to.eql([
+      6, 7, 8, 9, 10,
+    ]);
+  });
+});
--- /dev/null
+++ b/test/operator/openapi_test.ts
@@ -0,0 +1,50 @@
+import {expect} from 'chai';
+import {Express} from 'express';
+import {ConfigurationStore} from '../../src/configuration/index.js';
+import {SilentLog} from '../../src/log/index.js';
+import {Metrics} from '../../src/metrics/index.js';
+import {createOpenApi, OperatorApi} from '../../src/operator/index.js';
+
+/** A route as express keeps it. */
+interface Layer {
+  readonly route?: {
+    readonly path: string;
+    readonly methods: Readonly<Record<string, boolean>>;
+  };
+}
+
+describe('the OpenAPI description', () => {
+  function listRoutes(app: Express): string[] {
+    const {stack} = app.router as unknown as {stack: readonly Layer[]};
+    return stack.flatMap(({route}) =>
+      route === undefined
+        ? []
+        : Object.keys(route.methods).map(
+            method => `${method} ${route.path.replaceAll(/:(\w+)/g, '{$1}')}`,
+          ),
+    );
+  }
+
+  function listDescribed(): string[] {
+    const {paths} = createOpenApi() as {paths: Record<string, object>};
+    return Object.entries(paths).flatMap(([path, methods]) =>
+      Object.keys(methods).map(method => `${method} ${path}`),
+    );
+  }
+
+  it('names every route of the interface, and no other', () => {
+    const unused = () => {
+      throw new Error('not called');
+    };
+    const app = new OperatorApi({
+      keyHashes: [],
+      store: new ConfigurationStore(new SilentLog()),
+      changes: undefined as never,
+      metrics: new Metrics(),
+      getStatus: unused,
+      listUnready: unused,
+      setDrained: unused,
+    }).createApp();
+    expect(listRoutes(app).sort()).to.eql(listDescribed().sort());
+  });
+});
--- a/test/trial/lifecycle_test.ts
+++ b/test/trial/lifecycle_test.ts
@@ -52,7 +52,7 @@
         {name: 'tac-entry-2', dataCentre: 'tac-hall'},
       ],
       servers: [
-        engine('tac-model-1', 'tac-hall', '--decode-ms', '50'),
+        engine('tac-model-1', 'tac-hall', 50),
         service('tac-bids-1', 'tac-hall', '--service-ms', '3000'),
       ],
       settings: {drain: ['notice_ms = 200', 'grace_ms = 10000']},
--- a/test/trial/operators_test.ts
+++ b/test/trial/operators_test.ts
@@ -160,6 +160,23 @@
     });
   });
 
+  describe('placement', () => {
+    it('brings a new version of a deployment to its server', async () => {
+      const file = await writeRecord('dossier.json', {
+        schemaVersion: 2,
+        kind: 'deployment',
+        name: 'dossier',
+        target: {kind: 'model', model: 'provenance-8b', version: '2'},
+        servers: ['tac-model-1'],
+      });
+      await runTool(['apply', file]);
+      await eventually(async () => {
+        const {stdout} = await runTool(['status', 'servers']);
+        expect(stdout).to.include('provenance-8b@2');
+      }, 15_000);
+    });
+  });
+
   describe('bad records', () => {
     async function put(record: Record<string, unknown>) {
       const url = `${getHost(system, 0).operatorsUrl}/admin/v1/records/deployments/bad`;
--- a/test/trial/system_fixture.ts
+++ b/test/trial/system_fixture.ts
@@ -5,13 +5,13 @@
 export const CALLER_KEY = 'test-caller-key';
 
 /** A model server of a test. */
-export function engine(name: string, dataCentre: string, ...args: string[]) {
+export function engine(name: string, dataCentre: string, decodeMs = 5) {
   return {
     name,
     dataCentre,
     kind: 'engine' as const,
     service: '',
-    args: ['--model', 'provenance-8b@1', '--decode-ms', '5', ...args],
+    args: ['--model', 'provenance-8b@1', '--decode-ms', String(decodeMs)],
   };
 }
 
