--- a/src/fakes/fake_engine.ts
+++ b/src/fakes/fake_engine.ts
@@ -72,6 +72,8 @@
     cachedTokens: 0,
     recomputedTokens: 0,
   };
+  /** Whether an order with an old fencing number is refused. */
+  checksFence: boolean;
   /** Factor by which it is slower than its options say. */
   slowdown = 1;
   private running = 0;
@@ -92,6 +94,7 @@
     private readonly clock: Clock,
   ) {
     this.models = [...options.models];
+    this.checksFence = options.checkFence;
   }
 
   async *generate(
@@ -155,7 +158,7 @@
   }
 
   async give(order: EngineOrder): Promise<Result<void, ServerFailure>> {
-    if (this.options.checkFence && order.fence < this.highestFence) {
+    if (this.checksFence && order.fence < this.highestFence) {
       return Result.err(
         new ServerFailure(
           Reach.SENT,
--- a/src/fakes/fake_engine_app.ts
+++ b/src/fakes/fake_engine_app.ts
@@ -29,6 +29,7 @@
     this.addControl(app);
     app.put('/faults', (request, response) => {
       this.faults = backendFaultSchema.parse(request.body);
+      this.engine.checksFence = this.faults.checkFence;
       response.json(this.faults);
     });
     app.get('/counts', (_request, response) => {
--- a/src/prove/all_proofs.ts
+++ b/src/prove/all_proofs.ts
@@ -3,6 +3,7 @@
   atMostOnce,
   ownAnswers,
   refusalsAreTrue,
+  stopsCutNothing,
 } from './call_proofs.js';
 import {configurationHolds} from './configuration_world.js';
 import {leasesExclude} from './lease_world.js';
@@ -19,6 +20,7 @@
   [refusalsAreTrue.name, options => prove(refusalsAreTrue, options)],
   [ownAnswers.name, options => prove(ownAnswers, options)],
   [acceptedSurvives.name, options => prove(acceptedSurvives, options)],
+  [stopsCutNothing.name, options => prove(stopsCutNothing, options)],
   [wholeStreams.name, options => prove(wholeStreams, options)],
   [reclaimCutsNothing.name, options => prove(reclaimCutsNothing, options)],
   [configurationHolds.name, options => prove(configurationHolds, options)],
--- a/src/prove/call_proofs.ts
+++ b/src/prove/call_proofs.ts
@@ -1,11 +1,17 @@
+import fc from 'fast-check';
 import {
   countTold,
   findCrossedAnswers,
+  findCutOff,
   findDoubled,
   findFalseRefusals,
   findLostAcceptances,
 } from './check_calls.js';
-import {CallSchedule, createCallSchedules} from './call_schedule.js';
+import {
+  CallSchedule,
+  createCallSchedules,
+  createStopSchedules,
+} from './call_schedule.js';
 import {CallVariant, CallWorld} from './call_world.js';
 import {History} from './history.js';
 import {Proof, RunReport} from './proof.js';
@@ -18,7 +24,7 @@
   'at-most-once',
   'dispatches before the record is durable',
   {dispatchesFirst: true},
-  true,
+  createCallSchedules(true),
   findDoubled,
 );
 
@@ -27,7 +33,7 @@
   'refusals-are-true',
   'takes a lost answer for a call that was not sent',
   {trustsSilence: true},
-  true,
+  createCallSchedules(true),
   findFalseRefusals,
 );
 
@@ -36,7 +42,7 @@
   'own-answers',
   'passes on the answer of another call',
   {crossesAnswers: true},
-  true,
+  createCallSchedules(true),
   findCrossedAnswers,
 );
 
@@ -45,23 +51,34 @@
   'accepted-survives',
   'hands books over without their entries',
   {dropsEntries: true},
-  false,
+  createCallSchedules(false),
   findLostAcceptances,
 );
 
+/** A planned stop cuts off no request in flight. */
+export const stopsCutNothing = createProof(
+  'stops-cut-nothing',
+  'ends the process at once',
+  {stopsAtOnce: true},
+  createStopSchedules(),
+  findCutOff,
+  true,
+);
+
 function createProof(
   name: string,
   variantText: string,
   variant: CallVariant,
-  crashes: boolean,
+  schedules: fc.Arbitrary<CallSchedule>,
   check: Check,
+  balances = false,
 ): Proof<CallSchedule> {
   return {
     name,
     variant: variantText,
-    schedules: createCallSchedules(crashes),
+    schedules,
     run: async (schedule, broken) => {
-      const world = new CallWorld(broken ? variant : {});
+      const world = new CallWorld(broken ? variant : {}, balances);
       return report(await world.run(schedule), check);
     },
   };
--- a/src/prove/call_schedule.ts
+++ b/src/prove/call_schedule.ts
@@ -106,3 +106,16 @@
     {minLength: 4, maxLength: 16},
   );
 }
+
+/** Schedules of calls and planned stops, with nothing else going wrong. */
+export function createStopSchedules(): fc.Arbitrary<CallSchedule> {
+  const restart = fc.record({kind: fc.constant('restart' as const), host});
+  const step: fc.Arbitrary<CallStep> = fc.oneof(
+    {weight: 5, arbitrary: call as fc.Arbitrary<CallStep>},
+    {weight: 2, arbitrary: restart as fc.Arbitrary<CallStep>},
+  );
+  return fc.array(
+    fc.record({afterMs: fc.constantFrom(0, 3, 10, 400, 2000), step}),
+    {minLength: 3, maxLength: 14},
+  );
+}
--- a/src/prove/call_world.ts
+++ b/src/prove/call_world.ts
@@ -35,6 +35,8 @@
   readonly crossesAnswers?: boolean;
   /** Books are handed over without their entries. */
   readonly dropsEntries?: boolean;
+  /** A planned stop ends the process at once. */
+  readonly stopsAtOnce?: boolean;
 }
 
 /** One start of one entry host. */
@@ -48,6 +50,8 @@
   readonly stop: AbortController;
   leaving: boolean;
   cut: boolean;
+  /** Callers' requests being answered. */
+  inFlight: number;
 }
 
 const CUSTOMER = 'north-house';
@@ -82,7 +86,15 @@
   /** Keys that were sent before: callers know that of their own. */
   private readonly askedKeys = new Set<string>();
 
-  constructor(private readonly variant: CallVariant) {}
+  /**
+   * @param variant - What is broken, if anything.
+   * @param balances - Whether callers come through a balancer that asks hosts
+   *   whether they are ready; without it they also ask hosts that leave.
+   */
+  constructor(
+    private readonly variant: CallVariant,
+    private readonly balances: boolean,
+  ) {}
 
   /**
    * Runs a schedule to its end.
@@ -170,13 +182,18 @@
       return;
     }
     host.leaving = true;
+    if (this.variant.stopsAtOnce === true) {
+      host.stop.abort();
+      host.gate.kill();
+      return;
+    }
     const successors = this.hosts
       .filter(other => this.isLive(other) && other !== host)
       .map(other => other.name);
     const endMs = this.clock.monotonicMs() + NOTICE_MS;
     const handedOver = host.bookkeeper.handOver(successors);
     await Promise.race([handedOver, this.clock.sleep(NOTICE_MS)]);
-    while (host.bookkeeper.countPending() > 0) {
+    while (host.bookkeeper.countPending() + host.inFlight > 0) {
       if (this.clock.monotonicMs() >= endMs) {
         // Neither a peer nor the table could be reached in all the notice.
         this.recorder.addCrash();
@@ -190,6 +207,10 @@
   }
 
   private async restart(index: number, host: ProofHost): Promise<void> {
+    if (this.balances && host.leaving && !host.gate.isDead()) {
+      // A planned stop is under way; a second one changes nothing.
+      return;
+    }
     await this.leave(host);
     if (!host.gate.isDead()) {
       this.recorder.addCrash();
@@ -205,7 +226,12 @@
   ): Promise<void> {
     const key = `key-${step.key}`;
     for (let retry = 0; retry <= RETRIES; retry++) {
-      const host = this.getHost(step.host + retry);
+      const host = this.chooseHost(step.host + retry);
+      if (host === undefined) {
+        // No host is ready, so the balancer has nowhere to send it.
+        await this.clock.sleep(RETRY_MS);
+        continue;
+      }
       const instance = `ask-${this.asks++}`;
       const payload = `payload of ${key}`;
       this.recorder.add({
@@ -219,7 +245,9 @@
       const firstAttempt = !this.askedKeys.has(key);
       this.askedKeys.add(key);
       const call = {order, key, firstAttempt};
+      host.inFlight++;
       const outcome = await this.callHost(host, call);
+      host.inFlight--;
       const told = toTold(outcome);
       this.recorder.add({
         kind: 'told',
@@ -238,6 +266,20 @@
     }
   }
 
+  /** With a balancer, hosts that leave or are dead get nothing new. */
+  private chooseHost(index: number): ProofHost | undefined {
+    if (!this.balances) {
+      return this.getHost(index);
+    }
+    for (let turn = 0; turn < HOSTS; turn++) {
+      const host = this.getHost(index + turn);
+      if (!host.leaving && !host.gate.isDead()) {
+        return host;
+      }
+    }
+    return undefined;
+  }
+
   /** Resolves to nothing when the host dies before it answers. */
   private async callHost(
     host: ProofHost,
@@ -358,6 +400,7 @@
       stop,
       leaving: false,
       cut: false,
+      inFlight: 0,
     };
     void bookkeeper.watch(stop.signal);
     return host;
--- a/src/prove/check_calls.ts
+++ b/src/prove/check_calls.ts
@@ -72,6 +72,17 @@
   return violations;
 }
 
+/** Finds requests that a planned stop cut off: nobody told their callers. */
+export function findCutOff(history: History): string[] {
+  const violations: string[] = [];
+  for (const told of listTold(history)) {
+    if (told.told === 'nothing') {
+      violations.push(`${told.instance} was cut off`);
+    }
+  }
+  return violations;
+}
+
 /** Counts what callers were told. */
 export function countTold(history: History, wanted: string): number {
   let count = 0;
--- a/src/prove/fault_rates.ts
+++ b/src/prove/fault_rates.ts
@@ -41,7 +41,7 @@
       const alone = schedule.filter(
         ({step}) => step.kind === 'call' || getFaultName(step) === fault,
       );
-      const history = await new CallWorld({}).run(alone);
+      const history = await new CallWorld({}, false).run(alone);
       const asked = history.events.filter(event => event.kind === 'asked');
       rate = {
         fault,
