Hold no shares while the capacity is not known

Cause: a host that had not yet heard an engine's load took the capacity for 0, so the second request of a customer was refused as over its share (429). Ruled out: the stop itself (bookings all ended 201), and the balance of books. The decision has a test of its own now.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -9,7 +9,10 @@
   readonly customers: ReadonlyMap<string, Customer>;
   /** Use of every customer in this data centre. */
   readonly usage: readonly CustomerUsage[];
-  /** Generations the servers of the deployment can decode at once. */
+  /**
+   * Generations the servers of the deployment can decode at once; infinite
+   * while that is not known.
+   */
   readonly capacity: number;
   /** Predicted milliseconds to the first token on the best server. */
   readonly firstTokenMs: number;
--- a/src/daemon/container/bind_callers.ts
+++ b/src/daemon/container/bind_callers.ts
@@ -90,10 +90,14 @@
   };
 }
 
+/**
+ * Sums the places of the engines that were heard. While none was, nobody can say
+ * what a share is, and none is held.
+ */
 function sumCapacity(directory: ServerDirectory): number {
   let capacity = 0;
   for (const server of directory.listServers()) {
     capacity += directory.getLoad(server.name)?.load.capacity ?? 0;
   }
-  return capacity;
+  return capacity === 0 ? Number.POSITIVE_INFINITY : capacity;
 }
--- a/test/admission/admission_test.ts
+++ b/test/admission/admission_test.ts
@@ -81,6 +81,12 @@
     expect(doTest({usage, customer: 'b'})).to.equal(undefined);
   });
 
+  it('holds no shares while the capacity is not known', () => {
+    const usage = [{customer: 'a', inFlight: 60}];
+    const capacity = Number.POSITIVE_INFINITY;
+    expect(doTest({usage, capacity})).to.equal(undefined);
+  });
+
   it('spreads the times to come back', () => {
     const random = new SeededRandom(2);
     const times = new Set<number | undefined>();
