Give a stream up at its deadline again, and work out the polled engines once a heartbeat

Found on reading the whole change. When silence came to be watched by one timer per stream, the deadline was no longer part of its limit, so a stream with tokens still coming ran on past it. The limit is bounded by the deadline again; the new test timed out after 20 s before and passes now.

--- a/src/caller/completion_format.ts
+++ b/src/caller/completion_format.ts
@@ -1,5 +1,5 @@
 import {GenerationFormat} from '../backend/index.js';
-import {Generation, GenerationEvent} from '../generation/index.js';
+import {Generation} from '../generation/index.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -80,14 +80,6 @@
   };
 }
 
-/** Position of an event in its stream, which a caller resumes after. */
-export function getEventPosition(
-  event: GenerationEvent,
-  previous: number,
-): number {
-  return event.kind === 'token' ? event.position : previous;
-}
-
 function createChunk(head: CompletionHead, choice: unknown): unknown {
   const chat = head.format === GenerationFormat.CHAT;
   return {
--- a/src/daemon/heartbeats.ts
+++ b/src/daemon/heartbeats.ts
@@ -75,7 +75,7 @@
       state: membership.getOwnState(),
       revision,
       centreRevision: membership.getCentreRevision(revision),
-      loads: this.isNear(peer) ? this.listLoads() : [],
+      loads: this.isNear(peer) ? this.listLoads(detail) : [],
       usage: this.options.usage
         .listOwn()
         .map(usage => [usage.customer, usage.inFlight]),
@@ -183,9 +183,10 @@
     return facts;
   }
 
-  private listLoads(): EngineLoad[] {
+  /** Which engines are polled here is not worked out again for each peer. */
+  private listLoads(detail: HostDetail): EngineLoad[] {
     const loads: EngineLoad[] = [];
-    for (const server of this.options.poller.listPolled()) {
+    for (const {server} of detail.engines) {
       const known = this.options.servers.getLoad(server);
       if (known !== undefined) {
         const {running, waiting} = known.load;
--- a/src/errors/problem.ts
+++ b/src/errors/problem.ts
@@ -9,7 +9,6 @@
 
 /** Kinds of problem that callers and operators can meet. */
 export const ProblemKind = {
-  ACCEPTANCE_PENDING: 'acceptance-pending',
   BODY_INVALID: 'body-invalid',
   BODY_TOO_LARGE: 'body-too-large',
   CONFIGURATION_CONFLICT: 'configuration-conflict',
--- a/src/generation/generation_runner.ts
+++ b/src/generation/generation_runner.ts
@@ -259,7 +259,14 @@
   ): Promise<void> {
     const {generation, deployment, engine, chosen} = attempt;
     const {clock, meter, lengths} = this.options;
-    const watch = new SilenceWatch(clock, this.options.firstTokenSilenceMs);
+    const {deadlineMs} = generation.request;
+    // Past its deadline a stream is given up at once, silent or not.
+    const bound = (limitMs: number) =>
+      Math.max(0, Math.min(limitMs, deadlineMs - clock.monotonicMs()));
+    const watch = new SilenceWatch(
+      clock,
+      bound(this.options.firstTokenSilenceMs),
+    );
     const stop = AbortSignal.any([signal, watch.getSignal()]);
     const order = this.createOrder(generation, deployment);
     const startMs = clock.monotonicMs();
@@ -274,7 +281,7 @@
         }
         meter.addToken(generation.request, nowMs - previousMs, first);
         previousMs = nowMs;
-        watch.touch(this.options.silenceMs);
+        watch.touch(bound(this.options.silenceMs));
         generation.addToken(token.text);
         if (token.finishReason !== undefined) {
           lengths.add(deployment.name, generation.getTexts().length);
--- a/test/trial/callers_test.ts
+++ b/test/trial/callers_test.ts
@@ -291,6 +291,15 @@
       expect(ids).to.deep.equal(Array.from({length: 12}, (_u, i) => i + 8));
     });
 
+    it('are given up at their deadline, although tokens still come', async () => {
+      const {status, body} = await post('/v1/completions', {
+        json: {model: 'dossier', prompt: 'late', max_tokens: 4000},
+        headers: {'sedgefall-timeout-ms': '500'},
+      });
+      expect(status).to.equal(504);
+      expect(body['type']).to.equal('urn:sedgefall:problem:deadline-passed');
+    });
+
     it('are not shown to other customers', async () => {
       const response = await got(
         `${getHost(system, 0).callersUrl}/v1/requests/sf1.a.b.c`,
