Bound attempts once for both interfaces; split the run of a relayed request

A stream that may be resumed and whose server fails before its first event is now asked of another server (test).

GenerationRunner keeps its own loop: its retries wait for the budget and its moves cost none.

--- /dev/null
+++ b/src/relay/relay_attempt.ts
@@ -0,0 +1,187 @@
+import {FleetFlight, FleetServer, FlightEnd} from '../fleet/index.js';
+import {Repeat} from '../catalog/index.js';
+import {AnswerRelay} from './answer_relay.js';
+import {BufferedAnswer, readAnswer} from './buffered_answer.js';
+import {ExchangeAnswer, ExchangeFailure, ExchangeKind} from './exchange.js';
+import {RunCopy} from './exchange.js';
+import {RelayOptions} from './relay_options.js';
+import {RelayRecord} from './relay_record.js';
+import {RelayRequest} from './relay_request.js';
+import {Silence} from './silence.js';
+
+/** How an attempt ended. */
+export const AttemptEnd = {
+  /** The caller has its whole answer. */
+  DONE: 'done',
+  /** The server answered with a failure of its own. */
+  FAILED: 'failed',
+  /** It certainly did not run and never will. */
+  NOT_RUN: 'not-run',
+  /** It may have run. */
+  LOST: 'lost',
+} as const;
+export type AttemptEnd = (typeof AttemptEnd)[keyof typeof AttemptEnd];
+
+/** How an attempt went. */
+export interface AttemptResult {
+  readonly end: AttemptEnd;
+  /** What went wrong; empty when nothing did. */
+  readonly detail: string;
+  /** The server's own failure, for relaying. */
+  readonly failure?: BufferedAnswer;
+}
+
+/** One sending of a request. */
+export interface AttemptOrder {
+  readonly server: FleetServer;
+  /** Predicted time to the first token, in milliseconds. */
+  readonly predictedMs: number;
+  /** Number of the attempt, from 0, for the log. */
+  readonly number: number;
+  readonly remainingMs: number;
+  readonly urgency: number;
+  /** Copy of the run's memory to go on from. */
+  readonly copy?: RunCopy;
+  /** Whether the request may go on elsewhere if this server says nothing. */
+  readonly hasSpare: boolean;
+}
+
+/** What an attempt works with besides the relay's options. */
+export interface AttemptContext {
+  readonly request: RelayRequest;
+  readonly answer: AnswerRelay;
+  readonly record: RelayRecord;
+  /** Aborted when the caller has left or its time is up. */
+  readonly ended: AbortSignal;
+}
+
+const OK_FIRST = 200;
+const OK_LAST = 299;
+const SERVER_ERROR = 500;
+/** Bytes of a repeatable answer that are held until it is whole. */
+const MAX_HELD_BYTES = 65_536;
+/** Bytes of the answer to a failed attempt that are kept for relaying. */
+const MAX_KEPT_BYTES = 262_144;
+/** Time beyond the prediction in which a stream has to begin, in ms. */
+const FIRST_SILENCE_MS = 1200;
+/** Longest pause of a stream that may go on elsewhere, in milliseconds. */
+const NEXT_SILENCE_MS = 700;
+/** Share of its time that a plain request waits for one server. */
+const PLAIN_SILENCE_SHARE = 0.5;
+
+/** One sending of a request to one server, straight down. */
+export class RelayAttempt {
+  private readonly silence: Silence;
+  private readonly flight: FleetFlight;
+  private readonly sentMs: number;
+
+  constructor(
+    private readonly options: RelayOptions,
+    private readonly context: AttemptContext,
+    private readonly order: AttemptOrder,
+  ) {
+    const {server, predictedMs} = order;
+    const {parts} = context.request.prompt;
+    this.sentMs = options.clock.monotonicMs();
+    this.flight = options.fleet.startFlight(server.id, parts, predictedMs);
+    this.silence = this.watchSilence();
+  }
+
+  /** Sends the request and relays what comes back. */
+  async execute(): Promise<AttemptResult> {
+    const {request, answer, ended} = this.context;
+    const {server, remainingMs, urgency, copy} = this.order;
+    const lastEventId = answer.getLastEventId();
+    const result = await this.options.exchange(
+      {
+        request,
+        server,
+        remainingMs,
+        urgency,
+        ...(copy === undefined ? {} : {copy}),
+        ...(lastEventId === undefined ? {} : {lastEventId}),
+      },
+      AbortSignal.any([ended, this.silence.signal]),
+    );
+    const attempted =
+      result.kind === ExchangeKind.ANSWERED
+        ? await this.receive(result)
+        : this.fail(result);
+    this.silence.stop();
+    return attempted;
+  }
+
+  /** Gives a silent server up where the request may go on elsewhere. */
+  private watchSilence(): Silence {
+    const {streaming, timeoutMs} = this.context.request.route;
+    if (!this.order.hasSpare) {
+      return new Silence(Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY);
+    }
+    return streaming
+      ? new Silence(this.order.predictedMs + FIRST_SILENCE_MS, NEXT_SILENCE_MS)
+      : new Silence(timeoutMs * PLAIN_SILENCE_SHARE, timeoutMs);
+  }
+
+  private async receive(answer: ExchangeAnswer): Promise<AttemptResult> {
+    try {
+      if (answer.status < OK_FIRST || answer.status > OK_LAST) {
+        return await this.receiveFailure(answer);
+      }
+      await this.relay(answer);
+      this.flight.finish(FlightEnd.SUCCEEDED);
+      return {end: AttemptEnd.DONE, detail: ''};
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : String(error);
+      return this.fail({kind: ExchangeKind.LOST, detail});
+    }
+  }
+
+  private async receiveFailure(answer: ExchangeAnswer): Promise<AttemptResult> {
+    this.noteFirstByte();
+    const failure = await readAnswer(answer, MAX_KEPT_BYTES);
+    const isOwnFault = answer.status >= SERVER_ERROR;
+    this.flight.finish(isOwnFault ? FlightEnd.FAILED : FlightEnd.SUCCEEDED);
+    const detail = `${this.order.server.id}: status ${answer.status}`;
+    return {end: AttemptEnd.FAILED, detail, failure};
+  }
+
+  private async relay(answer: ExchangeAnswer): Promise<void> {
+    const {streaming, repeat} = this.context.request.route;
+    if (streaming) {
+      await this.context.answer.relayStream(answer, () => {
+        this.noteFirstByte();
+        this.silence.hear();
+        this.flight.addProgress();
+      });
+      return;
+    }
+    this.noteFirstByte();
+    const maxHeldBytes = repeat === Repeat.ANY ? MAX_HELD_BYTES : 0;
+    await this.context.answer.relayBody(answer, maxHeldBytes, () => {
+      this.silence.hear();
+    });
+  }
+
+  private noteFirstByte(): void {
+    const tookMs = this.options.clock.monotonicMs() - this.sentMs;
+    this.flight.addFirstByte(tookMs);
+    this.context.record.addFirstByte(tookMs);
+  }
+
+  private fail(failure: ExchangeFailure): AttemptResult {
+    const {server, number} = this.order;
+    this.flight.finish(this.judge(failure));
+    const {kind, detail} = failure;
+    this.context.record.addFailure(server.id, number, kind, detail);
+    return {end: kind, detail: `${server.id}: ${detail}`};
+  }
+
+  /** Judges what a failed sending tells of its server. */
+  private judge(failure: ExchangeFailure): FlightEnd {
+    if (this.context.ended.aborted || failure.full === true) {
+      return FlightEnd.NEUTRAL;
+    }
+    const isSilent = this.silence.isOver() || failure.unsent === true;
+    return isSilent ? FlightEnd.SILENT : FlightEnd.FAILED;
+  }
+}
--- /dev/null
+++ b/src/relay/relay_record.ts
@@ -0,0 +1,100 @@
+import {RoutingDecision} from '../routing/index.js';
+import {RelayOptions} from './relay_options.js';
+import {RelayRequest} from './relay_request.js';
+
+/** How a request ended, for its last log line. */
+export interface RelayEnd {
+  readonly outcome: string;
+  readonly attempts: number;
+  /** What went wrong last; empty when nothing did. */
+  readonly detail: string;
+}
+
+/** What is logged, counted and billed of one request. */
+export class RelayRecord {
+  /** Time from the request's arrival to the first byte of its answer. */
+  private firstByteMs: number | undefined;
+
+  constructor(
+    private readonly options: RelayOptions,
+    private readonly request: RelayRequest,
+  ) {}
+
+  /** Writes where the request goes, and why. */
+  addDecision(
+    decision: RoutingDecision,
+    attempt: number,
+    resumeAfter: string | undefined,
+  ): void {
+    const {request} = this;
+    const {chosen, runnersUp, reason} = decision;
+    const remainingMs = request.deadlineMs - this.options.clock.monotonicMs();
+    this.options.log.info('route', {
+      request: request.id,
+      route: request.route.name,
+      customer: request.account?.name,
+      catalog: this.options.catalog.getVersion(),
+      attempt,
+      server: chosen?.server,
+      predicted_ms: chosen?.firstTokenMs.toFixed(0),
+      queue_ms: chosen?.queueMs.toFixed(0),
+      remaining_ms: remainingMs.toFixed(0),
+      runners_up: runnersUp.map(other => other.server).join(',') || undefined,
+      reason,
+      resume_after: resumeAfter,
+    });
+  }
+
+  /** Writes that an attempt brought no answer. */
+  addFailure(
+    server: string,
+    attempt: number,
+    kind: string,
+    detail: string,
+  ): void {
+    this.options.log.warn('attempt_failed', {
+      request: this.request.id,
+      server,
+      kind,
+      detail,
+      attempt,
+    });
+  }
+
+  /**
+   * Counts that a server began to answer: the customer is billed for it.
+   * @param tookMs - Time since the request was sent there.
+   */
+  addFirstByte(tookMs: number): void {
+    if (this.firstByteMs !== undefined) {
+      return;
+    }
+    const {clock, metrics, ledger} = this.options;
+    const {route, account, arrivedMs} = this.request;
+    this.firstByteMs = clock.monotonicMs() - arrivedMs;
+    metrics.record('relay_first_byte', this.firstByteMs, {route: route.name});
+    if (account !== undefined) {
+      // A plain request began when it was sent, a stream with its first token.
+      ledger.add(account.name, route.streaming ? 0 : tookMs);
+    }
+  }
+
+  /** Writes how the request ended. */
+  addEnd({outcome, attempts, detail}: RelayEnd): void {
+    const {request} = this;
+    const {log, metrics, clock} = this.options;
+    const route = request.route.name;
+    const tookMs = clock.monotonicMs() - request.arrivedMs;
+    metrics.increment('relayed', {route, outcome});
+    metrics.record('relay_whole', tookMs, {route});
+    log.info('relayed', {
+      request: request.id,
+      route,
+      outcome,
+      attempts,
+      first_byte_ms: this.firstByteMs?.toFixed(0),
+      took_ms: tookMs.toFixed(0),
+      detail: detail === '' ? undefined : detail,
+    });
+  }
+}
--- a/src/service/service_dispatcher.ts
+++ b/src/service/service_dispatcher.ts
@@ -1,4 +1,6 @@
+import {Attempts} from '../attempts/index.js';
 import {Reach, ServiceAnswer, ServiceCall} from '../backend/index.js';
+import {Repeat} from '../catalog/index.js';
 import {ConfigurationStore, Deployment} from '../configuration/index.js';
 import {problems, Ran} from '../errors/index.js';
 import {
@@ -47,7 +49,7 @@
    * @param order - The call.
    */
   dispatchOnce(order: DispatchOrder): Promise<DispatchResult> {
-    return this.dispatch(order, false);
+    return this.dispatch(order, Repeat.ONCE);
   }
 
   /**
@@ -56,7 +58,7 @@
    * @param order - The call.
    */
   dispatchRepeatable(order: DispatchOrder): Promise<DispatchResult> {
-    return this.dispatch(order, true);
+    return this.dispatch(order, Repeat.ANY);
   }
 
   /**
@@ -86,30 +88,36 @@
 
   private async dispatch(
     order: DispatchOrder,
-    repeatable: boolean,
+    repeat: Repeat,
   ): Promise<DispatchResult> {
     const {clock, budget, directory} = this.options;
-    const excluded = new Set<string>();
+    // Deadline and retry budget bound the attempts, not their number.
+    const attempts = new Attempts({
+      repeat,
+      maxRuns: Number.POSITIVE_INFINITY,
+      maxNotRun: Number.POSITIVE_INFINITY,
+      spendRetry: () => budget.spend(),
+    });
     let failure: DispatchResult = {
       kind: DispatchKind.NOT_SENT,
       problem: problems.noServer(order.deployment),
     };
     budget.addRequest();
-    for (let attempt = 0; ; attempt++) {
+    for (;;) {
       const remainingMs = order.deadlineMs - clock.monotonicMs();
       if (remainingMs <= 0) {
-        return attempt === 0
+        return attempts.count() === 0
           ? {
               kind: DispatchKind.NOT_SENT,
               problem: problems.deadlinePassed(Ran.NO),
             }
           : failure;
       }
-      if (attempt > 0 && !budget.spend()) {
+      if (!attempts.begin()) {
         return failure;
       }
-      const decision = this.choose(order, excluded);
-      this.logDecision(order, decision, attempt);
+      const decision = this.choose(order, attempts.excluded);
+      this.logDecision(order, decision, attempts.count() - 1);
       const server = decision.chosen?.server;
       const service = server && directory.getService(server);
       if (!server || !service) {
@@ -119,13 +127,11 @@
       if (result.kind === DispatchKind.ANSWERED) {
         return result;
       }
-      const lost = result.kind === DispatchKind.LOST;
-      if (lost && !repeatable) {
-        return result;
-      }
       // Once one server may have run it, that is what the caller is told.
       failure = failure.kind === DispatchKind.LOST ? failure : result;
-      excluded.add(server);
+      if (!attempts.fail(server, result.kind === DispatchKind.LOST)) {
+        return failure;
+      }
     }
   }
 
--- /dev/null
+++ b/test/attempts/attempts_test.ts
@@ -0,0 +1,59 @@
+import {expect} from 'chai';
+import {Attempts} from '../../src/attempts/index.js';
+import {Repeat} from '../../src/catalog/index.js';
+
+describe('Attempts', () => {
+  function create(
+    repeat: Repeat,
+    retries = Number.POSITIVE_INFINITY,
+  ): Attempts {
+    let left = retries;
+    return new Attempts({
+      repeat,
+      maxRuns: 2,
+      maxNotRun: 3,
+      spendRetry: () => left-- > 0,
+    });
+  }
+
+  describe('of a request that may run once', () => {
+    it('go on while it is certain that none has run it', () => {
+      const attempts = create(Repeat.ONCE);
+      expect(attempts.fail('a', false)).to.equal(true);
+      expect(attempts.mayHaveRun()).to.equal(false);
+      expect([...attempts.excluded]).to.deep.equal(['a']);
+    });
+
+    it('end once one may have run it', () => {
+      const attempts = create(Repeat.ONCE);
+      expect(attempts.fail('a', true)).to.equal(false);
+      expect(attempts.mayHaveRun()).to.equal(true);
+      expect(attempts.hasSpare()).to.equal(false);
+    });
+
+    it('end after a few servers that did not run it', () => {
+      const attempts = create(Repeat.ONCE);
+      const more = ['a', 'b', 'c', 'd'].map(name => attempts.fail(name, false));
+      expect(more).to.deep.equal([true, true, true, false]);
+    });
+  });
+
+  describe('of a request that may run again', () => {
+    for (const repeat of [Repeat.ANY, Repeat.RESUME]) {
+      it(`end with the runs allowed (${repeat})`, () => {
+        const attempts = create(repeat);
+        expect(attempts.hasSpare()).to.equal(true);
+        expect(attempts.fail('a', true)).to.equal(true);
+        expect(attempts.hasSpare()).to.equal(false);
+        expect(attempts.fail('b', true)).to.equal(false);
+      });
+    }
+  });
+
+  it('spend a retry for every attempt but the first', () => {
+    const attempts = create(Repeat.ANY, 1);
+    const begun = [attempts.begin(), attempts.begin(), attempts.begin()];
+    expect(begun).to.deep.equal([true, true, false]);
+    expect(attempts.count()).to.equal(2);
+  });
+});
--- a/test/relay/relay_test.ts
+++ b/test/relay/relay_test.ts
@@ -48,6 +48,32 @@
 }
 
 describe('Relay', () => {
+  describe('a stream that may be resumed', () => {
+    it('begins anew elsewhere when a server fails before its first event', async () => {
+      const stream: Exchange = async () =>
+        createAnswer(200, formatEvents(1, 2));
+      const fixture = new RelayFixture(answerInTurn(fail, stream));
+      const sink = await fixture.serve({
+        repeat: Repeat.RESUME,
+        streaming: true,
+        maxAttempts: 2,
+      });
+      expect(sink.status).to.equal(200);
+      expect(sink.body).to.equal(formatEvents(1, 2).join(''));
+    });
+
+    it('gets the failure when no other server may be asked', async () => {
+      const fixture = new RelayFixture(fail);
+      const sink = await fixture.serve({
+        repeat: Repeat.RESUME,
+        streaming: true,
+        maxAttempts: 1,
+      });
+      expect(sink.status).to.equal(500);
+      expect(sink.body).to.equal('failed');
+    });
+  });
+
   describe('a request that may run once', () => {
     it('is not sent again after it may have run', async () => {
       const fixture = new RelayFixture(answerInTurn(lose, answer));
