--- a/src/daemon/container/bind.ts
+++ b/src/container/bind.ts
@@ -1,4 +1,3 @@
-/** Helper of the modules that put the daemon together. */
 import {Container, ResolutionContext, ServiceIdentifier} from 'inversify';
 
 /**
--- a/src/daemon/container/bind_callers.ts
+++ b/src/daemon/container/bind_callers.ts
@@ -19,7 +19,7 @@
 import {Drain} from '../drain.js';
 import {CLOCK, LOG, RANDOM, SELF, SETTINGS} from '../identifiers.js';
 import {RemoteGenerations} from '../remote_generations.js';
-import {bind} from './bind.js';
+import {bind} from '../../container/index.js';
 
 /** Binds the parts. */
 export function bindCallers(container: Container): void {
--- a/src/daemon/container/bind_generations.ts
+++ b/src/daemon/container/bind_generations.ts
@@ -17,7 +17,7 @@
   ServerDirectory,
 } from '../../routing/index.js';
 import {CLOCK, LOG, RANDOM, SETTINGS} from '../identifiers.js';
-import {bind} from './bind.js';
+import {bind} from '../../container/index.js';
 import {createIsLeaving} from './create_is_leaving.js';
 
 /** Tokens a second at which a KV cache moves between engines. */
--- a/src/daemon/container/bind_journal.ts
+++ b/src/daemon/container/bind_journal.ts
@@ -13,7 +13,7 @@
 import {RetryBudget, ServerDirectory} from '../../routing/index.js';
 import {OnceCalls, ServiceDispatcher} from '../../service/index.js';
 import {CLOCK, LOG, RANDOM, SELF, SETTINGS, TABLE} from '../identifiers.js';
-import {bind} from './bind.js';
+import {bind} from '../../container/index.js';
 import {createIsLeaving} from './create_is_leaving.js';
 
 /** Pause between tries of an accepted call, in milliseconds. */
--- a/src/daemon/container/bind_knowledge.ts
+++ b/src/daemon/container/bind_knowledge.ts
@@ -10,7 +10,7 @@
 import {RetryBudget, ServerDirectory} from '../../routing/index.js';
 import {createMetrics} from '../create_metrics.js';
 import {CLIENTS, CLOCK, LOG, SELF, SETTINGS, TABLE} from '../identifiers.js';
-import {bind} from './bind.js';
+import {bind} from '../../container/index.js';
 
 /** Binds the parts. */
 export function bindKnowledge(container: Container): void {
--- a/src/daemon/container/bind_operators.ts
+++ b/src/daemon/container/bind_operators.ts
@@ -20,7 +20,7 @@
 import {LoadPoller} from '../load_poller.js';
 import {PlatformWatcher} from '../platform_watcher.js';
 import {StatusBuilder} from '../status_builder.js';
-import {bind} from './bind.js';
+import {bind} from '../../container/index.js';
 
 const CHANGE_PATIENCE_MS = 5000;
 const MS_PER_SECOND = 1000;
--- a/src/daemon/container/bind_peers.ts
+++ b/src/daemon/container/bind_peers.ts
@@ -16,7 +16,7 @@
 import {CLOCK, LOG, RANDOM, SELF, SETTINGS} from '../identifiers.js';
 import {LoadPoller} from '../load_poller.js';
 import {PeerRequests} from '../peer_requests.js';
-import {bind} from './bind.js';
+import {bind} from '../../container/index.js';
 
 /** Binds the parts. */
 export function bindPeers(container: Container): void {
--- a/src/daemon/container/bind_placement.ts
+++ b/src/daemon/container/bind_placement.ts
@@ -5,7 +5,7 @@
 import {Placer} from '../../placement/index.js';
 import {ServerDirectory} from '../../routing/index.js';
 import {CLOCK, LOG, SELF, TABLE} from '../identifiers.js';
-import {bind} from './bind.js';
+import {bind} from '../../container/index.js';
 import {createIsLeaving} from './create_is_leaving.js';
 
 const LEASE_MS = 6000;
--- /dev/null
+++ b/src/relay_host/bind_duties.ts
@@ -0,0 +1,123 @@
+import {Container} from 'inversify';
+import {Buyer, ServiceWork} from '../buying/index.js';
+import {CatalogStore} from '../catalog/index.js';
+import {bind} from '../container/index.js';
+import {Fleet} from '../fleet/index.js';
+import {Duty, Lease} from '../lease/index.js';
+import {HostReports, PeerWords} from '../peering/index.js';
+import {
+  HostUsage,
+  TrueTime,
+  UsageLedger,
+  UsageReporter,
+} from '../usage/index.js';
+import {createOrigin} from './create_origin.js';
+import {
+  CLOCK,
+  GET_SETTINGS,
+  LOG,
+  ORDER_SERVERS,
+  SELF,
+  SEND_USAGE,
+  TABLE,
+} from './identifiers.js';
+
+/** Pause between looks at a lease that another host holds, as a share of it. */
+const WATCH_SHARE = 0.7;
+/** Renewals per duration of a lease. */
+const RENEWALS = 3;
+
+/** Binds what one host at a time does for all: reports usage, orders servers. */
+export function bindDuties(container: Container): void {
+  bindLease(container);
+  bindUsage(container);
+  bindBuying(container);
+}
+
+function bindLease(container: Container): void {
+  bind(container, Duty, context => {
+    const {leaseMs} = context.get(GET_SETTINGS)();
+    const {host} = context.get(SELF);
+    return new Duty({
+      lease: new Lease({
+        table: context.get(TABLE),
+        clock: context.get(CLOCK),
+        role: 'duties',
+        holder: createOrigin(context),
+        isOwnMachine: holder => holder.startsWith(`${host}/`),
+        durationMs: leaseMs,
+        marginMs: leaseMs / RENEWALS,
+      }),
+      clock: context.get(CLOCK),
+      log: context.get(LOG),
+      renewMs: leaseMs / RENEWALS,
+      watchMs: leaseMs * WATCH_SHARE,
+      marginMs: leaseMs / RENEWALS,
+      quietMs: leaseMs,
+    });
+  });
+}
+
+function bindUsage(container: Container): void {
+  bind(
+    container,
+    TrueTime,
+    context => new TrueTime(context.get(CLOCK), context.get(SELF).host),
+  );
+  bind(container, HostUsage, () => new HostUsage());
+  bind(container, UsageLedger, context => {
+    const trueTime = context.get(TrueTime);
+    const {usageWindowMs} = context.get(GET_SETTINGS)();
+    return new UsageLedger(usageWindowMs, () => trueTime.getMs());
+  });
+  bind(container, UsageReporter, context => {
+    const trueTime = context.get(TrueTime);
+    const {usageWindowMs, usageLateMs} = context.get(GET_SETTINGS)();
+    return new UsageReporter({
+      clock: context.get(CLOCK),
+      log: context.get(LOG),
+      table: context.get(TABLE),
+      duty: context.get(Duty),
+      hearsHolder: () => context.get(HostReports).hearsHolder(),
+      hearsAll: () => context.get(HostReports).hearsAll(),
+      gather: window => container.get(PeerWords).gatherUsage(window),
+      ledger: context.get(UsageLedger),
+      hostUsage: context.get(HostUsage),
+      origin: createOrigin(context),
+      getTrueMs: () => trueTime.getMs(),
+      windowMs: usageWindowMs,
+      lateMs: usageLateMs,
+      send: context.get(SEND_USAGE),
+    });
+  });
+}
+
+function bindBuying(container: Container): void {
+  bind(container, Buyer, context => {
+    const fleet = context.get(Fleet);
+    const reports = context.get(HostReports);
+    return new Buyer({
+      clock: context.get(CLOCK),
+      log: context.get(LOG),
+      duty: context.get(Duty),
+      catalog: context.get(CatalogStore),
+      fleet,
+      getWork: service => getWork(service, fleet, reports),
+      order: context.get(ORDER_SERVERS),
+    });
+  });
+}
+
+function getWork(
+  service: string,
+  fleet: Fleet,
+  reports: HostReports,
+): ServiceWork {
+  let running = 0;
+  for (const load of [...fleet.listOwnLoads(), ...reports.listLoads()]) {
+    running += fleet.get(load.server)?.service === service ? load.running : 0;
+  }
+  const own = fleet.listPrefill().find(work => work.customer === service);
+  const prefillPerSecond = (own?.perSecond ?? 0) + reports.sumPrefill(service);
+  return {prefillPerSecond, running};
+}
--- /dev/null
+++ b/src/relay_host/bind_knowledge.ts
@@ -0,0 +1,66 @@
+import {Container} from 'inversify';
+import {CatalogStore} from '../catalog/index.js';
+import {bind} from '../container/index.js';
+import {Fleet} from '../fleet/index.js';
+import {Metrics} from '../metrics/index.js';
+import {HostReports} from '../peering/index.js';
+import {Quota} from '../quota/index.js';
+import {SharedRetryBudget} from '../routing/index.js';
+import {HostState} from './host_state.js';
+import {CLOCK, GET_SETTINGS, LOG, SELF} from './identifiers.js';
+
+/** Age at which a peer's loads count no longer, in milliseconds. */
+const STALE_MS = 2000;
+/** Silence after which a host is taken to be gone for good, in milliseconds. */
+const GONE_MS = 30_000;
+
+/** Binds what a host knows: configuration, servers, other hosts, shares. */
+export function bindKnowledge(container: Container): void {
+  bind(container, Metrics, () => new Metrics());
+  bind(container, HostState, () => new HostState());
+  bind(container, CatalogStore, context => new CatalogStore(context.get(LOG)));
+  bind(
+    container,
+    HostReports,
+    context =>
+      new HostReports({
+        clock: context.get(CLOCK),
+        log: context.get(LOG),
+        self: context.get(SELF),
+        staleMs: STALE_MS,
+        goneMs: GONE_MS,
+      }),
+  );
+  bind(container, Fleet, context => {
+    const reports = context.get(HostReports);
+    return new Fleet({
+      clock: context.get(CLOCK),
+      log: context.get(LOG),
+      dataCentre: context.get(SELF).dataCentre,
+      listPeerLoads: () => reports.listLoads(),
+    });
+  });
+  bind(container, Quota, context => {
+    const reports = context.get(HostReports);
+    return new Quota({
+      clock: context.get(CLOCK),
+      listPeerDemands: () => reports.listDemands(),
+      countHosts: () => reports.countHosts(),
+      hearsAll: () => reports.hearsAll(),
+      getBound: () => context.get(GET_SETTINGS)().quota,
+    });
+  });
+  bind(container, SharedRetryBudget, context => {
+    const reports = context.get(HostReports);
+    const getSettings = context.get(GET_SETTINGS);
+    return new SharedRetryBudget(context.get(CLOCK), () => {
+      const {retryRatio, retryWindowMs, retrySlack} = getSettings();
+      return {
+        ratio: retryRatio,
+        windowMs: retryWindowMs,
+        slack: retrySlack,
+        hosts: reports.countHosts(),
+      };
+    });
+  });
+}
--- a/src/relay_host/relay_host.ts
+++ b/src/relay_host/relay_host.ts
@@ -88,15 +88,27 @@
   }
 
   private startTasks(): void {
-    const {peers, duty, reporter, buyer, tasks} = this.options;
+    const {peers, tasks} = this.options;
     const {signal} = this.stopped;
     for (const task of tasks) {
       void task(signal);
     }
     void peers.run(signal);
-    void duty.run(this.duties.signal);
-    void reporter.run(this.duties.signal);
-    void buyer.run(this.duties.signal);
+    this.startDuties();
+  }
+
+  private startDuties(): void {
+    const {settings, duty, reporter, buyer} = this.options;
+    const {signal} = this.duties;
+    if (settings.reportsUsage || settings.ordersServers) {
+      void duty.run(signal);
+    }
+    if (settings.reportsUsage) {
+      void reporter.run(signal);
+    }
+    if (settings.ordersServers) {
+      void buyer.run(signal);
+    }
   }
 
   private async leave(): Promise<void> {
@@ -107,14 +119,14 @@
     peers.hurry();
     entrance.startClosing();
     this.duties.abort();
-    void this.options.reporter.flush();
+    void this.flushUsage();
     await clock.sleep(Math.min(TURN_AWAY_MS, settings.graceMs / 2));
     entrance.stopListening();
     const lastMs = startMs + settings.graceMs - END_MS;
     while (entrance.countBusy() > 0 && clock.monotonicMs() < lastMs) {
       await clock.sleep(POLL_MS);
     }
-    await this.options.reporter.flush();
+    await this.flushUsage();
     await clock.sleep(LINGER_MS);
     log.info('stopped', {cut: entrance.countBusy()});
     this.stopped.abort();
@@ -123,6 +135,13 @@
     this.options.metrics.stop();
     peers.stop();
   }
+
+  private async flushUsage(): Promise<void> {
+    const {settings, reporter} = this.options;
+    if (settings.reportsUsage) {
+      await reporter.flush();
+    }
+  }
 }
 
 function split(address: string): [host: string, port: number] {
--- a/src/relay_host/relay_host_settings.ts
+++ b/src/relay_host/relay_host_settings.ts
@@ -24,6 +24,10 @@
   /** How long a duty is held without renewal, in milliseconds. */
   readonly leaseMs: number;
   readonly quota: QuotaBound;
+  /** Whether usage is to be reported. */
+  readonly reportsUsage: boolean;
+  /** Whether servers are to be ordered. */
+  readonly ordersServers: boolean;
   readonly usageWindowMs: number;
   readonly usageLateMs: number;
 }
--- a/test/platform/settings_test.ts
+++ b/test/platform/settings_test.ts
@@ -27,6 +27,20 @@
     expect(settings.cloudAddress).to.equal(undefined);
   });
 
+  it('does only the duties that the cloud expects', () => {
+    const cloud = '[cloud]\naddress = "10.200.0.35:8225"\nduties = ["usage"]';
+    const none = parsePlatformSettings(GOOD).unwrapOr(undefined);
+    const some = parsePlatformSettings(`${GOOD}${cloud}`).unwrapOr(undefined);
+    expect([none?.reportsUsage, none?.ordersServers]).to.deep.equal([
+      false,
+      false,
+    ]);
+    expect([some?.reportsUsage, some?.ordersServers]).to.deep.equal([
+      true,
+      false,
+    ]);
+  });
+
   const bad: Record<string, [string, string]> = {
     'a field that is missing': [GOOD.replace(/node = .*/, ''), 'node'],
     'an address without a port': [
