--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -74,6 +74,7 @@
   private readonly silence: Silence;
   private readonly flight: FleetFlight;
   private readonly sentMs: number;
+  private hasBegun = false;
 
   constructor(
     private readonly options: RelayOptions,
@@ -162,7 +163,12 @@
     });
   }
 
+  /** Notes that the server answers, the first time it is called. */
   private noteFirstByte(): void {
+    if (this.hasBegun) {
+      return;
+    }
+    this.hasBegun = true;
     const tookMs = this.options.clock.monotonicMs() - this.sentMs;
     this.flight.addFirstByte(tookMs);
     this.context.record.addFirstByte(tookMs);
--- a/test/relay/relay_test.ts
+++ b/test/relay/relay_test.ts
@@ -48,6 +48,24 @@
 }
 
 describe('Relay', () => {
+  describe('a stream', () => {
+    it('tells of its server’s delay by its first event, not by later ones', async () => {
+      const slow = createAnswer(
+        200,
+        (async function* () {
+          for (const event of formatEvents(1, 5)) {
+            yield event;
+            await new Promise(resolve => setTimeout(resolve, 40));
+          }
+        })(),
+      );
+      const fixture = new RelayFixture(async () => slow);
+      await fixture.serve({streaming: true});
+      const known = fixture.fleet.listKnowledge('desk', []);
+      expect(known.map(({excessMs}) => excessMs)).to.deep.equal([0, 0, 0]);
+    });
+  });
+
   describe('a stream that may be resumed', () => {
     it('begins anew elsewhere when a server fails before its first event', async () => {
       const stream: Exchange = async () =>
