Tell peers lists of hosts and ended windows once; an emulator of what is served

Change: the list is told until the peer acknowledges its number, and every 10 s; windows that have ended once a connection; parts for 0.6 s, from 128 tokens. Hosts of the release before are understood both ways (tests).

--- a/src/bin/measure.ts
+++ b/src/bin/measure.ts
@@ -11,6 +11,7 @@
   listExperiments,
   measureBuying,
   measureRecording,
+  measureReuse,
   PolicyResult,
   runExperiment,
 } from '../measure/index.js';
@@ -24,6 +25,9 @@
 
 const QUICK_MS = 6000;
 const FULL_MS = 9000;
+/** Runs on emulated servers last longer: subjects return within seconds. */
+const QUICK_REUSE_MS = 20_000;
+const FULL_REUSE_MS = 64_000;
 
 const cli = cac('measure');
 cli
@@ -50,6 +54,12 @@
     }
     all.push(...results);
   }
+  if ('reuse'.startsWith(options.only ?? '')) {
+    const lastsMs = quick ? QUICK_REUSE_MS : FULL_REUSE_MS;
+    for (const line of await measureReuse(lastsMs, seeds)) {
+      print(formatLine(line));
+    }
+  }
   if (options.only === undefined) {
     for (const line of [...measureBuying(), ...(await measureRecording())]) {
       print(formatLine(line));
--- a/src/fleet/part_news.ts
+++ b/src/fleet/part_news.ts
@@ -13,12 +13,9 @@
 }
 
 /** Parts shorter than this are not worth telling, in tokens. */
-const MIN_TOKENS = 64;
-/**
- * Time for which a part is told, in milliseconds: two heartbeats and a half, so
- * that one that is lost does no harm.
- */
-const TOLD_MS = 1000;
+const MIN_TOKENS = 128;
+/** Time for which a part is told, in milliseconds: one heartbeat, and a late one. */
+const TOLD_MS = 600;
 /** Most parts that are told at once; the latest come first. */
 const MAX_TOLD = 64;
 
--- /dev/null
+++ b/src/measure/measure_reuse.ts
@@ -0,0 +1,266 @@
+import {
+  Fleet,
+  FleetState,
+  FlightEnd,
+  HostLoad,
+  PromptPart,
+  SentPart,
+} from '../fleet/index.js';
+import {LogMembers, SilentLog} from '../log/index.js';
+import {SeededRandom} from '../random/index.js';
+import {chooseServer} from '../routing/index.js';
+import {VirtualClock} from '../time/index.js';
+import {EmulatedServer, SERVER_TRAITS} from './emulated_server.js';
+import {DrawnPrompt, PromptWorkload} from './prompt_workload.js';
+
+/** What hosts do so that shared parts are computed once. */
+interface ReusePolicy {
+  readonly name: string;
+  /** Whether a request waits where that saves prefill. */
+  readonly usesSlack: boolean;
+  /** Whether hosts tell each other the parts they sent. */
+  readonly tellsParts: boolean;
+  /** Whether what a peer told of its prompts ages. */
+  readonly agesLoads: boolean;
+}
+
+const POLICIES: readonly ReusePolicy[] = [
+  {name: 'sedgefall', usesSlack: true, tellsParts: true, agesLoads: true},
+  {name: 'no-slack', usesSlack: false, tellsParts: true, agesLoads: true},
+  {name: 'parts-untold', usesSlack: true, tellsParts: false, agesLoads: true},
+  {name: 'loads-unaged', usesSlack: true, tellsParts: true, agesLoads: false},
+  {name: 'none', usesSlack: false, tellsParts: false, agesLoads: false},
+];
+
+const SERVICE = 'desk';
+const HOSTS = 7;
+const SERVERS = 12;
+const HEARTBEAT_MS = 400;
+/** As `RelayRun` uses of a route's target. */
+const SLACK_SHARE = 0.4;
+const MS_PER_SECOND = 1000;
+
+/** One run: what callers and servers saw. */
+interface ReuseFigures {
+  requests: number;
+  inTime: number;
+  /** Tokens of shared parts computed though some server had computed them. */
+  againTokens: number;
+  computedTokens: number;
+  readonly firstTokenMs: number[];
+}
+
+/** An entry host of a run, with what its peers last heard of it. */
+interface ReuseHost {
+  readonly fleet: Fleet;
+  told: readonly HostLoad[];
+  toldMs: number;
+}
+
+/**
+ * Measures how often shared parts of prompts are computed, by policy, on emulated
+ * servers; seeds are paired.
+ * @param durationMs - Length of a run, in virtual milliseconds.
+ * @param seeds - Seeds of the runs.
+ */
+export async function measureReuse(
+  durationMs: number,
+  seeds: readonly number[],
+): Promise<LogMembers[]> {
+  const lines: LogMembers[] = [];
+  for (const factor of [1, 2]) {
+    for (const policy of POLICIES) {
+      const runs: ReuseFigures[] = [];
+      for (const seed of seeds) {
+        runs.push(await new ReuseWorld(policy, seed, factor).run(durationMs));
+      }
+      lines.push(formatRuns(policy, factor, runs));
+    }
+  }
+  return lines;
+}
+
+function formatRuns(
+  policy: ReusePolicy,
+  factor: number,
+  runs: readonly ReuseFigures[],
+): LogMembers {
+  const sum = (pick: (figures: ReuseFigures) => number) =>
+    runs.reduce((all, figures) => all + pick(figures), 0);
+  const waits = runs.flatMap(figures => figures.firstTokenMs);
+  waits.sort((a, b) => a - b);
+  const percentile = (share: number) =>
+    Math.round(waits[Math.floor(waits.length * share)] ?? 0);
+  const requests = sum(figures => figures.requests);
+  return {
+    experiment: 'reuse',
+    load: factor,
+    policy: policy.name,
+    seeds: runs.length,
+    requests,
+    in_time: (sum(figures => figures.inTime) / requests).toFixed(3),
+    shared_again: sum(figures => figures.againTokens),
+    computed: sum(figures => figures.computedTokens),
+    first_token_p50_ms: percentile(0.5),
+    first_token_p95_ms: percentile(0.95),
+  };
+}
+
+/** Entry hosts with the relay's own knowledge and choice, and emulated servers. */
+class ReuseWorld {
+  private readonly clock = new VirtualClock();
+  private readonly random: SeededRandom;
+  private readonly workload: PromptWorkload;
+  private readonly servers = new Map<string, EmulatedServer>();
+  private readonly hosts: ReuseHost[] = [];
+  /** Shared parts that some server has computed. */
+  private readonly computed = new Set<string>();
+  private readonly figures: ReuseFigures = {
+    requests: 0,
+    inTime: 0,
+    againTokens: 0,
+    computedTokens: 0,
+    firstTokenMs: [],
+  };
+
+  constructor(
+    private readonly policy: ReusePolicy,
+    seed: number,
+    factor: number,
+  ) {
+    this.random = new SeededRandom(seed);
+    this.workload = new PromptWorkload(new SeededRandom(seed + 1), factor);
+    for (let index = 0; index < SERVERS; index++) {
+      const id = `server-${index}`;
+      this.servers.set(id, new EmulatedServer(id, this.clock));
+    }
+    for (let index = 0; index < HOSTS; index++) {
+      this.hosts.push(this.createHost());
+    }
+  }
+
+  async run(durationMs: number): Promise<ReuseFigures> {
+    const stop = new AbortController();
+    for (const host of this.hosts) {
+      void this.tell(host, stop.signal);
+    }
+    void this.sendAll(durationMs);
+    await this.clock.advance(durationMs);
+    stop.abort();
+    return this.figures;
+  }
+
+  private async sendAll(durationMs: number): Promise<void> {
+    const rate = this.workload.getRatePerSecond();
+    while (this.clock.monotonicMs() < durationMs) {
+      // Exponential gaps: arrivals of many independent callers.
+      const gap = -Math.log(1 - this.random.next());
+      await this.clock.sleep((gap * MS_PER_SECOND) / rate);
+      const host = this.hosts[Math.floor(this.random.next() * HOSTS)];
+      if (host !== undefined) {
+        void this.send(host, this.workload.draw());
+      }
+    }
+  }
+
+  private async send(host: ReuseHost, prompt: DrawnPrompt): Promise<void> {
+    const {kind, parts} = prompt;
+    const decision = chooseServer(
+      {
+        promptTokens: parts.reduce((sum, part) => sum + part.tokens, 0),
+        expectedTokens: kind.answerTokens,
+        excluded: new Set(),
+        ...(this.policy.usesSlack
+          ? {slackMs: kind.targetMs * SLACK_SHARE}
+          : {}),
+      },
+      host.fleet.listKnowledge(SERVICE, parts),
+      this.random,
+    );
+    const server = this.servers.get(decision.chosen?.server ?? '');
+    if (server === undefined) {
+      return;
+    }
+    const startMs = this.clock.monotonicMs();
+    const flight = host.fleet.startFlight(
+      server.id,
+      parts,
+      decision.chosen?.firstTokenMs ?? 0,
+    );
+    const run = await server.prefill(parts);
+    const tookMs = this.clock.monotonicMs() - startMs;
+    flight.addFirstByte(tookMs);
+    this.figures.requests++;
+    this.figures.inTime += tookMs <= kind.targetMs ? 1 : 0;
+    this.figures.againTokens += this.countAgain(run.sharedParts);
+    this.figures.computedTokens += run.computedTokens;
+    this.figures.firstTokenMs.push(tookMs);
+    await server.decode(kind.answerTokens);
+    flight.finish(FlightEnd.SUCCEEDED);
+  }
+
+  private countAgain(parts: readonly PromptPart[]): number {
+    let tokens = 0;
+    for (const part of parts) {
+      tokens += this.computed.has(part.id) ? part.tokens : 0;
+      this.computed.add(part.id);
+    }
+    return tokens;
+  }
+
+  /** Tells the other hosts once a heartbeat, each at its own moment. */
+  private async tell(host: ReuseHost, signal: AbortSignal): Promise<void> {
+    await this.clock.sleep(this.random.next() * HEARTBEAT_MS, signal);
+    while (!signal.aborted) {
+      host.told = host.fleet.listOwnLoads();
+      host.toldMs = this.clock.monotonicMs();
+      const sent: SentPart[] = host.fleet.listSentParts();
+      for (const other of this.hosts) {
+        if (other !== host && this.policy.tellsParts) {
+          other.fleet.addPeerParts(sent);
+        }
+      }
+      await this.clock.sleep(HEARTBEAT_MS, signal);
+    }
+  }
+
+  private createHost(): ReuseHost {
+    const host: ReuseHost = {
+      fleet: new Fleet({
+        clock: this.clock,
+        log: new SilentLog(),
+        dataCentre: 'here',
+        listPeerLoads: () => this.listPeerLoads(host),
+      }),
+      told: [],
+      toldMs: 0,
+    };
+    for (const id of this.servers.keys()) {
+      host.fleet.set(
+        {
+          id,
+          service: SERVICE,
+          address: id,
+          dataCentre: 'here',
+          slots: SERVER_TRAITS.slots,
+          state: FleetState.READY,
+          reclaimable: false,
+        },
+        'measure',
+      );
+    }
+    return host;
+  }
+
+  private listPeerLoads(host: ReuseHost): HostLoad[] {
+    const nowMs = this.clock.monotonicMs();
+    return this.hosts
+      .filter(other => other !== host)
+      .flatMap(({told, toldMs}) =>
+        told.map(load => ({
+          ...load,
+          ageMs: this.policy.agesLoads ? nowMs - toldMs : 0,
+        })),
+      );
+  }
+}
--- /dev/null
+++ b/src/measure/prompt_workload.ts
@@ -0,0 +1,130 @@
+import {PromptPart} from '../fleet/index.js';
+import {Random} from '../random/index.js';
+
+/** One kind of prompt that users send, as their sheets describe it. */
+export interface PromptKind {
+  readonly name: string;
+  readonly perSecond: number;
+  /** Time to the first token within which an answer is in time, in ms. */
+  readonly targetMs: number;
+  /** Different first parts, such as instructions, and their tokens. */
+  readonly openings: number;
+  readonly openingTokens: number;
+  /** Different subjects that requests share, and their mean tokens. */
+  readonly subjects: number;
+  readonly subjectTokens: number;
+  /** Mean tokens of what is a request's own. */
+  readonly ownTokens: number;
+  readonly answerTokens: number;
+}
+
+/** A prompt as it is sent. */
+export interface DrawnPrompt {
+  readonly kind: PromptKind;
+  readonly parts: readonly PromptPart[];
+}
+
+/**
+ * The three kinds of both deployments: rates, targets, shared and own tokens from
+ * the users' sheets at seven tenths of their traffic; numbers of openings and
+ * subjects as one calm day of 64 s showed them.
+ */
+export const PROMPT_KINDS: readonly PromptKind[] = [
+  {
+    name: 'dossier',
+    perSecond: 12.3,
+    targetMs: 800,
+    openings: 1,
+    openingTokens: 528,
+    subjects: 224,
+    subjectTokens: 4616,
+    ownTokens: 5900,
+    answerTokens: 384,
+  },
+  {
+    name: 'blurb',
+    perSecond: 25.9,
+    targetMs: 300,
+    openings: 8,
+    openingTokens: 114,
+    subjects: 236,
+    subjectTokens: 79,
+    ownTokens: 640,
+    answerTokens: 294,
+  },
+  {
+    name: 'check',
+    perSecond: 20.7,
+    targetMs: 400,
+    openings: 31,
+    openingTokens: 383,
+    subjects: 187,
+    subjectTokens: 206,
+    ownTokens: 1610,
+    answerTokens: 24,
+  },
+];
+
+/** Shortest and longest prompt against the mean of its kind. */
+const MIN_SIZE = 0.3;
+const MAX_SIZE = 3;
+
+/** Draws prompts, repeatably. */
+export class PromptWorkload {
+  private drawn = 0;
+
+  constructor(
+    private readonly random: Random,
+    /** Times the sheets' rate. */
+    private readonly factor: number,
+  ) {}
+
+  /** Returns all requests a second. */
+  getRatePerSecond(): number {
+    const sum = PROMPT_KINDS.reduce((all, kind) => all + kind.perSecond, 0);
+    return sum * this.factor;
+  }
+
+  /** Draws the next prompt. */
+  draw(): DrawnPrompt {
+    const kind = this.drawKind();
+    const opening = this.drawRank(kind.openings);
+    const subject = this.drawRank(kind.subjects);
+    // A subject has one size, whoever asks for it.
+    const size = MIN_SIZE + (subject % 10) * ((2 * (1 - MIN_SIZE)) / 9);
+    const {name} = kind;
+    return {
+      kind,
+      parts: [
+        {id: `${name}/${opening}`, tokens: kind.openingTokens},
+        {
+          id: `${name}/${opening}/${subject}`,
+          tokens: Math.round(kind.subjectTokens * size),
+        },
+        {id: `own-${this.drawn++}`, tokens: this.drawSize(kind.ownTokens)},
+      ],
+    };
+  }
+
+  private drawKind(): PromptKind {
+    const all = PROMPT_KINDS.reduce((sum, kind) => sum + kind.perSecond, 0);
+    let left = this.random.next() * all;
+    for (const kind of PROMPT_KINDS) {
+      left -= kind.perSecond;
+      if (left <= 0) {
+        return kind;
+      }
+    }
+    return PROMPT_KINDS[0] as PromptKind;
+  }
+
+  /** Draws one of several, the first ones more often (a power law). */
+  private drawRank(count: number): number {
+    return Math.floor(count ** this.random.next()) - 1;
+  }
+
+  private drawSize(mean: number): number {
+    const size = -Math.log(1 - this.random.next());
+    return Math.round(mean * Math.min(MAX_SIZE, Math.max(MIN_SIZE, size)));
+  }
+}
--- a/src/peering/host_report.ts
+++ b/src/peering/host_report.ts
@@ -15,8 +15,13 @@
 /** What a host tells its peers with each heartbeat. */
 export const hostReportSchema = z.object({
   address: name,
-  /** Hosts it knows, so that word of new ones spreads. */
+  /**
+   * Hosts it knows, so that word of new ones spreads; empty while the peer has
+   * acknowledged the list.
+   */
   hosts: z.array(hostAddressSchema).max(MAX_LISTED),
+  /** Number of that list; left out by hosts of the release before. */
+  hostsVersion: count.default(0),
   /** Per replica, the highest version at which it has news. */
   news: z.record(name, count),
   /** Server, requests in flight there, prompt tokens not yet computed. */
@@ -45,5 +50,8 @@
   stopping: z.boolean(),
 });
 
+/** Reply to a heartbeat; hosts of the release before send an empty one. */
+export const heartbeatReplySchema = z.object({hostsVersion: count.optional()});
+
 export type HostAddress = z.output<typeof hostAddressSchema>;
 export type HostReport = z.output<typeof hostReportSchema>;
--- a/src/peering/peer_words.ts
+++ b/src/peering/peer_words.ts
@@ -4,13 +4,22 @@
 import {PeerIdentity, Peers} from '../peer/index.js';
 import {Quota} from '../quota/index.js';
 import {RowReplica, versionedRowSchema} from '../replica/index.js';
+import {Clock} from '../time/index.js';
 import {HostUsage, TrueTime, UsageLedger} from '../usage/index.js';
-import {HostAddress, HostReport, hostReportSchema} from './host_report.js';
+import {
+  heartbeatReplySchema,
+  HostAddress,
+  HostReport,
+  hostReportSchema,
+} from './host_report.js';
 import {HostReports} from './host_reports.js';
+import {ToldHosts} from './told_hosts.js';
 
 const MAX_ROWS = 10_000;
 const PULL_MS = 1000;
 const GATHER_MS = 500;
+/** Windows that may still change: the one that runs, and the one before it. */
+const OPEN_WINDOWS = 2;
 
 /** What hosts ask each other. */
 const messageSchema = z.discriminatedUnion('kind', [
@@ -39,6 +48,7 @@
   readonly self: HostAddress;
   /** Differs for every start of the process. */
   readonly incarnation: string;
+  readonly clock: Clock;
   readonly log: Log;
   readonly reports: HostReports;
   readonly fleet: Fleet;
@@ -56,16 +66,28 @@
 /** What entry hosts tell each other, and what they do with it. */
 export class PeerWords {
   private readonly pulling = new Set<string>();
+  private readonly toldHosts: ToldHosts;
 
-  constructor(private readonly options: PeerWordsOptions) {}
+  constructor(private readonly options: PeerWordsOptions) {
+    this.toldHosts = new ToldHosts(options.clock);
+  }
 
-  /** Makes a heartbeat as it is now. */
-  createHeartbeat(): z.input<typeof messageSchema> {
-    const {self, reports, fleet, quota, ledger, trueTime} = this.options;
+  /**
+   * Makes a heartbeat as it is now.
+   * @param acknowledged - The peer's last reply on this connection; `undefined`
+   *   at first.
+   */
+  createHeartbeat(acknowledged: unknown): z.input<typeof messageSchema> {
+    const {self, reports, fleet, quota, trueTime} = this.options;
     const offset = trueTime.readOwnOffset();
+    const hosts = reports.listAddresses();
+    const hostsVersion = this.toldHosts.getVersion(hosts);
+    const reply = heartbeatReplySchema.safeParse(acknowledged);
+    const isKnown = reply.data?.hostsVersion === hostsVersion;
     const report: HostReport = {
       address: self.address,
-      hosts: reports.listAddresses(),
+      hosts: isKnown ? [] : hosts,
+      hostsVersion,
       news: this.listNews(),
       loads: fleet
         .listOwnLoads()
@@ -83,7 +105,7 @@
         .listSpending()
         .map(({customer, units}) => [customer, units]),
       holdsDuties: this.options.holdsDuties(),
-      usage: ledger.list().map(usage => [usage.window, {...usage.counts}]),
+      usage: this.listWindows(acknowledged === undefined),
       stopping: this.options.isStopping(),
       ...(offset === undefined ? {} : {timeOffsetMs: offset}),
     };
@@ -99,7 +121,7 @@
     const message = messageSchema.parse(request);
     if (message.kind === 'heartbeat') {
       this.receive(message.report, from);
-      return {};
+      return {hostsVersion: message.report.hostsVersion};
     }
     if (message.kind === 'usage') {
       return this.listUsage(message.window);
@@ -171,6 +193,15 @@
     }
   }
 
+  /** Windows that have ended change no more: peers have heard of older ones. */
+  private listWindows(all: boolean): HostReport['usage'] {
+    const windows = this.options.ledger.list();
+    const newest = Math.max(...windows.map(({window}) => window));
+    return windows
+      .filter(({window}) => all || window > newest - OPEN_WINDOWS)
+      .map(({window, counts}) => [window, {...counts}]);
+  }
+
   private listNews(): Record<string, number> {
     const news: Record<string, number> = {};
     for (const [name, replica] of this.options.replicas) {
--- a/src/relay_host/bind_peering.ts
+++ b/src/relay_host/bind_peering.ts
@@ -34,6 +34,7 @@
     return new PeerWords({
       self: context.get(SELF),
       incarnation: context.get(INCARNATION),
+      clock: context.get(CLOCK),
       log: context.get(LOG),
       reports: context.get(HostReports),
       fleet: context.get(Fleet),
@@ -73,6 +74,7 @@
     silenceMs: SILENCE_MS,
     seeds: seeds.filter(seed => seed !== self.address),
     listCandidates: () => reports.listAddresses(),
-    createHeartbeat: () => container.get(PeerWords).createHeartbeat(),
+    createHeartbeat: (_peer, acknowledged) =>
+      container.get(PeerWords).createHeartbeat(acknowledged),
   });
 }
--- /dev/null
+++ b/test/peering/peer_words_test.ts
@@ -0,0 +1,115 @@
+import {expect} from 'chai';
+import {Fleet} from '../../src/fleet/index.js';
+import {SilentLog} from '../../src/log/index.js';
+import {HostReports, PeerWords} from '../../src/peering/index.js';
+import {Quota} from '../../src/quota/index.js';
+import {VirtualClock} from '../../src/time/index.js';
+import {HostUsage, TrueTime, UsageLedger} from '../../src/usage/index.js';
+
+const WINDOW_MS = 5000;
+const self = {host: 'front-1', dataCentre: 'here', address: '10.0.0.1:1'};
+const peer = {host: 'front-2', dataCentre: 'here', address: '10.0.0.2:1'};
+const from = {host: 'front-2', dataCentre: 'here', incarnation: 'x'};
+
+describe('PeerWords', () => {
+  let clock: VirtualClock;
+  let reports: HostReports;
+  let ledger: UsageLedger;
+  let words: PeerWords;
+
+  beforeEach(() => {
+    clock = new VirtualClock();
+    const log = new SilentLog();
+    reports = new HostReports({
+      clock,
+      log,
+      self,
+      staleMs: 2000,
+      goneMs: 30_000,
+    });
+    ledger = new UsageLedger(WINDOW_MS, () => clock.monotonicMs());
+    words = new PeerWords({
+      self,
+      incarnation: 'a',
+      clock,
+      log,
+      reports,
+      fleet: new Fleet({
+        clock,
+        log,
+        dataCentre: 'here',
+        listPeerLoads: () => reports.listLoads(),
+      }),
+      quota: new Quota({
+        clock,
+        listPeerDemands: () => [],
+        countHosts: () => 1,
+        hearsAll: () => true,
+        getBound: () => ({windowMs: 8000, overage: 0, slack: 0}),
+      }),
+      ledger,
+      hostUsage: new HostUsage(),
+      trueTime: new TrueTime(clock, self.host),
+      replicas: new Map(),
+      isStopping: () => false,
+      holdsDuties: () => false,
+      requestPeer: () => {
+        throw new Error('nobody is asked here');
+      },
+    });
+    reports.addAddress(peer);
+  });
+
+  function getReport(acknowledged?: unknown) {
+    const message = words.createHeartbeat(acknowledged);
+    if (message.kind !== 'heartbeat') {
+      throw new Error('no heartbeat');
+    }
+    return message.report;
+  }
+
+  async function countInWindows(count: number): Promise<void> {
+    for (let window = 0; window < count; window++) {
+      ledger.add('guild', 0);
+      await clock.advance(WINDOW_MS);
+    }
+  }
+
+  it('tells a peer all at first, and then what may have changed', async () => {
+    await countInWindows(4);
+    const first = getReport();
+    expect(first.hosts).to.deep.equal([peer]);
+    expect(first.usage).to.have.length(4);
+    const reply = {hostsVersion: first.hostsVersion};
+    const later = getReport(reply);
+    expect(later.hosts).to.deep.equal([]);
+    expect(later.usage.map(([window]) => window)).to.deep.equal([2, 3]);
+  });
+
+  it('tells of hosts until the peer has acknowledged it', () => {
+    const reply = {hostsVersion: getReport().hostsVersion};
+    const other = {...peer, host: 'front-3', address: '10.0.0.3:1'};
+    reports.addAddress(other);
+    expect(getReport(reply).hosts).to.deep.equal([peer, other]);
+    expect(getReport(reply).hosts).to.deep.equal([peer, other]);
+  });
+
+  it('tells of hosts again after a while, and to a peer that acknowledges none', async () => {
+    const reply = {hostsVersion: getReport().hostsVersion};
+    expect(getReport({}).hosts).to.deep.equal([peer]);
+    await clock.advance(10_000);
+    expect(getReport(reply).hosts).to.deep.equal([peer]);
+  });
+
+  it('acknowledges the list of a peer by its number', async () => {
+    const report = getReport();
+    const reply = await words.handle({kind: 'heartbeat', report}, from);
+    expect(reply).to.deep.equal({hostsVersion: report.hostsVersion});
+  });
+
+  it('takes heartbeats of the release before', async () => {
+    const {hostsVersion: _version, parts: _parts, ...report} = getReport();
+    const reply = await words.handle({kind: 'heartbeat', report}, from);
+    expect(reply).to.deep.equal({hostsVersion: 0});
+  });
+});
