--- a/test/platform/front_property_test.ts
+++ b/test/platform/front_property_test.ts
@@ -1,34 +1,20 @@
 import {connect, Socket} from 'node:net';
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {Catalog, CatalogStore, Repeat} from '../../src/catalog/index.js';
+import {Catalog, CatalogStore} from '../../src/catalog/index.js';
 import {SilentLog} from '../../src/log/index.js';
 import {Metrics} from '../../src/metrics/index.js';
 import {RelayRequest} from '../../src/relay/index.js';
 import {SystemClock} from '../../src/time/index.js';
 import {Front} from '../../platform/front.js';
+import {createRoute} from '../relay/route_fixture.js';
 
 const SEED = 20261202;
 const RUNS = 60;
 
 const catalog: Catalog = {
   version: 1,
-  routes: [
-    {
-      name: 'r',
-      host: 'h',
-      prefix: '/a/',
-      repeat: Repeat.ONCE,
-      streaming: false,
-      timeoutMs: 5000,
-      targetMs: 300,
-      gapTargetMs: 300,
-      urgency: 0,
-      maxAttempts: 1,
-      isPublic: true,
-      split: [],
-    },
-  ],
+  routes: [createRoute({prefix: '/a/', timeoutMs: 5000})],
   services: new Map(),
   accounts: [],
   limits: {
--- a/test/platform/server_exchange_property_test.ts
+++ b/test/platform/server_exchange_property_test.ts
@@ -1,29 +1,16 @@
 import {Socket} from 'node:net';
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {Repeat, Route} from '../../src/catalog/index.js';
 import {FleetState} from '../../src/fleet/index.js';
 import {ExchangeKind} from '../../src/relay/index.js';
 import {ServerExchange} from '../../platform/server_exchange.js';
+import {createRoute} from '../relay/route_fixture.js';
 import {answerWith, Script, StandInServer} from './stand_in/stand_in_server.js';
 
 const SEED = 20261202;
 const RUNS = 150;
 
-const route: Route = {
-  name: 'r',
-  host: 'h',
-  prefix: '/',
-  repeat: Repeat.ONCE,
-  streaming: false,
-  timeoutMs: 1000,
-  targetMs: 300,
-  gapTargetMs: 300,
-  urgency: 0,
-  maxAttempts: 1,
-  isPublic: true,
-  split: [],
-};
+const route = createRoute();
 
 /** How the end of a body is told. */
 const Framing = {
--- a/test/platform/server_exchange_test.ts
+++ b/test/platform/server_exchange_test.ts
@@ -1,5 +1,4 @@
 import {expect} from 'chai';
-import {Repeat, Route} from '../../src/catalog/index.js';
 import {FleetState} from '../../src/fleet/index.js';
 import {
   ExchangeAnswer,
@@ -7,6 +6,7 @@
   ExchangeResult,
 } from '../../src/relay/index.js';
 import {ServerExchange} from '../../platform/server_exchange.js';
+import {createRoute} from '../relay/route_fixture.js';
 import {
   answerWith,
   formatHead,
@@ -14,20 +14,7 @@
   StandInServer,
 } from './stand_in/stand_in_server.js';
 
-const route: Route = {
-  name: 'r',
-  host: 'h',
-  prefix: '/',
-  repeat: Repeat.ONCE,
-  streaming: false,
-  timeoutMs: 1000,
-  targetMs: 300,
-  gapTargetMs: 300,
-  urgency: 0,
-  maxAttempts: 1,
-  isPublic: true,
-  split: [],
-};
+const route = createRoute();
 
 describe('ServerExchange', () => {
   let server: StandInServer;
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -1,5 +1,5 @@
 import {Result} from 'true-myth';
-import {Catalog, CatalogStore, Repeat, Route} from '../../src/catalog/index.js';
+import {Catalog, CatalogStore, Route} from '../../src/catalog/index.js';
 import {Problem} from '../../src/errors/index.js';
 import {Fleet, FleetServer, FleetState} from '../../src/fleet/index.js';
 import {SilentLog} from '../../src/log/index.js';
@@ -20,6 +20,7 @@
 import {SharedRetryBudget} from '../../src/routing/index.js';
 import {SystemClock} from '../../src/time/index.js';
 import {UsageLedger} from '../../src/usage/index.js';
+import {createRoute} from './route_fixture.js';
 
 /** An answer as its caller got it. */
 export class CollectedAnswer implements AnswerSink {
@@ -157,7 +158,10 @@
       path: '/x/',
       headers: [],
       body: Buffer.alloc(0),
-      route: createRoute(overrides),
+      route: createRoute({
+        split: [{service: SERVICE, weight: 1}],
+        ...overrides,
+      }),
       prompt: {parts: [], tokensIn: 0, tokensOut: 0},
       arrivedMs: nowMs,
       deadlineMs: nowMs + waitMs,
@@ -181,24 +185,6 @@
   };
 }
 
-function createRoute(overrides: Partial<Route>): Route {
-  return {
-    name: 'r',
-    host: 'h',
-    prefix: '/x/',
-    repeat: Repeat.ONCE,
-    streaming: false,
-    timeoutMs: 2000,
-    targetMs: 300,
-    gapTargetMs: 300,
-    urgency: 0,
-    maxAttempts: 2,
-    isPublic: true,
-    split: [{service: SERVICE, weight: 1}],
-    ...overrides,
-  };
-}
-
 function createCatalog(): Catalog {
   return {
     version: 1,
