--- a/src/attempts/attempts.ts
+++ b/src/attempts/attempts.ts
@@ -56,12 +56,16 @@
       return this.notRun <= this.rules.maxNotRun;
     }
     this.runs++;
-    return this.rules.repeat !== Repeat.ONCE && this.runs < this.rules.maxRuns;
+    return this.allowsAnotherAfter(this.runs);
   }
 
   /** Tells whether another server may be asked if the next one fails. */
   hasSpare(): boolean {
+    return this.allowsAnotherAfter(this.runs + 1);
+  }
+
+  private allowsAnotherAfter(runs: number): boolean {
     const {repeat, maxRuns} = this.rules;
-    return repeat !== Repeat.ONCE && this.runs + 1 < maxRuns;
+    return repeat !== Repeat.ONCE && runs < maxRuns;
   }
 }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -177,14 +177,13 @@
     const elsewhere = this.sumPeerLoads();
     const shared = parts.slice(0, -1);
     const home = this.getHome(shared, ready);
+    const isEngine = this.catalog?.services.get(service)?.engine !== undefined;
     const known: ServerKnowledge[] = [];
     for (const tracked of ready) {
       const {server} = tracked;
       const peers = elsewhere.get(server.id);
       const cached = tracked.memory.countCachedTokens(parts);
       const credit = server.id === home ? countTokens(shared) * HOME_CREDIT : 0;
-      const isEngine =
-        this.catalog?.services.get(service)?.engine !== undefined;
       known.push({
         server: server.id,
         dataCentre: server.dataCentre,
--- a/src/generation/generation_runner.ts
+++ b/src/generation/generation_runner.ts
@@ -25,12 +25,11 @@
   ScoredServer,
   ServerDirectory,
 } from '../routing/index.js';
-import {Clock} from '../time/index.js';
+import {Clock, SilenceWatch} from '../time/index.js';
 import {AnswerLengths} from './answer_lengths.js';
 import {Generation} from './generation.js';
 import {GenerationMeter} from './generation_meter.js';
 import {RunningGenerations} from './running_generations.js';
-import {SilenceWatch} from './silence_watch.js';
 
 /** What the runner works with. */
 export interface GenerationRunnerOptions {
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -11,7 +11,7 @@
 import {RelayOptions} from './relay_options.js';
 import {RelayRecord} from './relay_record.js';
 import {RelayRequest} from './relay_request.js';
-import {Silence} from './silence.js';
+import {SilenceWatch} from '../time/index.js';
 
 /** How an attempt ended. */
 export const AttemptEnd = {
@@ -75,7 +75,8 @@
 
 /** One sending of a request to one server, straight down. */
 export class RelayAttempt {
-  private readonly silence: Silence;
+  /** Absent where the request may not go on elsewhere. */
+  private readonly silence: SilenceWatch | undefined;
   private readonly flight: FleetFlight;
   private readonly sentMs: number;
   private hasBegun = false;
@@ -106,25 +107,28 @@
         ...(copy === undefined ? {} : {copy}),
         ...(lastEventId === undefined ? {} : {lastEventId}),
       },
-      AbortSignal.any([ended, this.silence.signal]),
+      this.silence === undefined
+        ? ended
+        : AbortSignal.any([ended, this.silence.getSignal()]),
     );
     const attempted =
       result.kind === ExchangeKind.ANSWERED
         ? await this.receive(result)
         : this.fail(result);
-    this.silence.stop();
+    this.silence?.stop();
     return attempted;
   }
 
   /** Gives a silent server up where the request may go on elsewhere. */
-  private watchSilence(): Silence {
+  private watchSilence(): SilenceWatch | undefined {
     const {streaming, timeoutMs} = this.context.request.route;
     if (!this.order.hasSpare) {
-      return new Silence(Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY);
+      return undefined;
     }
-    return streaming
-      ? new Silence(this.order.predictedMs + FIRST_SILENCE_MS, NEXT_SILENCE_MS)
-      : new Silence(timeoutMs * PLAIN_SILENCE_SHARE, timeoutMs);
+    const firstMs = streaming
+      ? this.order.predictedMs + FIRST_SILENCE_MS
+      : timeoutMs * PLAIN_SILENCE_SHARE;
+    return new SilenceWatch(this.options.clock, firstMs);
   }
 
   private async receive(answer: ExchangeAnswer): Promise<AttemptResult> {
@@ -151,11 +155,11 @@
   }
 
   private async relay(answer: ExchangeAnswer): Promise<void> {
-    const {streaming, repeat} = this.context.request.route;
+    const {streaming, repeat, timeoutMs} = this.context.request.route;
     if (streaming) {
       await this.context.answer.relayStream(answer, () => {
         this.noteFirstByte();
-        this.silence.hear();
+        this.silence?.touch(NEXT_SILENCE_MS);
         this.flight.addProgress();
       });
       return;
@@ -163,7 +167,7 @@
     this.noteFirstByte();
     const maxHeldBytes = repeat === Repeat.ANY ? MAX_HELD_BYTES : 0;
     await this.context.answer.relayBody(answer, maxHeldBytes, () => {
-      this.silence.hear();
+      this.silence?.touch(timeoutMs);
     });
   }
 
@@ -191,7 +195,8 @@
     if (this.context.ended.aborted || failure.full === true) {
       return FlightEnd.NEUTRAL;
     }
-    const isSilent = this.silence.isOver() || failure.unsent === true;
+    const isSilent =
+      this.silence?.getSignal().aborted === true || failure.unsent === true;
     return isSilent ? FlightEnd.SILENT : FlightEnd.FAILED;
   }
 }
--- a/src/time/index.ts
+++ b/src/time/index.ts
@@ -1,4 +1,5 @@
 /** Time: the clock interface, the machine's clock and a virtual one. */
 export type {Clock} from './clock.js';
+export {SilenceWatch} from './silence_watch.js';
 export {SystemClock} from './system_clock.js';
 export {VirtualClock} from './virtual_clock.js';
--- a/src/generation/silence_watch.ts
+++ b/src/time/silence_watch.ts
@@ -1,4 +1,7 @@
-import {Clock} from '../time/index.js';
+import {Clock} from './clock.js';
+
+/** Longest pause between looks, in milliseconds. */
+const MAX_WAIT_MS = 500;
 
 /**
  * Ends a stream that has been silent for too long. One timer per stream, not
@@ -58,5 +61,3 @@
     }
   }
 }
-
-const MAX_WAIT_MS = 500;
--- /dev/null
+++ b/test/platform/exchange_fixture.ts
@@ -0,0 +1,36 @@
+import {FleetState} from '../../src/fleet/index.js';
+import {ExchangeOrder} from '../../src/relay/index.js';
+import {createRoute} from '../relay/route_fixture.js';
+
+/** Makes the sending of a small request to a server that a test plays. */
+export function createOrder(
+  id: string,
+  address: string,
+  overrides: Partial<ExchangeOrder['request']> = {},
+): ExchangeOrder {
+  return {
+    request: {
+      id,
+      method: 'POST',
+      path: '/',
+      headers: [['Request-Id', id]],
+      body: Buffer.from('body'),
+      route: createRoute(),
+      prompt: {parts: [], tokensIn: 0, tokensOut: 0},
+      arrivedMs: 0,
+      deadlineMs: 1000,
+      ...overrides,
+    },
+    server: {
+      id: 'i-1',
+      service: 's',
+      address,
+      dataCentre: 'here',
+      slots: 1,
+      state: FleetState.READY,
+      reclaimable: false,
+    },
+    remainingMs: 987.6,
+    urgency: 0,
+  };
+}
--- a/test/platform/server_exchange_property_test.ts
+++ b/test/platform/server_exchange_property_test.ts
@@ -1,17 +1,14 @@
 import {Socket} from 'node:net';
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {FleetState} from '../../src/fleet/index.js';
 import {ExchangeKind} from '../../src/relay/index.js';
 import {ServerExchange} from '../../platform/server_exchange.js';
-import {createRoute} from '../relay/route_fixture.js';
+import {createOrder} from './exchange_fixture.js';
 import {answerWith, Script, StandInServer} from './stand_in/stand_in_server.js';
 
 const SEED = 20261202;
 const RUNS = 150;
 
-const route = createRoute();
-
 /** How the end of a body is told. */
 const Framing = {
   LENGTH: 'length',
@@ -88,33 +85,7 @@
   /** Sends one request; returns what a caller would be told. */
   async function send(id: string, ends = true): Promise<Outcome> {
     const silent = AbortSignal.timeout(ends ? PATIENT_MS : SILENT_MS);
-    const result = await exchange.send(
-      {
-        request: {
-          id,
-          method: 'POST',
-          path: '/',
-          headers: [['Request-Id', id]],
-          body: Buffer.from('body'),
-          route,
-          prompt: {parts: [], tokensIn: 0, tokensOut: 0},
-          arrivedMs: 0,
-          deadlineMs: 1000,
-        },
-        server: {
-          id: 'i-1',
-          service: 's',
-          address,
-          dataCentre: 'here',
-          slots: 1,
-          state: FleetState.READY,
-          reclaimable: false,
-        },
-        remainingMs: 1000,
-        urgency: 0,
-      },
-      silent,
-    );
+    const result = await exchange.send(createOrder(id, address), silent);
     if (result.kind !== ExchangeKind.ANSWERED) {
       return {kind: result.kind};
     }
--- a/test/platform/server_exchange_test.ts
+++ b/test/platform/server_exchange_test.ts
@@ -1,12 +1,11 @@
 import {expect} from 'chai';
-import {FleetState} from '../../src/fleet/index.js';
 import {
   ExchangeAnswer,
   ExchangeKind,
   ExchangeResult,
 } from '../../src/relay/index.js';
 import {ServerExchange} from '../../platform/server_exchange.js';
-import {createRoute} from '../relay/route_fixture.js';
+import {createOrder} from './exchange_fixture.js';
 import {
   answerWith,
   formatHead,
@@ -14,8 +13,6 @@
   StandInServer,
 } from './stand_in/stand_in_server.js';
 
-const route = createRoute();
-
 describe('ServerExchange', () => {
   let server: StandInServer;
   let address: string;
@@ -35,33 +32,13 @@
   ): Promise<ExchangeResult> {
     const id = overrides.id ?? `r${++sent}`;
     return exchange.send(
-      {
-        request: {
-          id,
-          method: 'POST',
-          path: '/a/b?c=d',
-          headers: [
-            ['Host', 'h'],
-            ['Request-Id', id],
-          ],
-          body: Buffer.from('body'),
-          route,
-          prompt: {parts: [], tokensIn: 0, tokensOut: 0},
-          arrivedMs: 0,
-          deadlineMs: 1000,
-        },
-        server: {
-          id: 'i-1',
-          service: 's',
-          address: overrides.address ?? address,
-          dataCentre: 'here',
-          slots: 1,
-          state: FleetState.READY,
-          reclaimable: false,
-        },
-        remainingMs: 987.6,
-        urgency: 0,
-      },
+      createOrder(id, overrides.address ?? address, {
+        path: '/a/b?c=d',
+        headers: [
+          ['Host', 'h'],
+          ['Request-Id', id],
+        ],
+      }),
       overrides.signal ?? new AbortController().signal,
     );
   }
--- a/test/trial/callers_test.ts
+++ b/test/trial/callers_test.ts
@@ -4,7 +4,7 @@
 import {getExpectedTokens} from '../../src/fakes/index.js';
 import {TrialSystem} from '../../src/trial/index.js';
 import {
-  applyRecords,
+  useSystem,
   CALLER_KEY,
   createCaller,
   engine,
@@ -27,11 +27,7 @@
     settings: {callers: ['max_body_bytes = 20000']},
   });
 
-  before(async () => {
-    await system.start();
-    await applyRecords(system);
-  });
-  after(() => system.stop());
+  useSystem(system);
 
   async function post(path: string, options: OptionsInit) {
     const response = await got.post(`${getHost(system, 0).callersUrl}${path}`, {
--- a/test/trial/crash_test.ts
+++ b/test/trial/crash_test.ts
@@ -2,7 +2,7 @@
 import {got} from 'got';
 import {CallResult, TrialSystem} from '../../src/trial/index.js';
 import {
-  applyRecords,
+  useSystem,
   createCaller,
   engine,
   eventually,
@@ -25,11 +25,7 @@
     ],
     settings: {journal: ['lease_ms = 1500', 'watch_ms = 300']},
   });
-  before(async () => {
-    await system.start();
-    await applyRecords(system);
-  });
-  after(() => system.stop());
+  useSystem(system);
 
   /** Books under a key through every host in turn until it is answered. */
   async function book(key: string): Promise<CallResult | undefined> {
--- a/test/trial/lifecycle_test.ts
+++ b/test/trial/lifecycle_test.ts
@@ -2,7 +2,7 @@
 import {got} from 'got';
 import {TrialSystem} from '../../src/trial/index.js';
 import {
-  applyRecords,
+  useSystem,
   createCaller,
   engine,
   eventually,
@@ -19,11 +19,7 @@
       ],
       servers: [engine('tac-model-1', 'tac-hall')],
     });
-    before(async () => {
-      await system.start();
-      await applyRecords(system);
-    });
-    after(() => system.stop());
+    useSystem(system);
 
     it('says that it is not ready, and serves once a peer tells it', async () => {
       await system.setPlatformFaults({table: 'down', hostList: 'down'});
@@ -57,11 +53,7 @@
       ],
       settings: {drain: ['notice_ms = 200', 'grace_ms = 15000']},
     });
-    before(async () => {
-      await system.start();
-      await applyRecords(system);
-    });
-    after(() => system.stop());
+    useSystem(system);
 
     it('cuts off neither streams nor bookings, and exits with 0', async () => {
       await eventually(async () => {
--- a/test/trial/rolling_restart_test.ts
+++ b/test/trial/rolling_restart_test.ts
@@ -3,7 +3,7 @@
 import {getExpectedTokens} from '../../src/fakes/index.js';
 import {StreamResult, TrialSystem} from '../../src/trial/index.js';
 import {
-  applyRecords,
+  useSystem,
   CALLER_KEY,
   createCaller,
   engine,
@@ -39,11 +39,7 @@
       ],
       settings: {drain: ['notice_ms = 400', 'grace_ms = 10000']},
     });
-    before(async () => {
-      await system.start();
-      await applyRecords(system);
-    });
-    after(() => system.stop());
+    useSystem(system);
 
     it('cuts off nothing, and runs every booking once', async () => {
       let restarting = true;
@@ -99,11 +95,7 @@
       servers: [engine('tac-model-1', 'tac-hall', 30)],
       settings: {drain: ['notice_ms = 100', 'grace_ms = 500']},
     });
-    before(async () => {
-      await system.start();
-      await applyRecords(system);
-    });
-    after(() => system.stop());
+    useSystem(system);
 
     it('goes on at a peer, and resumes there without a token missing or twice', async () => {
       const first = createCaller(system, 0);
--- a/test/trial/system_fixture.ts
+++ b/test/trial/system_fixture.ts
@@ -54,6 +54,15 @@
   });
 }
 
+/** Has a suite start a system with its records before, and stop it after. */
+export function useSystem(system: TrialSystem): void {
+  before(async () => {
+    await system.start();
+    await applyRecords(system);
+  });
+  after(() => system.stop());
+}
+
 /** Returns a host of a started system. */
 export function getHost(system: TrialSystem, index: number): RunningHost {
   const host = system.hosts[index];
