Keep a book received here against its former holder's late word

Cause: slot-01 was handed from tac-entry-2 to pdx-entry-1 under one fence. A heartbeat of tac-entry-2 from before the handover came after it, and under one fence the later word won: pdx-entry-1 held the book and sent each call for it to tac-entry-2, which answered 'moved' and then ended. The last of these asks was lost with the process, so the calls ended 504, outcome unknown.

Ruled out: the deadline (asked for 8 s without an end), the table (book_received and book_handed_over stand in the logs 0.2 s apart).

--- a/src/daemon/container/bind_journal.ts
+++ b/src/daemon/container/bind_journal.ts
@@ -23,7 +23,11 @@
 
 /** Binds the parts. */
 export function bindJournal(container: Container): void {
-  bind(container, BookDirectory, () => new BookDirectory());
+  bind(
+    container,
+    BookDirectory,
+    context => new BookDirectory(context.get(SELF).host),
+  );
   bind(container, KeyMint, context => {
     const {host, incarnation} = context.get(SELF);
     return new KeyMint(host, incarnation);
--- a/src/journal/bookkeeper.ts
+++ b/src/journal/bookkeeper.ts
@@ -332,7 +332,7 @@
     for (const host of ranked) {
       if (await this.options.sendBook(host, handover)) {
         this.books.delete(book.id);
-        this.options.directory.add({
+        this.options.directory.handOn({
           book: book.id,
           host,
           fence: handover.position.fence,
--- a/src/prove/call_world.ts
+++ b/src/prove/call_world.ts
@@ -325,7 +325,7 @@
     const incarnation = `start${this.starts++}`;
     const gate = new Gate();
     const clock = new GatedClock(this.clock, gate);
-    const directory = new BookDirectory();
+    const directory = new BookDirectory(name);
     const mint = new KeyMint(name, incarnation);
     const stop = new AbortController();
     const bookkeeper = new Bookkeeper({
--- /dev/null
+++ b/test/journal/book_directory_test.ts
@@ -0,0 +1,36 @@
+import {expect} from 'chai';
+import {BookDirectory} from '../../src/journal/index.js';
+
+const BOOK = 'slot-01';
+
+describe('BookDirectory', () => {
+  let directory: BookDirectory;
+
+  beforeEach(() => {
+    directory = new BookDirectory('pdx-entry-1');
+  });
+
+  it('believes the higher fence, and under one fence the later word', () => {
+    directory.add({book: BOOK, host: 'tac-entry-1', fence: 2});
+    directory.add({book: BOOK, host: 'tac-entry-2', fence: 1});
+    expect(directory.getHolder(BOOK)).to.equal('tac-entry-1');
+    directory.add({book: BOOK, host: 'tac-entry-2', fence: 2});
+    expect(directory.getHolder(BOOK)).to.equal('tac-entry-2');
+  });
+
+  it('keeps a book that was received here when its former holder’s last word comes late', () => {
+    directory.add({book: BOOK, host: 'tac-entry-2', fence: 1});
+    directory.add({book: BOOK, host: 'pdx-entry-1', fence: 1});
+    directory.add({book: BOOK, host: 'tac-entry-2', fence: 1});
+    expect(directory.getHolder(BOOK)).to.equal('pdx-entry-1');
+  });
+
+  it('gives a book held here up to a higher fence, and when it is handed on', () => {
+    directory.add({book: BOOK, host: 'pdx-entry-1', fence: 1});
+    directory.handOn({book: BOOK, host: 'tac-entry-1', fence: 1});
+    expect(directory.getHolder(BOOK)).to.equal('tac-entry-1');
+    directory.add({book: BOOK, host: 'pdx-entry-1', fence: 2});
+    directory.add({book: BOOK, host: 'tac-entry-2', fence: 3});
+    expect(directory.getHolder(BOOK)).to.equal('tac-entry-2');
+  });
+});
