--- a/src/trial/child_process.ts
+++ b/src/trial/child_process.ts
@@ -1,7 +1,5 @@
 import {ChildProcess, spawn} from 'node:child_process';
 import {once} from 'node:events';
-import {createServer} from 'node:net';
-import {AddressInfo} from 'node:net';
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
 
@@ -87,19 +85,3 @@
 export function getProgramPath(program: string): string {
   return fileURLToPath(new URL(`../bin/${program}.js`, import.meta.url));
 }
-
-/** Finds loopback ports that are free now. */
-export async function findFreePorts(count: number): Promise<number[]> {
-  const servers = Array.from({length: count}, () => createServer());
-  const ports: number[] = [];
-  for (const server of servers) {
-    server.listen(0, '127.0.0.1');
-    await once(server, 'listening');
-    ports.push((server.address() as AddressInfo).port);
-  }
-  for (const server of servers) {
-    server.close();
-    await once(server, 'close');
-  }
-  return ports;
-}
--- a/src/trial/index.ts
+++ b/src/trial/index.ts
@@ -1,5 +1,6 @@
 /** Trials: whole small systems as separate processes on one machine. */
-export {findFreePorts, getProgramPath, TrialProcess} from './child_process.js';
+export {getProgramPath, TrialProcess} from './child_process.js';
+export {findFreePorts} from './find_free_ports.js';
 export {TrialCaller} from './trial_caller.js';
 export type {CallResult, StreamResult} from './trial_caller.js';
 export {OPERATOR_KEY, TrialSystem} from './trial_system.js';
--- a/src/trial/trial_system.ts
+++ b/src/trial/trial_system.ts
@@ -3,7 +3,8 @@
 import {join} from 'node:path';
 import {got} from 'got';
 import {hashKey} from '../caller/index.js';
-import {findFreePorts, TrialProcess} from './child_process.js';
+import {TrialProcess} from './child_process.js';
+import {findFreePorts} from './find_free_ports.js';
 
 /** Key of the operator in trials. */
 export const OPERATOR_KEY = 'trial-operator-key';
--- a/test/platform/stand_in/stand_in_system.ts
+++ b/test/platform/stand_in/stand_in_system.ts
@@ -1,9 +1,10 @@
 import {request as openRequest} from 'node:http';
 import {createServer, Server} from 'node:http';
-import {AddressInfo, createServer as createSocketServer} from 'node:net';
+import {AddressInfo} from 'node:net';
 import {SilentLog} from '../../../src/log/index.js';
 import {RelayHost} from '../../../src/relay_host/index.js';
 import {SystemClock} from '../../../src/time/index.js';
+import {findFreePorts} from '../../../src/trial/index.js';
 import {createRelayHost} from '../../../platform/container.js';
 import {parsePlatformSettings} from '../../../platform/settings.js';
 import {SettingsSource} from '../../../platform/settings_source.js';
@@ -132,7 +133,7 @@
     name: string,
     seeds: readonly string[] = [],
   ): Promise<RunningHost> {
-    const [front, ready, control, first, last] = await findPorts(5);
+    const [front, ready, control, first, last] = await findFreePorts(5);
     const text = `
 node = "${name}"
 ip = "127.0.0.1"
@@ -258,16 +259,3 @@
     });
   }
 }
-
-async function findPorts(count: number): Promise<number[]> {
-  const servers = Array.from({length: count}, () => createSocketServer());
-  const ports: number[] = [];
-  for (const server of servers) {
-    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-    ports.push((server.address() as AddressInfo).port);
-  }
-  for (const server of servers) {
-    server.close();
-  }
-  return ports;
-}
