--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,9 +1,10 @@
 import {Catalog} from '../catalog/index.js';
 import {Log} from '../log/index.js';
-import {rankByRendezvous} from '../random/index.js';
+import {Random, rankByRendezvous} from '../random/index.js';
 import {OutlierDetector, ServerKnowledge} from '../routing/index.js';
 import {Clock} from '../time/index.js';
 import {Demand, DemandMeter} from '../quota/index.js';
+import {chooseCandidates} from './choose_candidates.js';
 import {FleetServer, FleetState} from './fleet_server.js';
 import {FleetFlight, FlightEnd, TrackedServer} from './tracked_server.js';
 import {PromptPart} from './part_memory.js';
@@ -28,14 +29,25 @@
   readonly ahead: number;
 }
 
+/** What of a service's servers is looked at for one request. */
+export interface KnowledgeQuestion {
+  /** Parts of the prompt; empty for plain requests. */
+  readonly parts: readonly PromptPart[];
+  /** Rank of the request: what is less urgent is not ahead of it. */
+  readonly urgency?: number;
+  /** Servers that must not get the request again. */
+  readonly excluded?: ReadonlySet<string>;
+}
+
 /** What the fleet works with. */
 export interface FleetOptions {
   readonly clock: Clock;
   readonly log: Log;
   /** Data centre of this host: its servers are nearer. */
   readonly dataCentre: string;
-  /** Returns what live peers have in flight. */
-  readonly listPeerLoads: () => readonly HostLoad[];
+  readonly random: Random;
+  /** Returns what live peers have in flight at a server. */
+  readonly listPeerLoads: (server: string) => readonly HostLoad[];
 }
 
 /** Milliseconds of detour to another data centre and back. */
@@ -195,32 +207,37 @@
   }
 
   /**
-   * Tells what is known of a service's servers that take new work.
+   * Tells what is known of a service's servers that take new work; of many
+   * servers, of some that suit the request.
    * @param service - The service.
-   * @param parts - Parts of the prompt; empty for plain requests.
-   * @param urgency - Rank of the request: what is less urgent is not ahead of it.
+   * @param question - The request.
    */
   listKnowledge(
     service: string,
-    parts: readonly PromptPart[],
-    urgency = LAST_RANK,
+    question: KnowledgeQuestion,
   ): ServerKnowledge[] {
+    const {parts, urgency = LAST_RANK} = question;
     const ready = this.listReady(service);
-    const elsewhere = this.sumPeerLoads(urgency);
     const shared = parts.slice(0, -1);
     const home = this.getHome(shared, ready);
+    const candidates = chooseCandidates(ready, {
+      excluded: question.excluded ?? new Set(),
+      home,
+      countCached: ({memory}) => memory.countCachedTokens(parts),
+      random: this.options.random,
+    });
     const isEngine = this.catalog?.services.get(service)?.engine !== undefined;
     const known: ServerKnowledge[] = [];
-    for (const tracked of ready) {
+    for (const tracked of candidates) {
       const {server} = tracked;
-      const peers = elsewhere.get(server.id);
+      const peers = this.sumPeerWork(server.id, urgency);
       const cached = tracked.memory.countCachedTokens(parts);
       const credit = server.id === home ? countTokens(shared) * HOME_CREDIT : 0;
       known.push({
         server: server.id,
         dataCentre: server.dataCentre,
         load: {
-          running: tracked.inFlight + (peers?.running ?? 0),
+          running: tracked.inFlight + peers.running,
           waiting: 0,
           capacity: server.slots,
           prefillRate: PREFILL_TOKENS_PER_MS * MS_PER_SECOND,
@@ -231,7 +248,7 @@
         inFlight: tracked.inFlight,
         cachedTokens: Math.max(cached, credit),
         pendingPrefillTokens:
-          sumAhead(tracked.prefill.list(), urgency) + (peers?.ahead ?? 0),
+          sumAhead(tracked.prefill.list(), urgency) + peers.ahead,
         excessMs: tracked.getExcessMs(),
         hopMs: server.dataCentre === this.options.dataCentre ? 0 : HOP_MS,
         ejected: this.outliers.isEjected(server.id) || tracked.isSilent(),
@@ -289,19 +306,17 @@
     return ready;
   }
 
-  private sumPeerLoads(urgency: number): Map<string, PeerWork> {
-    const sums = new Map<string, PeerWork>();
-    for (const load of this.options.listPeerLoads()) {
-      const sum = sums.get(load.server);
+  private sumPeerWork(server: string, urgency: number): PeerWork {
+    let running = 0;
+    let ahead = 0;
+    for (const load of this.options.listPeerLoads(server)) {
+      running += load.running;
       // What a peer told has been worked on since, the most urgent first.
-      const ahead = sumAhead(load.prefill, urgency);
-      const left = ahead - load.ageMs * PREFILL_TOKENS_PER_MS;
-      sums.set(load.server, {
-        running: load.running + (sum?.running ?? 0),
-        ahead: Math.max(0, left) + (sum?.ahead ?? 0),
-      });
+      const left =
+        sumAhead(load.prefill, urgency) - load.ageMs * PREFILL_TOKENS_PER_MS;
+      ahead += Math.max(0, left);
     }
-    return sums;
+    return {running, ahead};
   }
 
   /** All hosts agree on a home, so that one server computes a shared part. */
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -1,7 +1,7 @@
 /** The fleet: backend servers that register themselves, and their load. */
 export * from './fleet_server.js';
 export {Fleet} from './fleet.js';
-export type {FleetOptions, HostLoad} from './fleet.js';
+export type {FleetOptions, HostLoad, KnowledgeQuestion} from './fleet.js';
 export {PartMemory} from './part_memory.js';
 export {PartNews} from './part_news.js';
 export type {SentPart} from './part_news.js';
--- a/src/lease/duty.ts
+++ b/src/lease/duty.ts
@@ -21,6 +21,8 @@
    * milliseconds: as long as an order of the holder between may count.
    */
   readonly quietMs: number;
+  /** Tells whether this host should try to hold the duty while it does not. */
+  readonly competes: () => boolean;
 }
 
 /** A duty of one host at a time: keeps its lease and tells when to act. */
@@ -34,6 +36,11 @@
   async run(signal: AbortSignal): Promise<void> {
     const {lease, clock, renewMs, watchMs} = this.options;
     while (!signal.aborted) {
+      if (lease.getHeld() === undefined && !this.options.competes()) {
+        this.note(undefined);
+        await clock.sleep(watchMs, signal);
+        continue;
+      }
       const held = await lease.claim();
       this.note(held?.fence);
       await clock.sleep(held === undefined ? watchMs : renewMs, signal);
--- a/src/measure/measure_reuse.ts
+++ b/src/measure/measure_reuse.ts
@@ -174,7 +174,7 @@
           ? {slackMs: kind.targetMs * SLACK_SHARE}
           : {}),
       },
-      host.fleet.listKnowledge(SERVICE, parts),
+      host.fleet.listKnowledge(SERVICE, {parts}),
       this.random,
     );
     const server = this.servers.get(decision.chosen?.server ?? '');
@@ -229,8 +229,10 @@
       fleet: new Fleet({
         clock: this.clock,
         log: new SilentLog(),
+        random: this.random,
         dataCentre: 'here',
-        listPeerLoads: () => this.listPeerLoads(host),
+        listPeerLoads: server =>
+          this.listPeerLoads(host).filter(load => load.server === server),
       }),
       told: [],
       toldMs: 0,
--- a/src/peer/peer_link.ts
+++ b/src/peer/peer_link.ts
@@ -23,6 +23,19 @@
     peer: PeerIdentity,
     acknowledged: unknown,
   ) => unknown;
+  /**
+   * Told of the reply to each heartbeat.
+   * @param peer - Who replied.
+   * @param reply - The reply; not yet checked.
+   * @param sentMs - When the heartbeat was sent, monotonic milliseconds.
+   */
+  readonly receiveReply?: (
+    peer: PeerIdentity,
+    reply: unknown,
+    sentMs: number,
+  ) => void;
+  /** Told that the peer cannot be connected to, or has fallen silent. */
+  readonly onUnreachable?: (address: string) => void;
   readonly onConnected: (connection: PeerConnection) => void;
   readonly onClosed: (connection: PeerConnection) => void;
 }
@@ -50,6 +63,9 @@
       if (socket !== undefined) {
         await this.serve(socket);
       }
+      if (!this.stopped.signal.aborted) {
+        this.options.onUnreachable?.(this.options.address);
+      }
       const jitter = 0.5 + this.options.random.next();
       await clock.sleep(this.pauseMs * jitter, this.stopped.signal);
       this.pauseMs = Math.min(MAX_PAUSE_MS, this.pauseMs * 2);
@@ -116,6 +132,7 @@
     const {heartbeatMs, silenceMs} = this.options;
     let acknowledged: unknown;
     while (!this.stopped.signal.aborted) {
+      const sentMs = clock.monotonicMs();
       const reply = await connection.request(
         this.options.createHeartbeat(peer, acknowledged),
         silenceMs,
@@ -125,6 +142,7 @@
         return;
       }
       acknowledged = reply.value;
+      this.options.receiveReply?.(peer, reply.value, sentMs);
       await clock.sleep(heartbeatMs, this.beatNow.signal);
       this.beatNow = new AbortController();
     }
--- a/src/peer/peers.ts
+++ b/src/peer/peers.ts
@@ -16,17 +16,26 @@
   readonly seeds: readonly string[];
   /** Returns the hosts that could be linked to. */
   readonly listCandidates: () => readonly LinkCandidate[];
+  /** Returns those to keep linked with; left out, `chooseLinks` does. */
+  readonly listLinks?: () => readonly LinkCandidate[];
   /** See `PeerLinkOptions.createHeartbeat`. */
   readonly createHeartbeat: PeerLinkOptions['createHeartbeat'];
+  /** See `PeerLinkOptions.receiveReply`. */
+  readonly receiveReply?: PeerLinkOptions['receiveReply'];
+  /** See `PeerLinkOptions.onUnreachable`. */
+  readonly onUnreachable?: PeerLinkOptions['onUnreachable'];
 }
 
 const UPDATE_MS = 500;
 const DIAL_POLL_MS = 20;
+/** Time for which a link is kept that was made for one request, in ms. */
+const ON_DEMAND_MS = 5000;
 
 /** All connections to and from peers. */
 export class Peers {
   private readonly links = new Map<string, PeerLink>();
-  private readonly onDemand = new Set<string>();
+  /** Links made for a request, by address, with when they were asked for last. */
+  private readonly onDemand = new Map<string, number>();
   private readonly connections = new Map<string, PeerConnection[]>();
   private readonly listener: PeerListener;
 
@@ -109,7 +118,7 @@
     if (found !== undefined || candidate === undefined) {
       return found;
     }
-    this.onDemand.add(candidate.address);
+    this.onDemand.set(candidate.address, clock.monotonicMs());
     this.addLink(candidate.address);
     const limitMs = Math.min(
       endMs,
@@ -127,10 +136,12 @@
 
   private updateLinks(): void {
     const {self} = this.options.connection;
-    const chosen = chooseLinks(self, this.options.listCandidates());
+    const chosen =
+      this.options.listLinks?.() ??
+      chooseLinks(self, this.options.listCandidates());
     const wanted = new Set([
       ...chosen.map(candidate => candidate.address),
-      ...this.onDemand,
+      ...this.listOnDemand(),
     ]);
     if (this.connections.size === 0) {
       for (const seed of this.options.seeds) {
@@ -148,6 +159,16 @@
     }
   }
 
+  private listOnDemand(): string[] {
+    const nowMs = this.options.connection.clock.monotonicMs();
+    for (const [address, askedMs] of this.onDemand) {
+      if (nowMs - askedMs > ON_DEMAND_MS) {
+        this.onDemand.delete(address);
+      }
+    }
+    return [...this.onDemand.keys()];
+  }
+
   private addLink(address: string): void {
     if (this.links.has(address)) {
       return;
@@ -159,6 +180,7 @@
       heartbeatMs: this.options.heartbeatMs,
       silenceMs: this.options.silenceMs,
       createHeartbeat: this.options.createHeartbeat,
+      ...pickCallbacks(this.options),
       onConnected: connection => this.addConnection(connection),
       onClosed: connection => this.removeConnection(connection),
     });
@@ -184,3 +206,14 @@
     this.connections.set(host, rest);
   }
 }
+
+/** Returns the callbacks that a link may do without. */
+function pickCallbacks({
+  receiveReply,
+  onUnreachable,
+}: PeersOptions): Pick<PeerLinkOptions, 'receiveReply' | 'onUnreachable'> {
+  return {
+    ...(receiveReply === undefined ? {} : {receiveReply}),
+    ...(onUnreachable === undefined ? {} : {onUnreachable}),
+  };
+}
--- a/src/peering/host_report.ts
+++ b/src/peering/host_report.ts
@@ -1,17 +1,11 @@
 import {z} from 'zod';
+import {hostAddressSchema} from './host_address.js';
+import {workSummarySchema} from './work_summary.js';
 
 const MAX_LISTED = 4096;
 const name = z.string().min(1).max(200);
 const count = z.number().min(0);
 
-/** Where an entry host can be reached by peers. */
-export const hostAddressSchema = z.object({
-  host: name,
-  dataCentre: name,
-  /** IP number and port. */
-  address: name,
-});
-
 /** What a host tells its peers with each heartbeat. */
 export const hostReportSchema = z.object({
   address: name,
@@ -56,10 +50,41 @@
   holdsDuties: z.boolean(),
   /** Whether it is stopping. */
   stopping: z.boolean(),
+  /** Processor share that it has, in cores. */
+  capacity: count.optional(),
+  /**
+   * Whether it wants to be told what all hosts have under way; left out by hosts
+   * that hear each of them.
+   */
+  wantsAll: z.boolean().optional(),
+  /** Number of the list of hosts that it was told in reply. */
+  membersVersion: count.optional(),
+  /** What the hosts of its data centre have under way, where it sums that up. */
+  centre: workSummarySchema.optional(),
+  /** Time since it last read the tables, in milliseconds; left out if never. */
+  readAgeMs: count.optional(),
 });
 
 /** Reply to a heartbeat; hosts of the release before send an empty one. */
-export const heartbeatReplySchema = z.object({hostsVersion: count.optional()});
+export const heartbeatReplySchema = z.object({
+  hostsVersion: count.optional(),
+  /** Number of the list of a data centre's hosts that the sender has. */
+  membersVersion: count.optional(),
+  /** Per replica, the highest version at which the sender has news. */
+  news: z.record(name, count).optional(),
+  /** What the hosts of the sender's data centre have under way. */
+  centre: workSummarySchema.optional(),
+  /** What all hosts but the receiver have under way. */
+  all: workSummarySchema.optional(),
+  /** Time since the tables were read by a host whose word counts, in ms. */
+  readAgeMs: count.optional(),
+  /** The table's steady clock when the reply was made, in milliseconds. */
+  sharedMs: z.number().optional(),
+  /** The usual time of day less that clock, in milliseconds. */
+  usualOffsetMs: z.number().optional(),
+});
 
-export type HostAddress = z.output<typeof hostAddressSchema>;
+/** What a host tells its peers with each heartbeat. */
 export type HostReport = z.output<typeof hostReportSchema>;
+/** Reply to a heartbeat. */
+export type HeartbeatReply = z.output<typeof heartbeatReplySchema>;
--- a/src/peering/host_reports.ts
+++ b/src/peering/host_reports.ts
@@ -1,177 +1,308 @@
-import {HostLoad, RankedTokens} from '../fleet/index.js';
-import {Log} from '../log/index.js';
+import {HostLoad} from '../fleet/index.js';
 import {PeerIdentity} from '../peer/index.js';
-import {Demand} from '../quota/index.js';
 import {Clock} from '../time/index.js';
-import {HostAddress, HostReport} from './host_report.js';
+import {HostReport} from './host_report.js';
+import {
+  HostWork,
+  readReportedWork,
+  readSummarisedWork,
+  ServerWork,
+} from './host_work.js';
+import {WorkSum} from './work_sum.js';
+import {WorkSummary} from './work_summary.js';
 
-/** What was heard of a host. */
-interface HeardHost {
-  readonly address: HostAddress;
-  readonly report?: HostReport;
-  readonly heardMs: number;
+/** Whose work was told. */
+const Scope = {
+  /** One host, by its own word. */
+  HOST: 'host',
+  /** All hosts of a data centre, by its aggregator. */
+  CENTRE: 'centre',
+  /** All hosts but this one, by the aggregator of its data centre. */
+  ALL: 'all',
+} as const;
+type Scope = (typeof Scope)[keyof typeof Scope];
+
+/** What was told last of one host, or of several together. */
+interface ToldWork {
+  readonly scope: Scope;
+  /** Who told it. */
+  readonly teller: string;
+  /** Data centre of whoever told it. */
+  readonly dataCentre: string;
+  /** Hosts that it stands for. */
+  readonly hosts: number;
+  readonly work: HostWork;
+  readonly byServer: ReadonlyMap<string, ServerWork>;
+  readonly holdsDuties: boolean;
+  /** See `WorkSummary.hops`. */
+  readonly hops: number;
+  readonly toldMs: number;
 }
 
 /** What the reports work with. */
 export interface HostReportsOptions {
   readonly clock: Clock;
-  readonly log: Log;
-  readonly self: HostAddress;
+  /** Data centre of this host: its hosts tell this one themselves. */
+  readonly dataCentre: string;
   /** Age at which a report's loads count no longer, in milliseconds. */
   readonly staleMs: number;
-  /** Silence after which a host is taken to be gone for good, in ms. */
+  /** Age at which it is forgotten, in milliseconds. */
   readonly goneMs: number;
 }
 
-/** The other entry hosts, and what each told last. */
+/** Age up to which the summary of a data centre is not taken over, in ms. */
+const KEPT_SUMMARY_MS = 1000;
+
+/**
+ * What the other entry hosts have under way, as they or their aggregators told.
+ *
+ * No host counts twice: word of all goes before word of data centres, and word
+ * of a data centre before that of its hosts.
+ */
 export class HostReports {
-  private readonly hosts = new Map<string, HeardHost>();
+  private readonly told = new Map<string, ToldWork>();
 
   constructor(private readonly options: HostReportsOptions) {}
 
-  /** Takes in that a host exists. */
-  addAddress(address: HostAddress): void {
-    const {self, clock, log} = this.options;
-    const known = this.hosts.get(address.host);
-    if (
-      address.host === self.host ||
-      address.address === known?.address.address
-    ) {
-      return;
-    }
-    if (known?.report !== undefined && !this.isStale(known)) {
-      // Its own word of where it is goes before others'.
-      return;
-    }
-    log.info('host_known', {peer: address.host, address: address.address});
-    this.hosts.set(address.host, {address, heardMs: clock.monotonicMs()});
-  }
-
   /** Takes in a report from the host itself. */
   addReport(from: PeerIdentity, report: HostReport): void {
-    const {host, dataCentre} = from;
-    const address = {host, dataCentre, address: report.address};
-    const heardMs = this.options.clock.monotonicMs();
-    this.hosts.set(host, {address, report, heardMs});
-    for (const other of report.hosts) {
-      this.addAddress(other);
+    this.set(`host ${from.host}`, Scope.HOST, from, {
+      hosts: 1,
+      work: readReportedWork(report),
+      hops: 0,
+      holdsDuties: report.holdsDuties,
+    });
+  }
+
+  /**
+   * Takes in what the hosts of another data centre have under way. Where two of
+   * its hosts sum it up, that of more hosts counts while it is told.
+   * @returns Whether it goes on from what counted before.
+   */
+  addCentre(from: PeerIdentity, summary: WorkSummary): boolean {
+    const key = `centre ${from.dataCentre}`;
+    const known = this.told.get(key);
+    const keepsKnown =
+      known !== undefined &&
+      known.teller !== from.host &&
+      known.hosts > summary.hosts &&
+      this.getAgeMs(known) < KEPT_SUMMARY_MS;
+    if (keepsKnown) {
+      return false;
     }
+    this.set(key, Scope.CENTRE, from, {
+      hosts: summary.hosts,
+      work: readSummarisedWork(summary),
+      hops: summary.hops,
+      holdsDuties: summary.holdsDuties,
+    });
+    return known?.teller === from.host;
   }
 
-  /** Returns the hosts to be linked with. */
-  listAddresses(): HostAddress[] {
-    this.trim();
-    return [...this.hosts.values()].map(heard => heard.address);
+  /**
+   * Takes in what all other hosts have under way.
+   * @returns Whether it goes on from what counted before.
+   */
+  addAll(from: PeerIdentity, summary: WorkSummary): boolean {
+    const known = this.told.get('all');
+    this.set('all', Scope.ALL, from, {
+      hosts: summary.hosts,
+      work: readSummarisedWork(summary),
+      hops: summary.hops,
+      holdsDuties: summary.holdsDuties,
+    });
+    return known?.teller === from.host;
   }
 
-  /** Returns how many hosts may be serving, this one included. */
-  countHosts(): number {
-    this.trim();
-    return this.hosts.size + 1;
+  /** Tells whether word of all hosts counts, and no other. */
+  hearsOfAll(): boolean {
+    return this.getAgeOfAllMs() <= this.options.staleMs;
   }
 
-  /** Returns how many hosts hear each other, this one included. */
-  countHeard(): number {
-    let count = 1;
-    for (const heard of this.hosts.values()) {
-      count += heard.report === undefined || this.isStale(heard) ? 0 : 1;
-    }
-    return count;
+  /** Lets go of everything, after a pause that no clock has counted. */
+  forget(): void {
+    this.told.clear();
+  }
+
+  /** Returns the age of the last word of all hosts, in milliseconds. */
+  getAgeOfAllMs(): number {
+    const all = this.told.get('all');
+    return all === undefined ? Number.POSITIVE_INFINITY : this.getAgeMs(all);
   }
 
-  /** Returns what hosts that are heard have in flight. */
-  listLoads(): HostLoad[] {
+  /** Returns what other hosts have in flight at a server. */
+  listLoadsAt(server: string): HostLoad[] {
     const loads: HostLoad[] = [];
-    for (const heard of this.hosts.values()) {
-      if (heard.report === undefined || this.isStale(heard)) {
-        continue;
-      }
-      const ageMs = this.options.clock.monotonicMs() - heard.heardMs;
-      const byServer = groupPrefill(heard.report);
-      for (const [server, running, prefillTokens] of heard.report.loads) {
-        // Hosts of the release before tell no ranks.
-        const prefill = byServer.get(server) ?? [
-          {urgency: 0, tokens: prefillTokens},
-        ];
-        loads.push({server, running, prefill, ageMs});
+    for (const told of this.listCounted(this.options.staleMs)) {
+      const load = told.byServer.get(server);
+      if (load !== undefined) {
+        loads.push({...load, ageMs: this.getAgeMs(told)});
       }
     }
     return loads;
   }
 
-  /** Returns the demand each host told last, heard of late or not. */
-  listDemands(): Demand[][] {
-    const all: Demand[][] = [];
-    for (const {report} of this.hosts.values()) {
-      if (report !== undefined) {
-        all.push(
-          report.demands.map(([customer, perSecond]) => ({
-            customer,
-            perSecond,
-          })),
-        );
+  /** Sums the requests in flight at servers that a function picks. */
+  sumRunning(picks: (server: string) => boolean): number {
+    let sum = 0;
+    for (const {work} of this.listCounted(this.options.staleMs)) {
+      for (const {server, running} of work.loads) {
+        sum += picks(server) ? running : 0;
       }
     }
-    return all;
+    return sum;
   }
 
-  /** Returns the prompt tokens per second that hosts which are heard compute. */
-  sumPrefill(service: string): number {
+  /** Sums a customer's demand at other hosts, heard of late or not. */
+  sumDemand(customer: string): number {
     let sum = 0;
-    for (const heard of this.hosts.values()) {
-      if (heard.report === undefined || this.isStale(heard)) {
-        continue;
-      }
-      for (const [name, perSecond] of heard.report.prefill) {
-        sum += name === service ? perSecond : 0;
+    for (const {work} of this.listCounted(this.options.goneMs)) {
+      for (const [name, perSecond] of work.demands) {
+        sum += name === customer ? perSecond : 0;
       }
     }
     return sum;
   }
 
-  /** Tells whether every host that is known was heard just now. */
-  hearsAll(): boolean {
-    this.trim();
-    for (const heard of this.hosts.values()) {
-      if (heard.report === undefined || this.isStale(heard)) {
-        return false;
+  /** Counts the hosts whose demand was told, heard of late or not. */
+  countTold(): number {
+    let count = 0;
+    for (const {hosts} of this.listCounted(this.options.goneMs)) {
+      count += hosts;
+    }
+    return count;
+  }
+
+  /** Returns the prompt tokens per second that hosts which are heard compute. */
+  sumPrefill(service: string): number {
+    let sum = 0;
+    for (const {work} of this.listCounted(this.options.staleMs)) {
+      for (const [name, perSecond] of work.prefill) {
+        sum += name === service ? perSecond : 0;
       }
     }
-    return true;
+    return sum;
   }
 
   /** Tells whether a host that is heard holds the duties. */
   hearsHolder(): boolean {
-    for (const heard of this.hosts.values()) {
-      if (heard.report?.holdsDuties === true && !this.isStale(heard)) {
+    for (const {holdsDuties} of this.listCounted(this.options.staleMs)) {
+      if (holdsDuties) {
         return true;
       }
     }
     return false;
   }
 
-  private isStale(heard: HeardHost): boolean {
-    const ageMs = this.options.clock.monotonicMs() - heard.heardMs;
-    return ageMs > this.options.staleMs;
+  /** Tells whether another host of this data centre holds the duties. */
+  hearsHolderHere(): boolean {
+    return this.listHere().some(({holdsDuties}) => holdsDuties);
+  }
+
+  /** Sums what the other hosts of this data centre have under way. */
+  sumHere(): WorkSum {
+    return this.sum(this.listHere());
+  }
+
+  /**
+   * Sums what all other hosts have under way, by their own word and that of other
+   * data centres.
+   */
+  sumVouched(): WorkSum {
+    const recent = this.listRecent(this.options.staleMs);
+    return this.sum(listOnce(recent));
+  }
+
+  /**
+   * Sums what an aggregator told of all other hosts, to tell it on once; nothing
+   * where none did. It is told on no further, or it would never grow old.
+   */
+  sumTold(): WorkSum | undefined {
+    const all = this.told.get('all');
+    const isFirst = all !== undefined && all.hops === 0 && this.hearsOfAll();
+    return isFirst ? this.sum([all]) : undefined;
+  }
+
+  /** Tells a host's work as it last told it itself, with its age. */
+  getOwnWord(host: string): {work: HostWork; ageMs: number} | undefined {
+    const told = this.told.get(`host ${host}`);
+    if (told === undefined || this.getAgeMs(told) > this.options.staleMs) {
+      return undefined;
+    }
+    return {work: told.work, ageMs: this.getAgeMs(told)};
+  }
+
+  private sum(listed: readonly ToldWork[]): WorkSum {
+    const sum = new WorkSum();
+    for (const told of listed) {
+      sum.add(told.work, this.getAgeMs(told));
+    }
+    return sum;
+  }
+
+  private listHere(): ToldWork[] {
+    const {dataCentre, staleMs} = this.options;
+    return [...this.told.values()].filter(
+      told =>
+        told.scope === Scope.HOST &&
+        told.dataCentre === dataCentre &&
+        this.getAgeMs(told) <= staleMs,
+    );
+  }
+
+  private set(
+    key: string,
+    scope: Scope,
+    from: PeerIdentity,
+    told: Pick<ToldWork, 'hosts' | 'work' | 'hops' | 'holdsDuties'>,
+  ): void {
+    this.told.set(key, {
+      ...told,
+      scope,
+      teller: from.host,
+      dataCentre: from.dataCentre,
+      byServer: new Map(told.work.loads.map(load => [load.server, load])),
+      toldMs: this.options.clock.monotonicMs(),
+    });
+  }
+
+  /** Lists what is not too old, so that no host is in it twice. */
+  private listCounted(maxAgeMs: number): ToldWork[] {
+    this.trim();
+    const recent = this.listRecent(maxAgeMs);
+    const all = recent.find(({scope}) => scope === Scope.ALL);
+    return all === undefined ? listOnce(recent) : [all];
+  }
+
+  private listRecent(maxAgeMs: number): ToldWork[] {
+    return [...this.told.values()].filter(
+      told => this.getAgeMs(told) <= maxAgeMs,
+    );
+  }
+
+  private getAgeMs(told: ToldWork): number {
+    return this.options.clock.monotonicMs() - told.toldMs;
   }
 
   private trim(): void {
-    const {clock, goneMs, log} = this.options;
-    for (const [host, heard] of this.hosts) {
-      if (clock.monotonicMs() - heard.heardMs > goneMs) {
-        log.info('host_forgotten', {peer: host});
-        this.hosts.delete(host);
+    for (const [key, told] of this.told) {
+      if (this.getAgeMs(told) > this.options.goneMs) {
+        this.told.delete(key);
       }
     }
   }
 }
 
-function groupPrefill(report: HostReport): Map<string, RankedTokens[]> {
-  const byServer = new Map<string, RankedTokens[]>();
-  for (const [server, urgency, tokens] of report.prefillByRank) {
-    const ranked = byServer.get(server) ?? [];
-    ranked.push({urgency, tokens});
-    byServer.set(server, ranked);
-  }
-  return byServer;
+/** Leaves out the hosts of which a summary of their data centre tells. */
+function listOnce(recent: readonly ToldWork[]): ToldWork[] {
+  const summed = new Set(
+    recent
+      .filter(({scope}) => scope === Scope.CENTRE)
+      .map(({dataCentre}) => dataCentre),
+  );
+  return recent.filter(
+    ({scope, dataCentre}) =>
+      scope === Scope.CENTRE ||
+      (scope === Scope.HOST && !summed.has(dataCentre)),
+  );
 }
--- a/src/peering/index.ts
+++ b/src/peering/index.ts
@@ -1,6 +1,16 @@
 /** Peering: what entry hosts tell each other about relayed requests. */
-export type {HostAddress, HostReport} from './host_report.js';
+export type {HostAddress} from './host_address.js';
+export type {HeartbeatReply, HostReport} from './host_report.js';
 export {HostReports} from './host_reports.js';
 export type {HostReportsOptions} from './host_reports.js';
+export {KnownHosts} from './known_hosts.js';
+export type {KnownHostsOptions} from './known_hosts.js';
+export {chooseRelayLinks} from './choose_relay_links.js';
+export {PauseWatch} from './pause_watch.js';
 export {PeerWords} from './peer_words.js';
 export type {PeerWordsOptions} from './peer_words.js';
+export {ReadAge} from './read_age.js';
+export {TableReading} from './table_reading.js';
+export type {TableReadingOptions} from './table_reading.js';
+export {WorkSum} from './work_sum.js';
+export type {WorkSummary} from './work_summary.js';
--- /dev/null
+++ b/src/peering/table_reading.ts
@@ -0,0 +1,105 @@
+import {Random, rankByRendezvous} from '../random/index.js';
+import {Clock} from '../time/index.js';
+import {KnownHosts} from './known_hosts.js';
+import {ReadAge} from './read_age.js';
+
+/** What decides who reads the platform's tables. */
+export interface TableReadingOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly known: KnownHosts;
+  readonly readAge: ReadAge;
+  /** Tells whether this host has read who there is. */
+  readonly knowsOthers: () => boolean;
+  /** Time in which what stands in a table has to be known everywhere, in ms. */
+  readonly getNewsMs: () => number;
+}
+
+/** Data centres whose aggregators read: one, and one for when it is cut off. */
+const READING_CENTRES = 2;
+/**
+ * Share of the time for news at which a host whose word of a reader is that old
+ * reads for itself: what is left is for the reading, and for telling others.
+ */
+const TOLD_SHARE = 0.7;
+/** The same for aggregators, which many others hear of it from. */
+const AGGREGATOR_SHARE = 0.6;
+/** What data centres are ranked for. */
+const READERS = 'table-readers';
+/** Time from the start in which a host learns who there is, in milliseconds. */
+const MEET_MS = 400;
+/** Time from the start in which others tell a host of what they read, in ms. */
+const LEARN_MS = 1200;
+/** Spread of the two spans above over many hosts, in milliseconds. */
+const SPREAD_MS = 1000;
+/**
+ * Mean pause between tries of a host that hears of no reader, in milliseconds:
+ * all hosts then try, and what they ask of a store that is down costs as much.
+ */
+const ALONE_MS = 2000;
+
+/**
+ * Decides whether a host reads the platform's tables. Few hosts all do, in turn. Of
+ * many, the aggregators of two data centres do, and tell the others; a host that is
+ * not told in time reads for itself until it is.
+ */
+export class TableReading {
+  private readonly startMs: number;
+  private readonly spreadMs: number;
+  /** Until when a table is not tried by a host without word, monotonic ms. */
+  private readonly restsUntilMs = new Map<string, number>();
+
+  constructor(private readonly options: TableReadingOptions) {
+    this.startMs = options.clock.monotonicMs();
+    this.spreadMs = SPREAD_MS * options.random.next();
+  }
+
+  /**
+   * Tells whether this host need not read now.
+   * @param table - What it would read.
+   */
+  rests(table: string): boolean {
+    const {clock, known, readAge, knowsOthers} = this.options;
+    const ageMs = clock.monotonicMs() - this.startMs;
+    if (!knowsOthers() && ageMs < MEET_MS) {
+      return true;
+    }
+    if (!known.isLarge() || this.isReader()) {
+      return false;
+    }
+    if (readAge.getToldMs() < this.getMaxToldMs()) {
+      return true;
+    }
+    return ageMs < LEARN_MS + this.spreadMs || this.restsAlone(table);
+  }
+
+  /** Tells whether this host reads for the others, of many. */
+  isReader(): boolean {
+    const {known} = this.options;
+    const ranked = rankByRendezvous(READERS, known.listDataCentres());
+    const reading = ranked.slice(0, READING_CENTRES);
+    return reading.includes(known.getOwnCentre()) && known.isAggregator();
+  }
+
+  private getMaxToldMs(): number {
+    const {known, getNewsMs} = this.options;
+    const share = known.isAggregator() ? AGGREGATOR_SHARE : TOLD_SHARE;
+    return getNewsMs() * share;
+  }
+
+  /** Spreads the tries of hosts that have no word, once they have none. */
+  private restsAlone(table: string): boolean {
+    const {clock, random, readAge} = this.options;
+    const nowMs = clock.monotonicMs();
+    if (readAge.getOwnMs() < this.getMaxToldMs()) {
+      // It reads, and goes on until others tell it again.
+      return false;
+    }
+    if (nowMs < (this.restsUntilMs.get(table) ?? 0)) {
+      return true;
+    }
+    const pauseMs = ALONE_MS * (0.5 + random.next());
+    this.restsUntilMs.set(table, nowMs + pauseMs);
+    return false;
+  }
+}
--- a/src/peering/told_hosts.ts
+++ b/src/peering/told_hosts.ts
@@ -1,5 +1,5 @@
 import {Clock} from '../time/index.js';
-import {HostAddress} from './host_report.js';
+import {HostAddress} from './host_address.js';
 
 /** Time after which an unchanged list is told again, in milliseconds. */
 const RETELL_MS = 10_000;
--- a/src/quota/index.ts
+++ b/src/quota/index.ts
@@ -1,6 +1,8 @@
 /** Quotas: each customer's rate, kept over all hosts by shares. */
 export {Quota} from './quota.js';
 export type {Demand} from './demand.js';
-export type {QuotaBound, QuotaOptions, Spending} from './quota.js';
+export type {QuotaBound, QuotaOptions} from './quota.js';
+export type {Spending} from './spending.js';
 export {Bucket} from './bucket.js';
 export {DemandMeter} from './demand_meter.js';
+export {Counting} from './peer_spending.js';
--- a/src/quota/quota.ts
+++ b/src/quota/quota.ts
@@ -3,12 +3,8 @@
 import {Bucket} from './bucket.js';
 import {Demand} from './demand.js';
 import {DemandMeter} from './demand_meter.js';
-
-/** Units of one customer that one start of a host has let through. */
-export interface Spending {
-  readonly customer: string;
-  readonly units: number;
-}
+import {Counting, PeerSpending} from './peer_spending.js';
+import {Spending} from './spending.js';
 
 /** How far over a customer's rate all hosts together may go in a span. */
 export interface QuotaBound {
@@ -23,12 +19,14 @@
 /** What the quota works with. */
 export interface QuotaOptions {
   readonly clock: Clock;
-  /** Returns the demand that each other host told last, heard or not. */
-  readonly listPeerDemands: () => readonly (readonly Demand[])[];
+  /** Returns a customer's demand at the other hosts, as told last, heard or not. */
+  readonly sumPeerDemand: (customer: string) => number;
+  /** Returns how many other hosts that demand is of. */
+  readonly countTold: () => number;
   /** Returns the hosts that may be spending, this one included. */
   readonly countHosts: () => number;
-  /** Tells whether every host that may be spending was heard just now. */
-  readonly hearsAll: () => boolean;
+  /** Returns how many of them were heard just now, this one included. */
+  readonly countHeard: () => number;
   readonly getBound: () => QuotaBound;
 }
 
@@ -54,6 +52,13 @@
  * hosts spend before they hear of each other stays within the bound's room.
  */
 const CALM_SHARE = 1;
+/**
+ * Share of the hosts that may be unheard while the whole still decides: of many
+ * hosts some always restart, and what they may spend is set aside for them.
+ */
+const FEW_UNHEARD_SHARE = 0.1;
+/** Hosts beyond which one's part of a rate is less than a large request. */
+const MANY_HOSTS = 32;
 const MS_PER_SECOND = 1000;
 const SHARE_DIGITS = 3;
 
@@ -66,12 +71,13 @@
  * its share, since it may be serving where it cannot be heard.
  *
  * Shares alone would refuse a customer that stays within its rate but whose
- * large requests meet one host. So while every host is heard and the customer's
- * demand is within its rate, what all hosts have spent decides as well.
+ * large requests meet one host. So while hosts are heard and the customer's demand
+ * is within the rate, less what unheard hosts may spend, what all hosts have spent
+ * decides as well.
  */
 export class Quota {
   private readonly balances = new Map<string, Balance>();
-  private readonly told = new Map<string, number>();
+  private readonly peers = new PeerSpending();
   private readonly demand: DemandMeter;
 
   constructor(private readonly options: QuotaOptions) {
@@ -92,19 +98,32 @@
     return spending;
   }
 
+  /**
+   * Sums what origins that a function picks, and this host, have let through.
+   * @param picks - Picks origins: hosts and their starts.
+   */
+  sumSpending(picks: (origin: string) => boolean): Spending[] {
+    const sums = this.peers.sum(picks);
+    for (const [customer, {spent}] of this.balances) {
+      sums.set(customer, (sums.get(customer) ?? 0) + spent);
+    }
+    return [...sums].map(([customer, units]) => ({customer, units}));
+  }
+
   /**
    * Takes in what a peer has let through in all.
    * @param origin - Host and start that counted.
    * @param spending - Its sums, which only rise.
+   * @param counting - Whether this word counts.
    */
-  addPeerSpending(origin: string, spending: readonly Spending[]): void {
-    for (const {customer, units} of spending) {
-      const key = `${origin}/${customer}`;
-      const before = this.told.get(key) ?? 0;
-      if (units > before) {
-        this.told.set(key, units);
-        this.getBalance(customer).whole.spend(units - before);
-      }
+  addPeerSpending(
+    origin: string,
+    spending: readonly Spending[],
+    counting: Counting = Counting.ALL,
+  ): void {
+    const counted = this.peers.add(origin, spending, counting);
+    for (const {customer, units} of counted) {
+      this.getBalance(customer).whole.spend(units);
     }
   }
 
@@ -123,10 +142,12 @@
     const balance = this.getBalance(name);
     const share = this.getShare(name);
     const depth = rate.burst + this.getMargin(rate);
+    const heard = this.hearsMost() ? this.getHeardShare() : 1;
     balance.share.setFlow(rate.perSecond * share, depth * share);
-    balance.whole.setFlow(rate.perSecond, rate.burst);
+    balance.whole.setFlow(rate.perSecond * heard, rate.burst * heard);
     const isWithin =
-      balance.share.covers(units) ||
+      (balance.share.covers(units) &&
+        !this.exceedsWhole(balance, depth * share, units)) ||
       (this.isCalm(name, rate) && balance.whole.covers(units));
     if (!isWithin) {
       return Math.max(MIN_RETRY_MS, balance.share.getWaitMs(units));
@@ -141,14 +162,15 @@
   getShare(customer: string): number {
     const hosts = Math.max(1, this.options.countHosts());
     const own = Math.max(MIN_DEMAND, this.demand.get(customer));
-    const all = own + this.sumPeerDemand(customer);
+    const all = own + this.options.sumPeerDemand(customer);
     return EVEN_SHARE / hosts + (1 - EVEN_SHARE) * (own / all) * this.trust();
   }
 
   /** Tells what decides on a customer's requests now, for the log. */
   describe(customer: string): Readonly<Record<string, string>> {
     const {share, whole} = this.getBalance(customer);
-    const demand = this.demand.get(customer) + this.sumPeerDemand(customer);
+    const demand =
+      this.demand.get(customer) + this.options.sumPeerDemand(customer);
     return {
       share: this.getShare(customer).toFixed(SHARE_DIGITS),
       share_left: share.getLevel().toFixed(0),
@@ -158,17 +180,37 @@
   }
 
   private isCalm(customer: string, rate: Rate): boolean {
-    const all = this.demand.get(customer) + this.sumPeerDemand(customer);
-    return all <= rate.perSecond * CALM_SHARE && this.options.hearsAll();
+    const all =
+      this.demand.get(customer) + this.options.sumPeerDemand(customer);
+    const calm = rate.perSecond * this.getHeardShare() * CALM_SHARE;
+    return all <= calm && this.hearsMost();
   }
 
-  private sumPeerDemand(customer: string): number {
-    let sum = 0;
-    for (const demands of this.options.listPeerDemands()) {
-      const told = demands.find(demand => demand.customer === customer);
-      sum += told?.perSecond ?? 0;
-    }
-    return sum;
+  /**
+   * Of many hosts, each is let through a request that is larger than its bucket
+   * only while all together are within the rate: their debts add up.
+   */
+  private exceedsWhole(
+    balance: Balance,
+    shareDepth: number,
+    units: number,
+  ): boolean {
+    const isMany = this.options.countHosts() > MANY_HOSTS;
+    const isLarge = units > shareDepth;
+    return (
+      isMany && isLarge && this.hearsMost() && !balance.whole.covers(units)
+    );
+  }
+
+  /** Tells whether all but a few of the hosts that may be spending are heard. */
+  private hearsMost(): boolean {
+    return 1 - this.getHeardShare() <= FEW_UNHEARD_SHARE;
+  }
+
+  /** What the others may spend is left to them. */
+  private getHeardShare(): number {
+    const hosts = Math.max(1, this.options.countHosts());
+    return Math.min(1, this.options.countHeard() / hosts);
   }
 
   /** The bound's own room, used for requests that come in clumps. */
@@ -180,7 +222,7 @@
 
   /** While not every peer has told its demand, only an even part is certain. */
   private trust(): number {
-    const heard = this.options.listPeerDemands().length + 1;
+    const heard = this.options.countTold() + 1;
     return Math.min(1, heard / Math.max(1, this.options.countHosts()));
   }
 
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -295,11 +295,11 @@
         excluded: this.attempts.excluded,
         slackMs: this.getSlackMs(),
       },
-      fleet.listKnowledge(
-        this.service,
-        prompt.parts,
-        rankUrgency(this.request),
-      ),
+      fleet.listKnowledge(this.service, {
+        parts: prompt.parts,
+        urgency: rankUrgency(this.request),
+        excluded: this.attempts.excluded,
+      }),
       random,
     );
   }
--- a/src/relay_host/bind_duties.ts
+++ b/src/relay_host/bind_duties.ts
@@ -4,13 +4,14 @@
 import {bind} from '../container/index.js';
 import {Fleet} from '../fleet/index.js';
 import {Duty, Lease} from '../lease/index.js';
-import {HostReports, PeerWords} from '../peering/index.js';
+import {HostReports, KnownHosts, PeerWords} from '../peering/index.js';
 import {
   HostUsage,
   TrueTime,
   UsageLedger,
   UsageReporter,
 } from '../usage/index.js';
+import {createCompetes} from './create_competes.js';
 import {createOrigin} from './create_origin.js';
 import {
   CLOCK,
@@ -54,6 +55,7 @@
       watchMs: leaseMs * WATCH_SHARE,
       marginMs: leaseMs / RENEWALS,
       quietMs: leaseMs,
+      competes: createCompetes(context),
     });
   });
 }
@@ -79,7 +81,7 @@
       table: context.get(TABLE),
       duty: context.get(Duty),
       hearsHolder: () => context.get(HostReports).hearsHolder(),
-      hearsAll: () => context.get(HostReports).hearsAll(),
+      hearsAll: () => context.get(KnownHosts).hearsAll(),
       gather: window => container.get(PeerWords).gatherUsage(window),
       ledger: context.get(UsageLedger),
       hostUsage: context.get(HostUsage),
@@ -113,9 +115,10 @@
   fleet: Fleet,
   reports: HostReports,
 ): ServiceWork {
-  let running = 0;
-  for (const load of [...fleet.listOwnLoads(), ...reports.listLoads()]) {
-    running += fleet.get(load.server)?.service === service ? load.running : 0;
+  const picks = (server: string) => fleet.get(server)?.service === service;
+  let running = reports.sumRunning(picks);
+  for (const load of fleet.listOwnLoads()) {
+    running += picks(load.server) ? load.running : 0;
   }
   const own = fleet.listPrefill().find(work => work.customer === service);
   const prefillPerSecond = (own?.perSecond ?? 0) + reports.sumPrefill(service);
--- a/src/relay_host/bind_knowledge.ts
+++ b/src/relay_host/bind_knowledge.ts
@@ -3,11 +3,12 @@
 import {bind} from '../container/index.js';
 import {Fleet} from '../fleet/index.js';
 import {Metrics} from '../metrics/index.js';
-import {HostReports} from '../peering/index.js';
+import {HostReports, KnownHosts, ReadAge} from '../peering/index.js';
 import {Quota} from '../quota/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
 import {HostState} from './host_state.js';
-import {CLOCK, GET_SETTINGS, LOG, SELF} from './identifiers.js';
+import {CLOCK, GET_SETTINGS, LOG, RANDOM, SELF} from './identifiers.js';
+import {REPLICA} from './replica_names.js';
 
 /** Age at which a peer's loads count no longer, in milliseconds. */
 const STALE_MS = 2000;
@@ -19,39 +20,31 @@
   bind(container, Metrics, () => new Metrics());
   bind(container, HostState, () => new HostState());
   bind(container, CatalogStore, context => new CatalogStore(context.get(LOG)));
-  bind(
-    container,
-    HostReports,
-    context =>
-      new HostReports({
-        clock: context.get(CLOCK),
-        log: context.get(LOG),
-        self: context.get(SELF),
-        staleMs: STALE_MS,
-        goneMs: GONE_MS,
-      }),
-  );
+  bindHosts(container);
   bind(container, Fleet, context => {
     const reports = context.get(HostReports);
     return new Fleet({
       clock: context.get(CLOCK),
       log: context.get(LOG),
+      random: context.get(RANDOM),
       dataCentre: context.get(SELF).dataCentre,
-      listPeerLoads: () => reports.listLoads(),
+      listPeerLoads: server => reports.listLoadsAt(server),
     });
   });
   bind(container, Quota, context => {
     const reports = context.get(HostReports);
+    const known = context.get(KnownHosts);
     return new Quota({
       clock: context.get(CLOCK),
-      listPeerDemands: () => reports.listDemands(),
-      countHosts: () => reports.countHosts(),
-      hearsAll: () => reports.hearsAll(),
+      sumPeerDemand: customer => reports.sumDemand(customer),
+      countTold: () => reports.countTold(),
+      countHosts: () => known.countHosts(),
+      countHeard: () => known.countAlive(),
       getBound: () => context.get(GET_SETTINGS)().quota,
     });
   });
   bind(container, SharedRetryBudget, context => {
-    const reports = context.get(HostReports);
+    const known = context.get(KnownHosts);
     const getSettings = context.get(GET_SETTINGS);
     return new SharedRetryBudget(context.get(CLOCK), () => {
       const {retryRatio, retryWindowMs, retrySlack} = getSettings();
@@ -59,8 +52,39 @@
         ratio: retryRatio,
         windowMs: retryWindowMs,
         slack: retrySlack,
-        hosts: reports.countHosts(),
+        hosts: known.countHosts(),
       };
     });
   });
 }
+
+function bindHosts(container: Container): void {
+  bind(
+    container,
+    KnownHosts,
+    context =>
+      new KnownHosts({
+        clock: context.get(CLOCK),
+        log: context.get(LOG),
+        self: context.get(SELF),
+        staleMs: STALE_MS,
+        goneMs: GONE_MS,
+      }),
+  );
+  bind(
+    container,
+    HostReports,
+    context =>
+      new HostReports({
+        clock: context.get(CLOCK),
+        dataCentre: context.get(SELF).dataCentre,
+        staleMs: STALE_MS,
+        goneMs: GONE_MS,
+      }),
+  );
+  bind(
+    container,
+    ReadAge,
+    context => new ReadAge(context.get(CLOCK), Object.values(REPLICA)),
+  );
+}
--- a/src/relay_host/bind_peering.ts
+++ b/src/relay_host/bind_peering.ts
@@ -3,7 +3,14 @@
 import {Fleet} from '../fleet/index.js';
 import {Duty} from '../lease/index.js';
 import {Peers} from '../peer/index.js';
-import {HostReports, PeerWords} from '../peering/index.js';
+import {Metrics} from '../metrics/index.js';
+import {
+  chooseRelayLinks,
+  HostReports,
+  KnownHosts,
+  PeerWords,
+  ReadAge,
+} from '../peering/index.js';
 import {Quota} from '../quota/index.js';
 import {HostUsage, TrueTime, UsageLedger} from '../usage/index.js';
 import {createPeerKey} from './create_peer_key.js';
@@ -18,14 +25,13 @@
   SELF,
   SERVER_ROWS,
 } from './identifiers.js';
+import {REPLICA} from './replica_names.js';
 
 /** Pause between heartbeats to peers, in milliseconds. */
 const HEARTBEAT_MS = 400;
 /** Wait for a heartbeat's reply before a connection counts as silent. */
 const SILENCE_MS = 1200;
 const MAX_FRAME_BYTES = 4_194_304;
-/** Names under which peers ask for news of replicas. */
-const REPLICA = {CATALOG: 'catalog', SERVERS: 'servers'} as const;
 
 /** Binds the links to other hosts and what is said on them. */
 export function bindPeering(container: Container): void {
@@ -36,7 +42,10 @@
       incarnation: context.get(INCARNATION),
       clock: context.get(CLOCK),
       log: context.get(LOG),
+      metrics: context.get(Metrics),
+      known: context.get(KnownHosts),
       reports: context.get(HostReports),
+      readAge: context.get(ReadAge),
       fleet: context.get(Fleet),
       quota: context.get(Quota),
       ledger: context.get(UsageLedger),
@@ -49,6 +58,7 @@
       isStopping: () => state.isStopping(),
       holdsDuties: () => container.get(Duty).isHeld(),
       requestPeer: (...request) => container.get(Peers).request(...request),
+      listConnected: () => container.get(Peers).listConnected(),
     });
   });
   bind(container, Peers, context => createPeers(container, context));
@@ -56,7 +66,7 @@
 
 function createPeers(container: Container, context: ResolutionContext): Peers {
   const self = context.get(SELF);
-  const reports = context.get(HostReports);
+  const known = context.get(KnownHosts);
   const {host, dataCentre} = self;
   const {seeds} = context.get(GET_SETTINGS)();
   return new Peers({
@@ -73,8 +83,12 @@
     heartbeatMs: HEARTBEAT_MS,
     silenceMs: SILENCE_MS,
     seeds: seeds.filter(seed => seed !== self.address),
-    listCandidates: () => reports.listAddresses(),
-    createHeartbeat: (_peer, acknowledged) =>
-      container.get(PeerWords).createHeartbeat(acknowledged),
+    listCandidates: () => known.listAddresses(),
+    listLinks: () => chooseRelayLinks(self, known),
+    createHeartbeat: (peer, acknowledged) =>
+      container.get(PeerWords).createHeartbeat(peer, acknowledged),
+    receiveReply: (peer, reply, sentMs) =>
+      container.get(PeerWords).receiveReply(peer, reply, sentMs),
+    onUnreachable: address => known.addUnreachable(address),
   });
 }
--- a/src/relay_host/relay_host_settings.ts
+++ b/src/relay_host/relay_host_settings.ts
@@ -4,6 +4,8 @@
 export interface RelayHostSettings {
   readonly host: string;
   readonly dataCentre: string;
+  /** Processor share that this host has, in cores. */
+  readonly capacity: number;
   /** IP number and port that callers connect to. */
   readonly callersAddress: string;
   /** IP number and port that is asked whether the host takes channels. */
@@ -13,6 +15,11 @@
   readonly metricsAddress: string;
   /** Addresses of some peers; these may be stale. */
   readonly seeds: readonly string[];
+  /**
+   * Time in which a new configuration, and a server that leaves, has to be known
+   * on every host, in milliseconds.
+   */
+  readonly newsMs: number;
   /** Time between the request to stop and the kill, in milliseconds. */
   readonly graceMs: number;
   /** Retries allowed per request. */
--- a/src/usage/true_time.ts
+++ b/src/usage/true_time.ts
@@ -47,15 +47,30 @@
     return Math.round(this.clock.now().getTime() - sharedMs);
   }
 
-  /** Returns the true time in Unix milliseconds, as well as it is known. */
-  getMs(): number {
-    if (this.sharedOffsetMs === undefined || this.offsets.size === 0) {
-      return this.clock.now().getTime();
+  /** Returns the shared steady clock; absent before a reading. */
+  readSharedMs(): number | undefined {
+    return this.sharedOffsetMs === undefined
+      ? undefined
+      : this.clock.monotonicMs() + this.sharedOffsetMs;
+  }
+
+  /** Returns the usual offset, the median of the hosts'; absent before a reading. */
+  getUsualOffset(): number | undefined {
+    const own = this.readOwnOffset();
+    if (own === undefined) {
+      return undefined;
     }
-    const own = this.readOwnOffset() ?? 0;
     const offsets = new Map(this.offsets).set(this.host, own);
     const sorted = [...offsets.values()].sort((a, b) => a - b);
-    const median = sorted[Math.floor((sorted.length - 1) / 2)] ?? own;
-    return this.clock.monotonicMs() + this.sharedOffsetMs + median;
+    return sorted[Math.floor((sorted.length - 1) / 2)] ?? own;
+  }
+
+  /** Returns the true time in Unix milliseconds, as well as it is known. */
+  getMs(): number {
+    const sharedMs = this.readSharedMs();
+    const offsetMs = this.getUsualOffset();
+    return sharedMs === undefined || offsetMs === undefined
+      ? this.clock.now().getTime()
+      : sharedMs + offsetMs;
   }
 }
--- a/test/buying/buyer_test.ts
+++ b/test/buying/buyer_test.ts
@@ -10,6 +10,7 @@
 import {Duty, Lease} from '../../src/lease/index.js';
 import {SilentLog} from '../../src/log/index.js';
 import {MemoryTableService} from '../../src/table/index.js';
+import {SeededRandom} from '../../src/random/index.js';
 import {VirtualClock} from '../../src/time/index.js';
 
 const LEASE_MS = 3000;
@@ -31,6 +32,7 @@
     fleet = new Fleet({
       clock,
       log,
+      random: new SeededRandom(1),
       dataCentre: 'a',
       listPeerLoads: () => [],
     });
@@ -103,6 +105,7 @@
       watchMs: 1000,
       marginMs: 1000,
       quietMs: LEASE_MS,
+      competes: () => true,
     });
     const buyer = new Buyer({
       clock,
--- a/test/fleet/fleet_test.ts
+++ b/test/fleet/fleet_test.ts
@@ -9,6 +9,7 @@
   PromptPart,
 } from '../../src/fleet/index.js';
 import {SilentLog} from '../../src/log/index.js';
+import {SeededRandom} from '../../src/random/index.js';
 import {ServerKnowledge} from '../../src/routing/index.js';
 import {VirtualClock} from '../../src/time/index.js';
 
@@ -23,8 +24,10 @@
   return new Fleet({
     clock,
     log: new SilentLog(),
+    random: new SeededRandom(1),
     dataCentre: 'here',
-    listPeerLoads,
+    listPeerLoads: server =>
+      listPeerLoads().filter(load => load.server === server),
   });
 }
 
@@ -57,7 +60,7 @@
 
   function getKnowledge(id: string): ServerKnowledge | undefined {
     return fleet
-      .listKnowledge(SERVICE, [shared, own])
+      .listKnowledge(SERVICE, {parts: [shared, own]})
       .find(known => known.server === id);
   }
 
@@ -90,7 +93,7 @@
     ];
     const countAhead = (urgency: number) =>
       fleet
-        .listKnowledge(SERVICE, [], urgency)
+        .listKnowledge(SERVICE, {parts: [], urgency})
         .find(({server}) => server === 'a')?.pendingPrefillTokens;
     expect([0, 1, 2, 3].map(countAhead)).to.deep.equal([
       0, 5000, 14_000, 21_000,
@@ -181,7 +184,7 @@
       'a@1000 ended',
       'a@2000 ready',
     ]);
-    const known = fleet.listKnowledge(SERVICE, [shared, own]);
+    const known = fleet.listKnowledge(SERVICE, {parts: [shared, own]});
     expect(known).to.have.length(1);
     expect(known[0]).to.include({
       server: 'a@2000',
@@ -206,7 +209,7 @@
     start(2000);
     start(0);
     expect(states).to.deep.equal(['a@2000 ready', 'a@2000 gone']);
-    expect(fleet.listKnowledge(SERVICE, [])).to.have.length(0);
+    expect(fleet.listKnowledge(SERVICE, {parts: []})).to.have.length(0);
   });
 
   it('is back when its entry had only lapsed', () => {
--- a/test/lease/duty_test.ts
+++ b/test/lease/duty_test.ts
@@ -52,6 +52,7 @@
       watchMs: 1000,
       marginMs: 1000,
       quietMs: LEASE_MS,
+      competes: () => true,
     });
     return {duty, stopped, run: () => void duty.run(stopped.signal)};
   }
@@ -141,6 +142,7 @@
       watchMs: 10_000,
       marginMs: 1000,
       quietMs: LEASE_MS,
+      competes: () => true,
     });
     const stopped = new AbortController();
     void duty.run(stopped.signal);
--- /dev/null
+++ b/test/peering/hosts_fixture.ts
@@ -0,0 +1,216 @@
+import {Result} from 'true-myth';
+import {chooseRelayLinks, HostAddress} from '../../src/peering/index.js';
+import {PeerIdentity} from '../../src/peer/index.js';
+import {SeededRandom} from '../../src/random/index.js';
+import {VirtualClock} from '../../src/time/index.js';
+import {WordsHost} from './words_fixture.js';
+
+const HEARTBEAT_MS = 400;
+/** Time in which a link that gets no answer is given up, in milliseconds. */
+const SILENCE_MS = 1200;
+const UPDATE_MS = 500;
+
+/** A link of one host to another, with what came back last. */
+interface Link {
+  acknowledged: unknown;
+  /** When the next heartbeat is due. */
+  dueMs: number;
+  /** Since when no heartbeat was answered. */
+  silentSinceMs: number | undefined;
+}
+
+/** Hosts that tell each other over links of a test, on a virtual clock. */
+export class HostsFixture {
+  readonly clock = new VirtualClock();
+  readonly hosts: WordsHost[] = [];
+  /** Hosts that have ended, and those that are paused. */
+  readonly down = new Set<string>();
+  readonly paused = new Set<string>();
+  /** Whether bytes of one host reach another. */
+  reaches: (from: HostAddress, to: HostAddress) => boolean = () => true;
+  /** Heartbeats sent, and bytes of them and of their replies. */
+  heartbeats = 0;
+  private readonly links = new Map<string, Map<string, Link>>();
+  private readonly random = new SeededRandom(7);
+  private starts = 0;
+
+  /**
+   * @param count - Hosts, spread evenly.
+   * @param centres - Data centres.
+   */
+  constructor(
+    private readonly count: number,
+    private readonly centres: number,
+  ) {
+    for (let index = 0; index < count; index++) {
+      this.start(index);
+    }
+  }
+
+  /** Starts a host, anew if it ran before; all know of all by the table. */
+  start(index: number): WordsHost {
+    const self = this.getAddress(index);
+    const host = new WordsHost(self, `start-${this.starts++}`, this.clock, {
+      requestPeer: (to, body) => this.request(self, to, body),
+      listConnected: () => this.listConnected(self.host),
+    });
+    this.hosts[index] = host;
+    this.links.set(self.host, new Map());
+    this.down.delete(self.host);
+    for (let other = 0; other < this.count; other++) {
+      host.known.addAddress(this.getAddress(other));
+    }
+    return host;
+  }
+
+  /** Ends a host at once. */
+  kill(host: WordsHost): void {
+    this.down.add(host.self.host);
+    this.links.set(host.self.host, new Map());
+    for (const links of this.links.values()) {
+      links.delete(host.self.host);
+    }
+  }
+
+  /** Returns the host that sums up a data centre, as its hosts know. */
+  getAggregator(dataCentre: string): WordsHost {
+    const here = this.hosts.filter(
+      ({self}) => self.dataCentre === dataCentre && this.isUp(self.host),
+    );
+    const first = here[0]?.known.rankAggregators(dataCentre)[0]?.host;
+    const found = here.find(({self}) => self.host === first);
+    if (found === undefined) {
+      throw new Error(`nobody sums up ${dataCentre}`);
+    }
+    return found;
+  }
+
+  /** Lets heartbeats go back and forth. */
+  async run(ms: number): Promise<void> {
+    const endMs = this.clock.monotonicMs() + ms;
+    while (this.clock.monotonicMs() < endMs) {
+      await this.step();
+      await this.clock.advance(100);
+    }
+  }
+
+  private getAddress(index: number): HostAddress {
+    const dataCentre = `dc-${index % this.centres}`;
+    // A few hosts of each data centre are larger.
+    const capacity = index < this.centres * 2 ? 1.35 : 0.324;
+    return {
+      host: `front-${index}`,
+      dataCentre,
+      address: `10.0.0.${index}:1`,
+      capacity,
+    };
+  }
+
+  private isUp(host: string): boolean {
+    return !this.down.has(host) && !this.paused.has(host);
+  }
+
+  private get(host: string): WordsHost | undefined {
+    return this.hosts.find(({self}) => self.host === host);
+  }
+
+  private listConnected(host: string): string[] {
+    const out = [...(this.links.get(host)?.keys() ?? [])];
+    const inward = [...this.links]
+      .filter(([, links]) => links.has(host))
+      .map(([other]) => other);
+    return [...new Set([...out, ...inward])];
+  }
+
+  private async step(): Promise<void> {
+    const nowMs = this.clock.monotonicMs();
+    for (const host of this.hosts) {
+      if (!this.isUp(host.self.host)) {
+        continue;
+      }
+      if (nowMs % UPDATE_MS === 0) {
+        this.updateLinks(host);
+      }
+      for (const [to, link] of this.links.get(host.self.host) ?? []) {
+        if (link.dueMs <= nowMs) {
+          await this.beat(host, to, link);
+        }
+      }
+    }
+  }
+
+  private updateLinks(host: WordsHost): void {
+    const wanted = chooseRelayLinks(host.self, host.known);
+    const links = this.links.get(host.self.host);
+    const names = new Set(wanted.map(({host: name}) => name));
+    for (const name of links?.keys() ?? []) {
+      if (!names.has(name)) {
+        links?.delete(name);
+      }
+    }
+    for (const name of names) {
+      if (links?.has(name) === false) {
+        links.set(name, {
+          acknowledged: undefined,
+          dueMs:
+            this.clock.monotonicMs() +
+            100 * Math.floor((this.random.next() * HEARTBEAT_MS) / 100),
+          silentSinceMs: undefined,
+        });
+      }
+    }
+  }
+
+  private async beat(host: WordsHost, to: string, link: Link): Promise<void> {
+    const nowMs = this.clock.monotonicMs();
+    const peer = this.get(to);
+    link.dueMs = nowMs + HEARTBEAT_MS;
+    this.heartbeats++;
+    if (peer === undefined || !this.canTalk(host.self, peer.self)) {
+      this.noteSilence(host, to, link, peer);
+      return;
+    }
+    link.silentSinceMs = undefined;
+    const body = host.words.createHeartbeat(identify(peer), link.acknowledged);
+    link.acknowledged = await peer.words.handle(body, identify(host));
+    host.words.receiveReply(identify(peer), link.acknowledged, nowMs);
+  }
+
+  private noteSilence(
+    host: WordsHost,
+    to: string,
+    link: Link,
+    peer: WordsHost | undefined,
+  ): void {
+    const nowMs = this.clock.monotonicMs();
+    link.silentSinceMs ??= nowMs;
+    const isRefused = this.down.has(to);
+    if (isRefused || nowMs - link.silentSinceMs >= SILENCE_MS) {
+      this.links.get(host.self.host)?.delete(to);
+      host.known.addUnreachable(peer?.self.address ?? '');
+    }
+  }
+
+  private canTalk(from: HostAddress, to: HostAddress): boolean {
+    return (
+      this.isUp(to.host) && this.reaches(from, to) && this.reaches(to, from)
+    );
+  }
+
+  private async request(
+    from: HostAddress,
+    to: string,
+    body: unknown,
+  ): Promise<unknown> {
+    const peer = this.get(to);
+    const sender = this.get(from.host);
+    if (!peer || !sender || !this.canTalk(from, peer.self)) {
+      return Result.err(new Error('not reached'));
+    }
+    return Result.ok(await peer.words.handle(body, identify(sender)));
+  }
+}
+
+function identify({self, incarnation}: WordsHost): PeerIdentity {
+  return {host: self.host, dataCentre: self.dataCentre, incarnation};
+}
--- a/test/peering/peer_words_test.ts
+++ b/test/peering/peer_words_test.ts
@@ -1,67 +1,33 @@
 import {expect} from 'chai';
-import {Fleet} from '../../src/fleet/index.js';
-import {SilentLog} from '../../src/log/index.js';
-import {HostReports, PeerWords} from '../../src/peering/index.js';
-import {Quota} from '../../src/quota/index.js';
+import {KnownHosts, PeerWords} from '../../src/peering/index.js';
 import {VirtualClock} from '../../src/time/index.js';
-import {HostUsage, TrueTime, UsageLedger} from '../../src/usage/index.js';
+import {UsageLedger} from '../../src/usage/index.js';
+import {WINDOW_MS, WordsHost} from './words_fixture.js';
 
-const WINDOW_MS = 5000;
 const self = {host: 'front-1', dataCentre: 'here', address: '10.0.0.1:1'};
 const peer = {host: 'front-2', dataCentre: 'here', address: '10.0.0.2:1'};
 const from = {host: 'front-2', dataCentre: 'here', incarnation: 'x'};
 
 describe('PeerWords', () => {
   let clock: VirtualClock;
-  let reports: HostReports;
+  let known: KnownHosts;
   let ledger: UsageLedger;
   let words: PeerWords;
 
   beforeEach(() => {
     clock = new VirtualClock();
-    const log = new SilentLog();
-    reports = new HostReports({
-      clock,
-      log,
-      self,
-      staleMs: 2000,
-      goneMs: 30_000,
-    });
-    ledger = new UsageLedger(WINDOW_MS, () => clock.monotonicMs());
-    words = new PeerWords({
-      self,
-      incarnation: 'a',
-      clock,
-      log,
-      reports,
-      fleet: new Fleet({
-        clock,
-        log,
-        dataCentre: 'here',
-        listPeerLoads: () => reports.listLoads(),
-      }),
-      quota: new Quota({
-        clock,
-        listPeerDemands: () => [],
-        countHosts: () => 1,
-        getBound: () => ({windowMs: 8000, overage: 0, slack: 0}),
-        hearsAll: () => true,
-      }),
-      ledger,
-      hostUsage: new HostUsage(),
-      trueTime: new TrueTime(clock, self.host),
-      replicas: new Map(),
-      isStopping: () => false,
-      holdsDuties: () => false,
+    const host = new WordsHost(self, 'a', clock, {
       requestPeer: () => {
         throw new Error('nobody is asked here');
       },
+      listConnected: () => [],
     });
-    reports.addAddress(peer);
+    ({known, ledger, words} = host);
+    known.addAddress(peer);
   });
 
   function getReport(acknowledged?: unknown) {
-    const message = words.createHeartbeat(acknowledged);
+    const message = words.createHeartbeat(from, acknowledged);
     if (message.kind !== 'heartbeat') {
       throw new Error('no heartbeat');
     }
@@ -89,7 +55,7 @@
   it('tells of hosts until the peer has acknowledged it', () => {
     const reply = {hostsVersion: getReport().hostsVersion};
     const other = {...peer, host: 'front-3', address: '10.0.0.3:1'};
-    reports.addAddress(other);
+    known.addAddress(other);
     expect(getReport(reply).hosts).to.deep.equal([peer, other]);
     expect(getReport(reply).hosts).to.deep.equal([peer, other]);
   });
--- /dev/null
+++ b/test/peering/words_fixture.ts
@@ -0,0 +1,124 @@
+import {Fleet, FleetServer, FleetState} from '../../src/fleet/index.js';
+import {SilentLog} from '../../src/log/index.js';
+import {Metrics} from '../../src/metrics/index.js';
+import {
+  HostAddress,
+  HostReports,
+  KnownHosts,
+  PeerWords,
+  ReadAge,
+} from '../../src/peering/index.js';
+import {Quota} from '../../src/quota/index.js';
+import {SeededRandom} from '../../src/random/index.js';
+import {RowReplica} from '../../src/replica/index.js';
+import {Clock} from '../../src/time/index.js';
+import {HostUsage, TrueTime, UsageLedger} from '../../src/usage/index.js';
+
+export const WINDOW_MS = 5000;
+export const TABLE = 'servers';
+const STALE_MS = 2000;
+const GONE_MS = 30_000;
+
+/** What a host of a test is connected by. */
+export interface WordsLinks {
+  readonly requestPeer: (host: string, body: unknown) => Promise<unknown>;
+  readonly listConnected: () => readonly string[];
+}
+
+/** What one host tells and knows, without its sockets. */
+export class WordsHost {
+  readonly known: KnownHosts;
+  readonly reports: HostReports;
+  readonly readAge: ReadAge;
+  readonly fleet: Fleet;
+  readonly quota: Quota;
+  readonly ledger: UsageLedger;
+  readonly hostUsage = new HostUsage();
+  readonly metrics = new Metrics();
+  readonly replica = new RowReplica({getSubstance: text => text});
+  readonly words: PeerWords;
+  holdsDuties = false;
+
+  constructor(
+    readonly self: HostAddress,
+    readonly incarnation: string,
+    readonly clock: Clock,
+    links: WordsLinks,
+  ) {
+    const log = new SilentLog();
+    this.known = new KnownHosts({
+      clock,
+      log,
+      self,
+      staleMs: STALE_MS,
+      goneMs: GONE_MS,
+    });
+    this.reports = new HostReports({
+      clock,
+      dataCentre: self.dataCentre,
+      staleMs: STALE_MS,
+      goneMs: GONE_MS,
+    });
+    this.readAge = new ReadAge(clock, [TABLE]);
+    this.fleet = new Fleet({
+      clock,
+      log,
+      random: new SeededRandom(1),
+      dataCentre: self.dataCentre,
+      listPeerLoads: server => this.reports.listLoadsAt(server),
+    });
+    this.quota = new Quota({
+      clock,
+      sumPeerDemand: customer => this.reports.sumDemand(customer),
+      countTold: () => this.reports.countTold(),
+      countHosts: () => this.known.countHosts(),
+      countHeard: () => this.known.countAlive(),
+      getBound: () => ({windowMs: 8000, overage: 0.1, slack: 140_000}),
+    });
+    this.ledger = new UsageLedger(WINDOW_MS, () => clock.monotonicMs());
+    this.words = new PeerWords({
+      self,
+      incarnation,
+      clock,
+      log,
+      metrics: this.metrics,
+      known: this.known,
+      reports: this.reports,
+      readAge: this.readAge,
+      fleet: this.fleet,
+      quota: this.quota,
+      ledger: this.ledger,
+      hostUsage: this.hostUsage,
+      trueTime: new TrueTime(clock, self.host),
+      replicas: new Map([[TABLE, this.replica]]),
+      isStopping: () => false,
+      holdsDuties: () => this.holdsDuties,
+      requestPeer: links.requestPeer as never,
+      listConnected: links.listConnected,
+    });
+    this.replica.addListener(() => this.words.passOnRows(TABLE));
+  }
+
+  /** Makes a server known. */
+  addServer(id: string): void {
+    const server: FleetServer = {
+      id,
+      name: id,
+      startedMs: 0,
+      service: 'desk',
+      address: `${id}:1`,
+      dataCentre: this.self.dataCentre,
+      slots: 12,
+      state: FleetState.READY,
+      reclaimable: false,
+    };
+    this.fleet.set(server, 'test');
+  }
+
+  /** Returns what other hosts have running at a server, as this host knows. */
+  countRunning(server: string): number {
+    return this.reports
+      .listLoadsAt(server)
+      .reduce((sum, {running}) => sum + running, 0);
+  }
+}
--- a/test/platform/server_record_test.ts
+++ b/test/platform/server_record_test.ts
@@ -3,6 +3,7 @@
 import {Fleet, FleetState} from '../../src/fleet/index.js';
 import {Log} from '../../src/log/index.js';
 import {Metrics} from '../../src/metrics/index.js';
+import {SeededRandom} from '../../src/random/index.js';
 import {VirtualClock} from '../../src/time/index.js';
 import {
   createCatalogRows,
@@ -99,6 +100,7 @@
     const fleet = new Fleet({
       clock: new VirtualClock(),
       log,
+      random: new SeededRandom(1),
       dataCentre: 'here',
       listPeerLoads: () => [],
     });
--- a/test/platform/store_feed_test.ts
+++ b/test/platform/store_feed_test.ts
@@ -12,8 +12,12 @@
   let store: StandInStore;
   let replica: RowReplica;
   let stopped: AbortController;
+  let rests: boolean;
+  let reads: number;
 
   beforeEach(async () => {
+    rests = false;
+    reads = 0;
     store = new StandInStore();
     const address = await store.listen();
     replica = new RowReplica({getSubstance: text => text});
@@ -32,6 +36,8 @@
       replica,
       random: new SeededRandom(1),
       countReaders: () => 8,
+      rests: () => rests,
+      onRead: () => reads++,
     });
     void feed.run(stopped.signal);
   });
@@ -47,6 +53,19 @@
     }
   }
 
+  it('asks nothing while others read, and reads once they do not', async () => {
+    await waitFor(() => reads > 0);
+    rests = true;
+    // What was asked for before is still answered.
+    await clock.sleep(1600);
+    const calls = store.calls.length;
+    store.put('servers', 'a', {state: 'ready'});
+    await clock.sleep(400);
+    expect(store.calls.length).to.equal(calls);
+    rests = false;
+    await waitFor(() => replica.getText('a') !== undefined);
+  });
+
   it('hears changes as they come', async () => {
     store.put('servers', 'a', {state: 'ready'});
     await waitFor(() => replica.getText('a') !== undefined);
--- a/test/quota/quota_test.ts
+++ b/test/quota/quota_test.ts
@@ -34,15 +34,17 @@
   start(index: number, count: number): void {
     this.quotas[index] = new Quota({
       clock: this.clock,
-      listPeerDemands: () =>
-        this.quotas
-          .filter((_quota, other) => this.told.has(`${other}>${index}`))
-          .map(quota => quota.listDemand()),
-      hearsAll: () =>
-        this.quotas.every(
-          (_quota, other) => other === index || this.hears(index, other),
-        ),
+      sumPeerDemand: customer => {
+        const demands = this.listTold(index).flatMap(quota =>
+          quota.listDemand(),
+        );
+        return demands
+          .filter(demand => demand.customer === customer)
+          .reduce((sum, {perSecond}) => sum + perSecond, 0);
+      },
+      countTold: () => this.listTold(index).length,
       countHosts: () => this.counts[index] ?? count,
+      countHeard: () => this.countHeard(index, count),
       getBound: () => BOUND,
     });
     this.starts[index] = (this.starts[index] ?? 0) + 1;
@@ -51,6 +53,19 @@
     );
   }
 
+  private listTold(index: number): Quota[] {
+    return this.quotas.filter((_quota, other) =>
+      this.told.has(`${other}>${index}`),
+    );
+  }
+
+  private countHeard(index: number, count: number): number {
+    const unheard = this.quotas.filter(
+      (_quota, other) => other !== index && !this.hears(index, other),
+    );
+    return (this.counts[index] ?? count) - unheard.length;
+  }
+
   /** Which host has told which since that one started. */
   private told = new Set<string>();
 
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -91,6 +91,7 @@
     this.fleet = new Fleet({
       clock,
       log,
+      random: new SeededRandom(1),
       dataCentre: 'here',
       listPeerLoads: () => [],
     });
@@ -105,10 +106,11 @@
       fleet: this.fleet,
       quota: new Quota({
         clock,
-        listPeerDemands: () => [],
+        sumPeerDemand: () => 0,
+        countTold: () => 0,
         countHosts: () => 1,
+        countHeard: () => 1,
         getBound: () => ({windowMs: 8000, overage: 0, slack: 0}),
-        hearsAll: () => true,
       }),
       budget: new SharedRetryBudget(clock, () => ({
         ratio: 0,
--- a/test/relay/relay_test.ts
+++ b/test/relay/relay_test.ts
@@ -61,7 +61,7 @@
       );
       const fixture = new RelayFixture(async () => slow);
       await fixture.serve({streaming: true});
-      const known = fixture.fleet.listKnowledge('desk', []);
+      const known = fixture.fleet.listKnowledge('desk', {parts: []});
       expect(known.map(({excessMs}) => excessMs)).to.deep.equal([0, 0, 0]);
     });
   });
--- a/test/usage/usage_reporter_test.ts
+++ b/test/usage/usage_reporter_test.ts
@@ -73,6 +73,7 @@
       watchMs: 1000,
       marginMs: 1000,
       quietMs: LEASE_MS,
+      competes: () => true,
     });
     const reporter = new UsageReporter({
       clock,
