Judge a clump of requests by what all hosts have spent

Change: the whole decides as well while it holds the request and what demand beyond the rate may take before hosts hear of each other (1 s). Ruled out: a longer smoothing (a flood would be noticed as late).

--- a/src/quota/bucket.ts
+++ b/src/quota/bucket.ts
@@ -33,10 +33,14 @@
     this.level = Math.min(depth, this.level ?? depth * FIRST_LEVEL);
   }
 
-  /** Tells whether a request's units are there. */
-  covers(units: number): boolean {
+  /**
+   * Tells whether a request's units are there.
+   * @param units - The request's units.
+   * @param reserved - Units that are to be left besides.
+   */
+  covers(units: number, reserved = 0): boolean {
     this.fill();
-    return (this.level ?? 0) >= this.getNeeded(units);
+    return (this.level ?? 0) >= this.getNeeded(units) + reserved;
   }
 
   /** Returns the units that are there; negative while a debt is paid off. */
--- a/src/quota/quota.ts
+++ b/src/quota/quota.ts
@@ -48,10 +48,10 @@
 /** Share of the bound's own room that is used; the rest is for restarts. */
 const MARGIN_SHARE = 0.6;
 /**
- * Share of the rate up to which a customer's demand is judged by the whole: what
- * hosts spend before they hear of each other stays within the bound's room.
+ * Time in which what one host lets through is known to the others, in
+ * milliseconds: two heartbeats, and the way by aggregators.
  */
-const CALM_SHARE = 1;
+const WORD_MS = 1000;
 /**
  * Share of the hosts that may be unheard while the whole still decides: of many
  * hosts some always restart, and what they may spend is set aside for them.
@@ -71,9 +71,8 @@
  * its share, since it may be serving where it cannot be heard.
  *
  * Shares alone would refuse a customer that stays within its rate but whose
- * large requests meet one host. So while hosts are heard and the customer's demand
- * is within the rate, less what unheard hosts may spend, what all hosts have spent
- * decides as well.
+ * large requests meet one host. So while hosts are heard, what all of them have
+ * spent decides as well, less what may be spent before it is heard of.
  */
 export class Quota {
   private readonly balances = new Map<string, Balance>();
@@ -148,7 +147,7 @@
     const isWithin =
       (balance.share.covers(units) &&
         !this.exceedsWhole(balance, depth * share, units)) ||
-      (this.isCalm(name, rate) && balance.whole.covers(units));
+      this.isWithinWhole(balance, name, rate, units);
     if (!isWithin) {
       return Math.max(MIN_RETRY_MS, balance.share.getWaitMs(units));
     }
@@ -179,11 +178,22 @@
     };
   }
 
-  private isCalm(customer: string, rate: Rate): boolean {
+  /**
+   * Tells whether all hosts together are within the rate, as far as this one
+   * knows: what may be spent beyond it before hosts hear of each other is
+   * reserved. So a clump of requests within the rate passes, and a flood does not.
+   */
+  private isWithinWhole(
+    balance: Balance,
+    customer: string,
+    rate: Rate,
+    units: number,
+  ): boolean {
     const all =
       this.demand.get(customer) + this.options.sumPeerDemand(customer);
-    const calm = rate.perSecond * this.getHeardShare() * CALM_SHARE;
-    return all <= calm && this.hearsMost();
+    const excess = Math.max(0, all - rate.perSecond * this.getHeardShare());
+    const reserved = (excess * WORD_MS) / MS_PER_SECOND;
+    return this.hearsMost() && balance.whole.covers(units, reserved);
   }
 
   /**
--- a/test/quota/quota_test.ts
+++ b/test/quota/quota_test.ts
@@ -123,6 +123,7 @@
   perSecond: number,
   seed: number,
   onStep: (step: number) => void = () => undefined,
+  stepsPerWord = 4,
 ): Promise<void> {
   const random = new SeededRandom(seed);
   let due = 0;
@@ -135,7 +136,7 @@
       const index = Math.floor(random.next() ** 2 * hosts.quotas.length);
       hosts.take(index, account, units);
     }
-    if (step % 4 === 0) {
+    if (step % stepsPerWord === 0) {
       hosts.tell();
     }
     await hosts.clock.advance(100);
@@ -198,6 +199,64 @@
     });
   });
 
+  describe('of hundreds of hosts that hear each other a second late', () => {
+    const LATE_STEPS = 10;
+    const rate = RATE * 3;
+
+    it('a customer within its rate is hardly ever refused', async () => {
+      const hosts = new Hosts(195);
+      const calm = createAccount(rate);
+      await play(hosts, calm, rate * 0.6, 1, () => undefined, LATE_STEPS);
+      const share = hosts.refused / (hosts.refused + hosts.passed.length);
+      expect(share).to.be.lessThan(0.01);
+    });
+
+    it('a customer is hardly ever refused while a few hosts restart', async () => {
+      const hosts = new Hosts(195);
+      hosts.hears = (_to, from) => from >= 10;
+      const calm = createAccount(rate);
+      await play(hosts, calm, rate * 0.6, 1, () => undefined, LATE_STEPS);
+      const share = hosts.refused / (hosts.refused + hosts.passed.length);
+      expect(share).to.be.lessThan(0.01);
+    });
+
+    for (const seed of [1, 2, 3]) {
+      it(`a customer that comes to seven times its rate stays within the bound, seed ${seed}`, async () => {
+        const hosts = new Hosts(195);
+        const flooding = createAccount(rate);
+        await play(hosts, flooding, rate, seed, () => undefined, LATE_STEPS);
+        await play(
+          hosts,
+          flooding,
+          rate * 7,
+          seed,
+          () => undefined,
+          LATE_STEPS,
+        );
+        expect(hosts.getMostInWindow()).to.be.lessThan(getAllowed(rate));
+      }).timeout(60_000);
+    }
+  });
+
+  describe('a clump of requests over the rate for a moment', () => {
+    it('passes while all hosts together have spent less', async () => {
+      const hosts = new Hosts(23);
+      const clumsy = {...account, rate: {...account.rate, burst: RATE * 4}};
+      // The bucket is full after a while of little.
+      await play(hosts, clumsy, RATE * 0.2, 1);
+      const before = hosts.refused;
+      const random = new SeededRandom(3);
+      for (let step = 0; step < 30; step++) {
+        const units = Math.ceil(RATE * 0.36 * random.next());
+        hosts.take(Math.floor(random.next() * 23), clumsy, units);
+        hosts.tell();
+        await hosts.clock.advance(100);
+      }
+      // A host that sees the customer for the first time begins half full.
+      expect(hosts.refused).to.be.at.most(before + 1);
+    });
+  });
+
   for (const seed of [1, 2, 3]) {
     describe(`a customer at seven times its rate, seed ${seed}`, () => {
       for (const rate of [RATE, RATE * 6]) {
