--- a/src/bin/slopes.ts
+++ b/src/bin/slopes.ts
@@ -4,7 +4,6 @@
 import {
   measureDaemon,
   measureLeaving,
-  measureRelayHeartbeats,
   measureSlopes,
   measureToday,
 } from '../slopes/index.js';
@@ -12,9 +11,6 @@
 for (const line of measureSlopes()) {
   process.stdout.write(`${formatLine(line)}\n`);
 }
-for (const line of measureRelayHeartbeats()) {
-  process.stdout.write(`${formatLine(line)}\n`);
-}
 for (const count of [10, 72]) {
   process.stdout.write(`${formatLine(measureLeaving(count))}\n`);
 }
--- a/src/slopes/index.ts
+++ b/src/slopes/index.ts
@@ -1,4 +1,3 @@
 /** Slopes and benches that docs/CAPACITY.md works with. */
 export {measureDaemon, measureToday} from './measure_daemon.js';
 export {measureLeaving, measureSlopes} from './measure_slopes.js';
-export {measureRelayHeartbeats} from './measure_relay_heartbeats.js';
--- /dev/null
+++ b/test/peering/table_reading_test.ts
@@ -0,0 +1,141 @@
+import {expect} from 'chai';
+import {SilentLog} from '../../src/log/index.js';
+import {
+  HostAddress,
+  KnownHosts,
+  ReadAge,
+  TableReading,
+} from '../../src/peering/index.js';
+import {SeededRandom} from '../../src/random/index.js';
+import {VirtualClock} from '../../src/time/index.js';
+
+const NEWS_MS = 4000;
+const TABLES = ['catalog', 'servers'];
+
+/** Makes the hosts of three data centres; the first of each is large. */
+function createHosts(count: number): HostAddress[] {
+  return Array.from({length: count}, (_, index) => ({
+    host: `front-${index}`,
+    dataCentre: `dc-${index % 3}`,
+    address: `10.0.0.${index}:1`,
+    capacity: index < 3 ? 1.35 : 0.324,
+  }));
+}
+
+describe('TableReading', () => {
+  let clock: VirtualClock;
+
+  beforeEach(() => {
+    clock = new VirtualClock();
+  });
+
+  function createReading(count: number, index: number) {
+    const hosts = createHosts(count);
+    const self = hosts[index];
+    if (self === undefined) {
+      throw new Error(`there is no host ${index}`);
+    }
+    const known = new KnownHosts({
+      clock,
+      log: new SilentLog(),
+      self,
+      staleMs: 2000,
+      goneMs: 30_000,
+    });
+    for (const host of hosts) {
+      known.addAddress(host);
+    }
+    const readAge = new ReadAge(clock, TABLES);
+    const reading = new TableReading({
+      clock,
+      random: new SeededRandom(1),
+      known,
+      readAge,
+      knowsOthers: () => true,
+      getNewsMs: () => NEWS_MS,
+    });
+    return {known, readAge, reading};
+  }
+
+  it('has every one of few hosts read', () => {
+    for (let index = 0; index < 8; index++) {
+      expect(createReading(8, index).reading.rests('servers')).to.equal(false);
+    }
+  });
+
+  it('has two of many hosts read, of two data centres', () => {
+    const readers: number[] = [];
+    for (let index = 0; index < 60; index++) {
+      const {reading} = createReading(60, index);
+      if (reading.isReader()) {
+        readers.push(index);
+      }
+    }
+    expect(readers).to.have.length(2);
+  });
+
+  it('has a host read that hears of no reader within its part of the bound', async () => {
+    const {readAge, reading} = createReading(60, 30);
+    await clock.advance(5000);
+    readAge.addTold(0);
+    expect(reading.rests('servers')).to.equal(true);
+    await clock.advance(NEWS_MS * 0.65);
+    expect(reading.rests('servers')).to.equal(true);
+    await clock.advance(NEWS_MS * 0.1);
+    // Each table is tried once, and then now and then while it does not answer.
+    expect(reading.rests('servers')).to.equal(false);
+    expect(reading.rests('catalog')).to.equal(false);
+    expect(reading.rests('servers')).to.equal(true);
+  });
+
+  it('has it go on while it reads itself, and rest once it is told again', async () => {
+    const {readAge, reading} = createReading(60, 30);
+    await clock.advance(5000);
+    for (const table of TABLES) {
+      readAge.addRead(table);
+    }
+    expect(reading.rests('servers')).to.equal(false);
+    expect(reading.rests('servers')).to.equal(false);
+    readAge.addTold(500);
+    expect(reading.rests('servers')).to.equal(true);
+  });
+
+  it('has a host that starts wait for word, and then read', async () => {
+    const {reading} = createReading(60, 30);
+    expect(reading.rests('servers')).to.equal(true);
+    await clock.advance(2300);
+    expect(reading.rests('servers')).to.equal(false);
+  });
+
+  it('spreads the tries of hosts that have no word of a store that is away', async () => {
+    const {reading} = createReading(60, 30);
+    await clock.advance(5000);
+    let tries = 0;
+    for (let step = 0; step < 100; step++) {
+      tries += reading.rests('servers') ? 0 : 1;
+      await clock.advance(100);
+    }
+    expect(tries).to.be.within(3, 10);
+  });
+});
+
+describe('ReadAge', () => {
+  it('counts from the table that was read longest ago', async () => {
+    const clock = new VirtualClock();
+    const age = new ReadAge(clock, TABLES);
+    age.addRead('catalog');
+    expect(age.getMs()).to.equal(Infinity);
+    await clock.advance(100);
+    age.addRead('servers');
+    expect(age.getOwnMs()).to.equal(100);
+  });
+
+  it('believes the latest of others, and never an older word', async () => {
+    const clock = new VirtualClock();
+    const age = new ReadAge(clock, TABLES);
+    age.addTold(50);
+    age.addTold(400);
+    await clock.advance(10);
+    expect(age.getToldMs()).to.equal(60);
+  });
+});
