Split the words of peers: reports made, words heard, rows, usage, summaries

A reply is checked once in full, for the next heartbeat only its numbers. Rows that a peer told are passed on inside the data centre alone: with 25 of them each aggregator got 24 copies of what is new.

--- a/src/peering/host_report.ts
+++ b/src/peering/host_report.ts
@@ -86,5 +86,13 @@
 
 /** What a host tells its peers with each heartbeat. */
 export type HostReport = z.output<typeof hostReportSchema>;
+/** What of a reply the next heartbeat depends on. */
+export const acknowledgementSchema = heartbeatReplySchema.pick({
+  hostsVersion: true,
+  membersVersion: true,
+});
+
+/** What of a reply the next heartbeat depends on. */
+export type Acknowledgement = z.output<typeof acknowledgementSchema>;
 /** Reply to a heartbeat. */
 export type HeartbeatReply = z.output<typeof heartbeatReplySchema>;
--- a/src/peering/index.ts
+++ b/src/peering/index.ts
@@ -8,7 +8,7 @@
 export {chooseRelayLinks} from './choose_relay_links.js';
 export {PauseWatch} from './pause_watch.js';
 export {PeerWords} from './peer_words.js';
-export type {PeerWordsOptions} from './peer_words.js';
+export type {PeerWordsOptions} from './peer_words_options.js';
 export {ReadAge} from './read_age.js';
 export {TableReading} from './table_reading.js';
 export type {TableReadingOptions} from './table_reading.js';
--- a/src/peering/row_words.ts
+++ b/src/peering/row_words.ts
@@ -33,8 +33,12 @@
   /** Tables of which hosts tell each other news, by name. */
   readonly replicas: ReadonlyMap<string, RowReplica>;
   readonly requestPeer: Peers['request'];
-  /** Returns the connected peers that are to get rows at once. */
-  readonly listReceivers: () => readonly string[];
+  /**
+   * Returns the connected peers that are to get rows at once.
+   * @param isFirst - Whether the rows were read here, so that nobody else has told
+   *   other data centres.
+   */
+  readonly listReceivers: (isFirst: boolean) => readonly string[];
 }
 
 /** News of the platform's tables, from peer to peer. */
@@ -42,7 +46,8 @@
   private readonly pulling = new Set<string>();
   /** Versions up to which news were passed on, by replica. */
   private readonly passed = new Map<string, number>();
-  private readonly gathering = new Set<string>();
+  /** Replicas whose changes are being gathered, and whether any was read here. */
+  private readonly gathering = new Map<string, boolean>();
 
   constructor(private readonly options: RowWordsOptions) {}
 
@@ -93,14 +98,19 @@
   /**
    * Passes on what is new in a replica, once the changes that come with it are in.
    * @param name - The replica.
+   * @param wasRead - Whether the change was read here, and not told by a peer.
    */
-  async passOn(name: string): Promise<void> {
-    const replica = this.options.replicas.get(name);
-    if (replica === undefined || this.gathering.has(name)) {
+  async passOn(name: string, wasRead: boolean): Promise<void> {
+    if (!this.options.replicas.has(name)) {
+      return;
+    }
+    const isGathering = this.gathering.has(name);
+    this.gathering.set(name, wasRead || this.gathering.get(name) === true);
+    if (isGathering) {
       return;
     }
-    this.gathering.add(name);
     await this.options.clock.sleep(GATHER_MS);
+    const isFirst = this.gathering.get(name) === true;
     this.gathering.delete(name);
     const after = this.passed.get(name) ?? 0;
     const {rows, version} = this.listNews(name, after);
@@ -112,7 +122,7 @@
       after,
       version,
     };
-    for (const host of this.options.listReceivers()) {
+    for (const host of this.options.listReceivers(isFirst)) {
       void this.options.requestPeer(host, body, PULL_MS);
     }
   }
--- a/test/peering/words_fixture.ts
+++ b/test/peering/words_fixture.ts
@@ -96,7 +96,9 @@
       requestPeer: links.requestPeer as never,
       listConnected: links.listConnected,
     });
-    this.replica.addListener(() => this.words.passOnRows(TABLE));
+    this.replica.addListener((_row, source) =>
+      this.words.passOnRows(TABLE, source === 'store'),
+    );
   }
 
   /** Makes a server known. */
