--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,43 +1,18 @@
 import {Catalog} from '../catalog/index.js';
 import {Log} from '../log/index.js';
-import {Random, rankByRendezvous} from '../random/index.js';
+import {Random} from '../random/index.js';
 import {OutlierDetector, ServerKnowledge} from '../routing/index.js';
 import {Clock} from '../time/index.js';
 import {Demand, DemandMeter} from '../quota/index.js';
 import {chooseCandidates} from './choose_candidates.js';
+import {chooseHome} from './choose_home.js';
 import {FleetServer, FleetState} from './fleet_server.js';
+import {KnowledgeQuestion} from './knowledge_question.js';
+import {HostLoad, PREFILL_TOKENS_PER_MS, sumPeerWork} from './peer_work.js';
 import {FleetFlight, FlightEnd, TrackedServer} from './tracked_server.js';
 import {PromptPart} from './part_memory.js';
 import {PartNews, SentPart} from './part_news.js';
-import {RankedTokens, sumAhead} from './pending_prefill.js';
-
-/** Work of one host at one server, as hosts tell each other. */
-export interface HostLoad {
-  readonly server: string;
-  /** Requests in flight. */
-  readonly running: number;
-  /** Prompt tokens sent and not yet computed, by rank. */
-  readonly prefill: readonly RankedTokens[];
-  /** Time since it was so, in milliseconds. */
-  readonly ageMs: number;
-}
-
-/** Work of all peers at one server. */
-interface PeerWork {
-  readonly running: number;
-  /** Prompt tokens that it computes before a request. */
-  readonly ahead: number;
-}
-
-/** What of a service's servers is looked at for one request. */
-export interface KnowledgeQuestion {
-  /** Parts of the prompt; empty for plain requests. */
-  readonly parts: readonly PromptPart[];
-  /** Rank of the request: what is less urgent is not ahead of it. */
-  readonly urgency?: number;
-  /** Servers that must not get the request again. */
-  readonly excluded?: ReadonlySet<string>;
-}
+import {sumAhead} from './pending_prefill.js';
 
 /** What the fleet works with. */
 export interface FleetOptions {
@@ -52,11 +27,6 @@
 
 /** Milliseconds of detour to another data centre and back. */
 const HOP_MS = 3;
-/**
- * Prompt tokens an engine computes per millisecond: what current engines of
- * the sheets do; it weighs cached tokens against queues.
- */
-const PREFILL_TOKENS_PER_MS = 100;
 /** Milliseconds an engine takes per token of one stream, when moderately full. */
 const DECODE_MS = 5;
 /** Milliseconds a plain service works on a request, until its own are seen. */
@@ -219,7 +189,7 @@
     const {parts, urgency = LAST_RANK} = question;
     const ready = this.listReady(service);
     const shared = parts.slice(0, -1);
-    const home = this.getHome(shared, ready);
+    const home = chooseHome(shared, ready);
     const candidates = chooseCandidates(ready, {
       excluded: question.excluded ?? new Set(),
       home,
@@ -230,7 +200,7 @@
     const known: ServerKnowledge[] = [];
     for (const tracked of candidates) {
       const {server} = tracked;
-      const peers = this.sumPeerWork(server.id, urgency);
+      const peers = sumPeerWork(this.options.listPeerLoads(server.id), urgency);
       const cached = tracked.memory.countCachedTokens(parts);
       const credit = server.id === home ? countTokens(shared) * HOME_CREDIT : 0;
       known.push({
@@ -306,32 +276,6 @@
     return ready;
   }
 
-  private sumPeerWork(server: string, urgency: number): PeerWork {
-    let running = 0;
-    let ahead = 0;
-    for (const load of this.options.listPeerLoads(server)) {
-      running += load.running;
-      // What a peer told has been worked on since, the most urgent first.
-      const left =
-        sumAhead(load.prefill, urgency) - load.ageMs * PREFILL_TOKENS_PER_MS;
-      ahead += Math.max(0, left);
-    }
-    return {running, ahead};
-  }
-
-  /** All hosts agree on a home, so that one server computes a shared part. */
-  private getHome(
-    shared: readonly PromptPart[],
-    ready: readonly TrackedServer[],
-  ): string | undefined {
-    const last = shared.at(-1);
-    if (last === undefined) {
-      return undefined;
-    }
-    const ids = ready.map(tracked => tracked.server.id);
-    return rankByRendezvous(last.id, ids)[0];
-  }
-
   private noteState(
     before: FleetServer | undefined,
     after: FleetServer,
--- a/src/peering/work_sum.ts
+++ b/src/peering/work_sum.ts
@@ -1,8 +1,6 @@
-import {RankedTokens} from '../fleet/index.js';
+import {PREFILL_TOKENS_PER_MS, RankedTokens} from '../fleet/index.js';
 import {HostWork, Rates, ServerWork} from './host_work.js';
 
-/** Prompt tokens an engine computes per millisecond, as `Fleet` assumes. */
-const PREFILL_TOKENS_PER_MS = 100;
 /** Pending prompt tokens of a rank that are not worth telling: a few steps. */
 const MIN_PENDING_TOKENS = 500;
 
