--- a/src/peering/index.ts
+++ b/src/peering/index.ts
@@ -3,6 +3,7 @@
 export type {HeartbeatReply, HostReport} from './host_report.js';
 export {HostReports} from './host_reports.js';
 export type {HostReportsOptions} from './host_reports.js';
+export {isTableReader} from './is_table_reader.js';
 export {KnownHosts} from './known_hosts.js';
 export type {KnownHostsOptions} from './known_hosts.js';
 export {chooseRelayLinks} from './choose_relay_links.js';
--- a/src/peering/table_reading.ts
+++ b/src/peering/table_reading.ts
@@ -1,5 +1,6 @@
-import {Random, rankByRendezvous} from '../random/index.js';
+import {Random} from '../random/index.js';
 import {Clock} from '../time/index.js';
+import {isTableReader} from './is_table_reader.js';
 import {KnownHosts} from './known_hosts.js';
 import {ReadAge} from './read_age.js';
 
@@ -15,8 +16,6 @@
   readonly getNewsMs: () => number;
 }
 
-/** Data centres whose aggregators read: one, and one for when it is cut off. */
-const READING_CENTRES = 2;
 /**
  * Share of the time for news at which a host whose word of a reader is that old
  * reads for itself: what is left is for the reading, and for telling others.
@@ -24,8 +23,6 @@
 const TOLD_SHARE = 0.7;
 /** The same for aggregators, which many others hear of it from. */
 const AGGREGATOR_SHARE = 0.6;
-/** What data centres are ranked for. */
-const READERS = 'table-readers';
 /** Time from the start in which a host learns who there is, in milliseconds. */
 const MEET_MS = 400;
 /** Time from the start in which others tell a host of what they read, in ms. */
@@ -64,7 +61,7 @@
     if (!knowsOthers() && ageMs < MEET_MS) {
       return true;
     }
-    if (!known.isLarge() || this.isReader()) {
+    if (!known.isLarge() || isTableReader(known)) {
       return false;
     }
     if (readAge.getToldMs() < this.getMaxToldMs()) {
@@ -73,14 +70,6 @@
     return ageMs < LEARN_MS + this.spreadMs || this.restsAlone(table);
   }
 
-  /** Tells whether this host reads for the others, of many. */
-  isReader(): boolean {
-    const {known} = this.options;
-    const ranked = rankByRendezvous(READERS, known.listDataCentres());
-    const reading = ranked.slice(0, READING_CENTRES);
-    return reading.includes(known.getOwnCentre()) && known.isAggregator();
-  }
-
   private getMaxToldMs(): number {
     const {known, getNewsMs} = this.options;
     const share = known.isAggregator() ? AGGREGATOR_SHARE : TOLD_SHARE;
--- a/src/relay_host/create_competes.ts
+++ b/src/relay_host/create_competes.ts
@@ -1,5 +1,5 @@
 import {ResolutionContext} from 'inversify';
-import {HostReports, KnownHosts} from '../peering/index.js';
+import {HostReports, isTableReader, KnownHosts} from '../peering/index.js';
 import {CLOCK} from './identifiers.js';
 
 /**
@@ -9,9 +9,9 @@
 const LEFT_ALONE_MS = 10_000;
 
 /**
- * Makes what tells whether a host should try to hold the duties. Few hosts all do;
- * of many, the aggregators, and only while they hear of no holder: so the store is
- * not asked by all of them all the time.
+ * Makes what tells whether a host should try to hold the duties. Few hosts all do.
+ * Of many, those that read the tables watch the lease, and so take it over as soon as
+ * it lapses; aggregators join them while they hear of no holder.
  */
 export function createCompetes(context: ResolutionContext): () => boolean {
   const clock = context.get(CLOCK);
@@ -19,7 +19,7 @@
   const reports = context.get(HostReports);
   let heardMs = clock.monotonicMs();
   return () => {
-    if (!known.isLarge()) {
+    if (!known.isLarge() || isTableReader(known)) {
       return true;
     }
     if (reports.hearsHolder()) {
--- a/test/peering/table_reading_test.ts
+++ b/test/peering/table_reading_test.ts
@@ -2,6 +2,7 @@
 import {SilentLog} from '../../src/log/index.js';
 import {
   HostAddress,
+  isTableReader,
   KnownHosts,
   ReadAge,
   TableReading,
@@ -66,8 +67,8 @@
   it('has two of many hosts read, of two data centres', () => {
     const readers: number[] = [];
     for (let index = 0; index < 60; index++) {
-      const {reading} = createReading(60, index);
-      if (reading.isReader()) {
+      const {known} = createReading(60, index);
+      if (isTableReader(known)) {
         readers.push(index);
       }
     }
