--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -4,7 +4,7 @@
 export type {FleetOptions} from './fleet.js';
 export type {KnowledgeQuestion} from './knowledge_question.js';
 export {PREFILL_TOKENS_PER_MS} from './peer_work.js';
-export type {HostLoad} from './peer_work.js';
+export type {HostLoad, ServerLoad} from './peer_work.js';
 export {PartMemory} from './part_memory.js';
 export {PartNews} from './part_news.js';
 export type {SentPart} from './part_news.js';
--- a/src/fleet/peer_work.ts
+++ b/src/fleet/peer_work.ts
@@ -1,12 +1,16 @@
 import {RankedTokens, sumAhead} from './pending_prefill.js';
 
-/** Work of one host at one server, as hosts tell each other. */
-export interface HostLoad {
+/** Work at one server. */
+export interface ServerLoad {
   readonly server: string;
   /** Requests in flight. */
   readonly running: number;
   /** Prompt tokens sent and not yet computed, by rank. */
   readonly prefill: readonly RankedTokens[];
+}
+
+/** Work of one host, or of several, at one server, as hosts tell each other. */
+export interface HostLoad extends ServerLoad {
   /** Time since it was so, in milliseconds. */
   readonly ageMs: number;
 }
--- a/src/peering/host_reports.ts
+++ b/src/peering/host_reports.ts
@@ -1,13 +1,8 @@
-import {HostLoad} from '../fleet/index.js';
+import {HostLoad, ServerLoad} from '../fleet/index.js';
 import {PeerIdentity} from '../peer/index.js';
 import {Clock} from '../time/index.js';
 import {HostReport} from './host_report.js';
-import {
-  HostWork,
-  readReportedWork,
-  readSummarisedWork,
-  ServerWork,
-} from './host_work.js';
+import {HostWork, readReportedWork, readSummarisedWork} from './host_work.js';
 import {WorkSum} from './work_sum.js';
 import {WorkSummary} from './work_summary.js';
 
@@ -32,7 +27,7 @@
   /** Hosts that it stands for. */
   readonly hosts: number;
   readonly work: HostWork;
-  readonly byServer: ReadonlyMap<string, ServerWork>;
+  readonly byServer: ReadonlyMap<string, ServerLoad>;
   readonly holdsDuties: boolean;
   /** See `WorkSummary.hops`. */
   readonly hops: number;
--- a/src/peering/host_work.ts
+++ b/src/peering/host_work.ts
@@ -1,22 +1,13 @@
-import {RankedTokens} from '../fleet/index.js';
+import {RankedTokens, ServerLoad} from '../fleet/index.js';
 import {HostReport} from './host_report.js';
 import {WorkSummary} from './work_summary.js';
 
-/** Work at one server. */
-export interface ServerWork {
-  readonly server: string;
-  /** Requests in flight. */
-  readonly running: number;
-  /** Prompt tokens sent and not yet computed, by rank. */
-  readonly prefill: readonly RankedTokens[];
-}
-
 /** Rates by name: of customers, or of services. */
 export type Rates = readonly (readonly [name: string, perSecond: number])[];
 
 /** What one host, or several together, have under way. */
 export interface HostWork {
-  readonly loads: readonly ServerWork[];
+  readonly loads: readonly ServerLoad[];
   /** Servers with the shared parts of prompts that they were just sent. */
   readonly parts: readonly (readonly [
     server: string,
--- a/src/peering/work_sum.ts
+++ b/src/peering/work_sum.ts
@@ -1,5 +1,9 @@
-import {PREFILL_TOKENS_PER_MS, RankedTokens} from '../fleet/index.js';
-import {HostWork, Rates, ServerWork} from './host_work.js';
+import {
+  PREFILL_TOKENS_PER_MS,
+  RankedTokens,
+  ServerLoad,
+} from '../fleet/index.js';
+import {HostWork, Rates} from './host_work.js';
 
 /** Pending prompt tokens of a rank that are not worth telling: a few steps. */
 const MIN_PENDING_TOKENS = 500;
@@ -46,7 +50,7 @@
     };
   }
 
-  private addLoad(load: ServerWork, ageMs: number): void {
+  private addLoad(load: ServerLoad, ageMs: number): void {
     const sum = this.servers.get(load.server) ?? {
       running: 0,
       tokens: new Map<number, number>(),
@@ -58,8 +62,8 @@
     this.servers.set(load.server, sum);
   }
 
-  private listLoads(): ServerWork[] {
-    const loads: ServerWork[] = [];
+  private listLoads(): ServerLoad[] {
+    const loads: ServerLoad[] = [];
     for (const [server, {running, tokens}] of this.servers) {
       const prefill = [...tokens]
         .filter(([, pending]) => pending >= MIN_PENDING_TOKENS)
@@ -84,7 +88,7 @@
   ageMs: number,
 ): HostWork {
   const taken = new Map(part.loads.map(load => [load.server, load]));
-  const loads: ServerWork[] = [];
+  const loads: ServerLoad[] = [];
   for (const load of whole.loads) {
     const own = taken.get(load.server);
     const left = own === undefined ? load : subtractLoad(load, own, ageMs);
@@ -101,10 +105,10 @@
 }
 
 function subtractLoad(
-  whole: ServerWork,
-  part: ServerWork,
+  whole: ServerLoad,
+  part: ServerLoad,
   ageMs: number,
-): ServerWork {
+): ServerLoad {
   const taken = new Map(
     listLeft(part, ageMs).map(({urgency, tokens}) => [urgency, tokens]),
   );
@@ -129,7 +133,7 @@
 }
 
 /** Lists what a server still has to compute: the most urgent comes first. */
-function listLeft({prefill}: ServerWork, ageMs: number): RankedTokens[] {
+function listLeft({prefill}: ServerLoad, ageMs: number): RankedTokens[] {
   let doneTokens = ageMs * PREFILL_TOKENS_PER_MS;
   const left: RankedTokens[] = [];
   for (const {urgency, tokens} of byUrgency(prefill)) {
