--- a/src/peering/host_reports.ts
+++ b/src/peering/host_reports.ts
@@ -3,6 +3,7 @@
 import {Clock} from '../time/index.js';
 import {HostReport} from './host_report.js';
 import {HostWork, readReportedWork, readSummarisedWork} from './host_work.js';
+import {MemberScope} from './known_hosts.js';
 import {WorkSum} from './work_sum.js';
 import {WorkSummary} from './work_summary.js';
 
@@ -10,10 +11,7 @@
 const Scope = {
   /** One host, by its own word. */
   HOST: 'host',
-  /** All hosts of a data centre, by its aggregator. */
-  CENTRE: 'centre',
-  /** All hosts but this one, by the aggregator of its data centre. */
-  ALL: 'all',
+  ...MemberScope,
 } as const;
 type Scope = (typeof Scope)[keyof typeof Scope];
 
--- a/src/peering/summary_words.ts
+++ b/src/peering/summary_words.ts
@@ -75,10 +75,10 @@
    * @param acknowledged - Number of the list of hosts that it knows.
    */
   createCentre(acknowledged: number | undefined): WorkSummary {
-    if (this.isOld(this.centre)) {
+    if (this.centre === undefined || this.isOld(this.centre)) {
       this.centre = this.sumCentre();
     }
-    const base = this.centre ?? this.sumCentre();
+    const base = this.centre;
     return this.create(base, base.work, base.spending, acknowledged);
   }
 
@@ -95,10 +95,10 @@
     if (this.options.clock.monotonicMs() < this.learntMs) {
       return undefined;
     }
-    if (this.isOld(this.all)) {
+    if (this.all === undefined || this.isOld(this.all)) {
       this.all = this.sumAll();
     }
-    const base = this.all ?? this.sumAll();
+    const base = this.all;
     const word = base.words.get(peer.host);
     const work =
       word === undefined
@@ -184,9 +184,8 @@
     };
   }
 
-  private isOld(base: SummaryBase | undefined): boolean {
-    const nowMs = this.options.clock.monotonicMs();
-    return base === undefined || nowMs - base.madeMs > SUM_MS;
+  private isOld({madeMs}: SummaryBase): boolean {
+    return this.options.clock.monotonicMs() - madeMs > SUM_MS;
   }
 
   private getOwnWork(): HostWork {
--- a/src/routing/choose_server.ts
+++ b/src/routing/choose_server.ts
@@ -1,4 +1,5 @@
 import {Random} from '../random/index.js';
+import {drawSample, LOOK_AT_ALL} from './draw_sample.js';
 import {predictFirstToken} from './predict_first_token.js';
 import {
   RoutingDecision,
@@ -14,10 +15,6 @@
   random: Random,
 ) => RoutingDecision;
 
-/** Up to this many servers are all scored; of more, a sample. */
-const SCORE_ALL = 16;
-const SAMPLED = 8;
-const PREFIX_HOLDERS = 2;
 /** Predictions this close count as equal; chance decides, against herding. */
 const TIE_SHARE = 0.05;
 const TIE_MS = 2;
@@ -101,20 +98,8 @@
   usable: readonly ServerKnowledge[],
   random: Random,
 ): readonly ServerKnowledge[] {
-  if (usable.length <= SCORE_ALL) {
+  if (usable.length <= LOOK_AT_ALL) {
     return usable;
   }
-  const sample = new Set<ServerKnowledge>();
-  const holders = usable.filter(known => known.cachedTokens > 0);
-  holders.sort((a, b) => b.cachedTokens - a.cachedTokens);
-  for (const holder of holders.slice(0, PREFIX_HOLDERS)) {
-    sample.add(holder);
-  }
-  for (let draw = 0; draw < SAMPLED; draw++) {
-    const known = usable[Math.floor(random.next() * usable.length)];
-    if (known !== undefined) {
-      sample.add(known);
-    }
-  }
-  return [...sample];
+  return [...drawSample(usable, ({cachedTokens}) => cachedTokens, random)];
 }
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -5,6 +5,7 @@
 export {findCandidates} from './find_candidates.js';
 export type {CandidateSearch} from './find_candidates.js';
 export {OutlierDetector} from './outlier_detector.js';
+export {drawSample, LOOK_AT_ALL} from './draw_sample.js';
 export {predictFirstToken} from './predict_first_token.js';
 export {PrefixIndex} from './prefix_index.js';
 export {RetryBudget} from './retry_budget.js';
