Log which request a server lost, for how long it ran, and whether the server ended

Cause: the lines of the incident could not tell whether two ids carried the same request, whether a lost request had only just begun, or whether its server had ended or one channel broke. So three hypotheses stood side by side.

Change: a line `run_lost` for each run that its server broke off, with a fingerprint of customer, method, path and body, the time it ran, and whether the server refuses channels now (one look for all requests lost together); counter `runs_lost{ended}`. Nothing is decided by it yet.

--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -49,6 +49,8 @@
   readonly full?: boolean;
   /** Whether no byte of the request left this host. */
   readonly unsent?: boolean;
+  /** Whether the server answered what cannot be used, so that it is there. */
+  readonly spoiled?: boolean;
 }
 
 /** How a sending went. */
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -19,6 +19,7 @@
     options.fleet.addListener(server => this.leave(server));
     metrics.addCounter('relocated', 'Streams moved off leaving servers');
     metrics.addCounter('relayed', 'Relayed requests by route and outcome');
+    metrics.addCounter('runs_lost', 'Runs that their server broke off');
     metrics.addHistogram('relay_first_byte', 'Time to the first byte');
     metrics.addHistogram('relay_whole', 'Time to the end of an answer');
     metrics.addGauge('relay_in_flight', 'Requests relayed now', () =>
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -33,6 +33,11 @@
   readonly detail: string;
   /** The server's own failure, for relaying. */
   readonly failure?: BufferedAnswer;
+  /**
+   * Time from the sending until the server's side ended the channel without an
+   * answer, in milliseconds; absent where that is not what happened.
+   */
+  readonly brokenOffMs?: number;
 }
 
 /** One sending of a request. */
@@ -81,6 +86,7 @@
   private readonly silence: SilenceWatch | undefined;
   private readonly flight: FleetFlight;
   private readonly sentMs: number;
+  private readonly ending: AbortSignal;
   private hasBegun = false;
 
   constructor(
@@ -98,6 +104,7 @@
       urgency,
     );
     this.silence = this.watchSilence();
+    this.ending = this.listenForEnd();
   }
 
   /** Sends the request and relays what comes back. */
@@ -114,7 +121,7 @@
         ...(copy === undefined ? {} : {copy}),
         ...(lastEventId === undefined ? {} : {lastEventId}),
       },
-      this.listenForEnd(),
+      this.ending,
     );
     const attempted =
       result.kind === ExchangeKind.ANSWERED
@@ -202,7 +209,21 @@
     this.flight.finish(this.judge(failure));
     const {kind, detail} = failure;
     this.context.record.addFailure(server.id, number, kind, detail);
-    return {end: kind, detail: `${server.id}: ${detail}`};
+    return {
+      end: kind,
+      detail: `${server.id}: ${detail}`,
+      ...(this.isBrokenOff(failure)
+        ? {brokenOffMs: this.options.clock.monotonicMs() - this.sentMs}
+        : {}),
+    };
+  }
+
+  /** Tells whether the server's side ended the channel, and not this host. */
+  private isBrokenOff({kind, spoiled}: ExchangeFailure): boolean {
+    if (kind !== ExchangeKind.LOST || spoiled === true) {
+      return false;
+    }
+    return this.context.lost.aborted || !this.ending.aborted;
   }
 
   /** Judges what a failed sending tells of its server. */
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -8,6 +8,7 @@
 import {Clock} from '../time/index.js';
 import {UsageLedger} from '../usage/index.js';
 import {CopyRun} from './copy_run.js';
+import {EndedServers} from './ended_servers.js';
 import {Exchange} from './exchange.js';
 
 /** What the relay works with. */
@@ -23,4 +24,5 @@
   readonly ledger: UsageLedger;
   readonly exchange: Exchange;
   readonly copyRun: CopyRun;
+  readonly endedServers: EndedServers;
 }
--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -1,4 +1,5 @@
 import {RoutingDecision} from '../routing/index.js';
+import {fingerprintRequest} from '../quarantine/index.js';
 import {RelayOptions} from './relay_options.js';
 import {RelayRequest} from './relay_request.js';
 
@@ -62,6 +63,24 @@
     });
   }
 
+  /**
+   * Writes that a server broke the request off while it worked on it.
+   * @param server - The server.
+   * @param ranMs - Time since the request was sent there.
+   * @param hasEnded - Whether the server is known to have ended.
+   */
+  addLoss(server: string, ranMs: number, hasEnded: boolean): void {
+    const {request} = this;
+    this.options.metrics.increment('runs_lost', {ended: String(hasEnded)});
+    this.options.log.warn('run_lost', {
+      request: request.id,
+      content: getFingerprint(request),
+      server,
+      ran_ms: ranMs.toFixed(0),
+      server_ended: hasEnded,
+    });
+  }
+
   /**
    * Counts that a server began to answer: the customer is billed for it.
    * @param tookMs - Time since the request was sent there.
@@ -102,3 +121,8 @@
     });
   }
 }
+
+function getFingerprint({method, path, account, body}: RelayRequest): string {
+  const caller = account?.name ?? '';
+  return fingerprintRequest({method, path, caller, body});
+}
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -164,6 +164,9 @@
     if (result.end === AttemptEnd.DONE) {
       return false;
     }
+    if (result.brokenOffMs !== undefined) {
+      await this.noteLoss(server, result.brokenOffMs);
+    }
     // The channel of a run that was stopped may close before the word of it.
     await this.relocation;
     if (this.copied !== undefined && this.copied !== copied) {
@@ -198,6 +201,14 @@
     return result;
   }
 
+  /** Notes that a server's side broke the request off, and whether it has ended. */
+  private async noteLoss(server: FleetServer, ranMs: number): Promise<void> {
+    const hasEnded =
+      this.lost.signal.aborted ||
+      (await this.options.endedServers.hasEnded(server));
+    this.record.addLoss(server.id, ranMs, hasEnded);
+  }
+
   /** Settles an attempt without an answer; returns whether another follows. */
   private goOn(server: FleetServer, result: AttemptResult): boolean {
     this.lastDetail = result.detail;
--- a/src/relay_host/bind_relay_host.ts
+++ b/src/relay_host/bind_relay_host.ts
@@ -5,13 +5,20 @@
 import {Fleet} from '../fleet/index.js';
 import {Metrics} from '../metrics/index.js';
 import {Quota} from '../quota/index.js';
-import {Relay} from '../relay/index.js';
+import {EndedServers, Relay} from '../relay/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
 import {UsageLedger} from '../usage/index.js';
 import {bindDuties} from './bind_duties.js';
 import {bindKnowledge} from './bind_knowledge.js';
 import {bindPeering} from './bind_peering.js';
-import {CLOCK, COPY_RUN, EXCHANGE, LOG, RANDOM} from './identifiers.js';
+import {
+  CLOCK,
+  COPY_RUN,
+  EXCHANGE,
+  LOG,
+  LOOK_FOR_END,
+  RANDOM,
+} from './identifiers.js';
 
 /** Binds every part that does not depend on the platform. */
 export function bindRelayHost(container: Container): void {
@@ -34,6 +41,7 @@
         ledger: context.get(UsageLedger),
         exchange: context.get(EXCHANGE),
         copyRun: context.get(COPY_RUN),
+        endedServers: new EndedServers(context.get(LOOK_FOR_END)),
       }),
   );
 }
--- a/src/relay_host/identifiers.ts
+++ b/src/relay_host/identifiers.ts
@@ -4,7 +4,7 @@
 import {Log} from '../log/index.js';
 import {HostAddress} from '../peering/index.js';
 import {Random} from '../random/index.js';
-import {CopyRun, Exchange} from '../relay/index.js';
+import {CopyRun, Exchange, LookForEnd} from '../relay/index.js';
 import {RowReplica} from '../replica/index.js';
 import {TableService} from '../table/index.js';
 import {Clock} from '../time/index.js';
@@ -24,6 +24,7 @@
 export const TABLE: ServiceIdentifier<TableService> = Symbol('TableService');
 export const EXCHANGE: ServiceIdentifier<Exchange> = Symbol('Exchange');
 export const COPY_RUN: ServiceIdentifier<CopyRun> = Symbol('CopyRun');
+export const LOOK_FOR_END: ServiceIdentifier<LookForEnd> = Symbol('LookForEnd');
 export const SEND_USAGE: ServiceIdentifier<SendUsage> = Symbol('SendUsage');
 export const ORDER_SERVERS: ServiceIdentifier<OrderServers> =
   Symbol('OrderServers');
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -10,6 +10,7 @@
   AnswerSink,
   CopyFailure,
   CopyOrder,
+  EndedServers,
   Exchange,
   ExchangeKind,
   ExchangeOrder,
@@ -83,6 +84,8 @@
   readonly sent: ExchangeOrder[] = [];
   readonly copies: CopyOrder[] = [];
   budget = 100;
+  /** Servers that have ended. */
+  readonly ended = new Set<string>();
   copyResult: Result<string, CopyFailure> = Result.ok('h1');
 
   constructor(exchange: Exchange) {
@@ -127,6 +130,7 @@
         this.copies.push(order);
         return this.copyResult;
       },
+      endedServers: new EndedServers(async ({id}) => this.ended.has(id)),
     });
     for (const id of ['s1', 's2', 's3']) {
       this.fleet.set(createServer(id), 'test');
