Keep a request away from servers once several have ended under it

Cause: a host judged each sending by itself. What it remembered of a failure was about servers or about one caller's attempt, and told nobody. So a request that ends its server was new to every host, each time it came.

Change: Quarantine names requests by content (customer, method, path, body), notes each server that ended while it ran one (a look: it refuses channels), and refuses with a time to come back what has ended three, in two steps at least: what a popular request suffers when servers fail together is one step, and its next answer clears it. Hosts tell each other with heartbeats, at once where they saw an end; merged by union and maximum. What is kept away stands in the platform's store too, for hosts that start, or that hear no others. Lists of the store's table are read page by page.

--- a/src/errors/problem.ts
+++ b/src/errors/problem.ts
@@ -28,6 +28,7 @@
   NO_SERVER: 'no-server',
   OUTCOME_UNKNOWN: 'outcome-unknown',
   PRECONDITION_REQUIRED: 'precondition-required',
+  QUARANTINED: 'quarantined',
   RECORD_INVALID: 'record-invalid',
   RECORD_UNKNOWN: 'record-unknown',
   REQUEST_UNKNOWN: 'request-unknown',
--- a/src/errors/problems.ts
+++ b/src/errors/problems.ts
@@ -292,6 +292,19 @@
   ran: Ran.NO,
 });
 
+export const quarantined = (
+  content: string,
+  retryAfterSeconds: number,
+): Problem => ({
+  kind: ProblemKind.QUARANTINED,
+  status: 503,
+  detail: `Several servers ended while they ran this request (content ${content}).`,
+  remedy:
+    'Change the request, have the service mended, or ask again after the given time.',
+  ran: Ran.NO,
+  retryAfterSeconds,
+});
+
 export const requestMalformed = (status: number, detail: string): Problem => ({
   kind: ProblemKind.HEADER_INVALID,
   status,
--- a/src/explain/judge_request.ts
+++ b/src/explain/judge_request.ts
@@ -20,6 +20,7 @@
 const REFUSALS: ReadonlySet<string> = new Set([
   ProblemKind.NO_ROOM,
   ProblemKind.DEADLINE_UNREACHABLE,
+  ProblemKind.QUARANTINED,
 ]);
 
 /**
--- a/src/peering/host_report.ts
+++ b/src/peering/host_report.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {suspectNewsSchema} from '../quarantine/index.js';
 import {hostAddressSchema} from './host_address.js';
 import {workSummarySchema} from './work_summary.js';
 
@@ -63,6 +64,8 @@
   centre: workSummarySchema.optional(),
   /** Time since it last read the tables, in milliseconds; left out if never. */
   readAgeMs: count.optional(),
+  /** Requests that end servers; left out while there is none. */
+  suspects: suspectNewsSchema.optional(),
 });
 
 /** Reply to a heartbeat; hosts of the release before send an empty one. */
@@ -82,6 +85,8 @@
   sharedMs: z.number().optional(),
   /** The usual time of day less that clock, in milliseconds. */
   usualOffsetMs: z.number().optional(),
+  /** Requests that end servers; left out while there is none. */
+  suspects: suspectNewsSchema.optional(),
 });
 
 /** What a host tells its peers with each heartbeat. */
@@ -90,6 +95,7 @@
 export const acknowledgementSchema = heartbeatReplySchema.pick({
   hostsVersion: true,
   membersVersion: true,
+  suspects: true,
 });
 
 /** What of a reply the next heartbeat depends on. */
--- a/src/peering/peer_words.ts
+++ b/src/peering/peer_words.ts
@@ -4,15 +4,18 @@
 import {
   Acknowledgement,
   acknowledgementSchema,
+  HeartbeatReply,
   heartbeatReplySchema,
   HostReport,
   hostReportSchema,
 } from './host_report.js';
+import {optional} from './optional.js';
 import {PauseWatch} from './pause_watch.js';
 import {PeerWordsOptions} from './peer_words_options.js';
 import {ReportWords} from './report_words.js';
 import {RowWords, rowsSchema} from './row_words.js';
 import {SummaryWords} from './summary_words.js';
+import {SuspectWords} from './suspect_words.js';
 import {UsageWords} from './usage_words.js';
 
 /** What hosts ask each other. */
@@ -40,6 +43,7 @@
   private readonly usage: UsageWords;
   private readonly reports: ReportWords;
   private readonly heard: HeardWords;
+  private readonly suspects: SuspectWords;
   private readonly pauses: PauseWatch;
   /** Hosts that want word of all, which get rows at once. */
   private readonly wanting = new Set<string>();
@@ -48,6 +52,7 @@
     const {clock, self, incarnation} = options;
     this.pauses = new PauseWatch(clock);
     this.heard = new HeardWords(options);
+    this.suspects = new SuspectWords(options.quarantine);
     this.summaries = new SummaryWords(options);
     this.rows = new RowWords({
       ...options,
@@ -74,7 +79,12 @@
   ): z.input<typeof messageSchema> {
     this.noticePause();
     const reply = acknowledgementSchema.safeParse(acknowledged).data;
-    return {kind: 'heartbeat', report: this.createReport(peer, reply)};
+    const suspects = this.suspects.create(peer, reply?.suspects);
+    const report = this.createReport(peer, reply);
+    return {
+      kind: 'heartbeat',
+      report: {...report, ...optional('suspects', suspects)},
+    };
   }
 
   /**
@@ -103,6 +113,7 @@
     this.heard.addAll(peer, all);
     this.heard.addCentre(peer, parsed.data.centre);
     this.rows.compare(peer.host, news ?? {});
+    this.suspects.receive(peer, parsed.data.suspects);
   }
 
   /**
@@ -121,7 +132,7 @@
       case 'heartbeat':
         this.noticePause();
         this.receive(message.report, from);
-        return this.reports.createReply(message.report, from);
+        return this.createReply(message.report, from);
       case 'usage':
         return this.usage.list(message.window);
       case 'news':
@@ -161,8 +172,16 @@
       : this.reports.createCentreReport(peer, reply);
   }
 
+  private createReply(report: HostReport, from: PeerIdentity): HeartbeatReply {
+    return {
+      ...this.reports.createReply(report, from),
+      ...optional('suspects', this.suspects.create(from, report.suspects)),
+    };
+  }
+
   private receive(report: HostReport, from: PeerIdentity): void {
     this.heard.addReport(report, from);
+    this.suspects.receive(from, report.suspects);
     if (report.wantsAll === true) {
       this.wanting.add(from.host);
     } else {
--- a/src/peering/peer_words_options.ts
+++ b/src/peering/peer_words_options.ts
@@ -3,6 +3,7 @@
 import {Metrics} from '../metrics/index.js';
 import {Peers} from '../peer/index.js';
 import {Quota} from '../quota/index.js';
+import {Quarantine} from '../quarantine/index.js';
 import {RowReplica} from '../replica/index.js';
 import {Clock} from '../time/index.js';
 import {HostUsage, TrueTime, UsageLedger} from '../usage/index.js';
@@ -24,6 +25,7 @@
   readonly readAge: ReadAge;
   readonly fleet: Fleet;
   readonly quota: Quota;
+  readonly quarantine: Quarantine;
   readonly ledger: UsageLedger;
   readonly hostUsage: HostUsage;
   readonly trueTime: TrueTime;
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -5,6 +5,7 @@
 import {RelayOptions} from './relay_options.js';
 import {RelayRequest} from './relay_request.js';
 import {RelayRun} from './relay_run.js';
+import {WatchedContent} from './watched_content.js';
 
 const MS_PER_SECOND = 1000;
 /** Part of a wait by which callers who come back are spread. */
@@ -43,14 +44,21 @@
     sink: AnswerSink,
     left: AbortSignal,
   ): Promise<void> {
-    const refusal = this.admit(request);
+    const content = new WatchedContent(this.options.quarantine, request);
+    const refusal = refuseHeld(content) ?? this.admit(request);
     if (refusal !== undefined) {
       this.logRefusal(request, refusal);
       sink.refuse(refusal);
       return;
     }
     const service = this.chooseService(request.route);
-    const run = new RelayRun(this.options, request, service, sink, left);
+    const run = new RelayRun(this.options, {
+      request,
+      content,
+      service,
+      sink,
+      left,
+    });
     this.runs.add(run);
     try {
       await run.execute();
@@ -131,3 +139,14 @@
   }
   return tokensIn + tokensOut || rate.plainTokens;
 }
+
+/**
+ * Refuses what is kept away from servers, before it counts against its customer's
+ * rate: it would end the next one, and break off all that runs there.
+ */
+function refuseHeld(content: WatchedContent): Problem | undefined {
+  const heldMs = content.getHeldMs();
+  return heldMs === 0
+    ? undefined
+    : problems.quarantined(content.getContent(), heldMs / MS_PER_SECOND);
+}
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -2,6 +2,7 @@
 import {Fleet} from '../fleet/index.js';
 import {Log} from '../log/index.js';
 import {Metrics} from '../metrics/index.js';
+import {Quarantine} from '../quarantine/index.js';
 import {Quota} from '../quota/index.js';
 import {Random} from '../random/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
@@ -20,6 +21,7 @@
   readonly catalog: CatalogStore;
   readonly fleet: Fleet;
   readonly quota: Quota;
+  readonly quarantine: Quarantine;
   readonly budget: SharedRetryBudget;
   readonly ledger: UsageLedger;
   readonly exchange: Exchange;
--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -1,5 +1,4 @@
 import {RoutingDecision} from '../routing/index.js';
-import {fingerprintRequest} from '../quarantine/index.js';
 import {RelayOptions} from './relay_options.js';
 import {RelayRequest} from './relay_request.js';
 
@@ -11,6 +10,17 @@
   readonly detail: string;
 }
 
+/** A run that its server broke off. */
+export interface LostRun {
+  /** Names the request by what it holds, whatever id it bears. */
+  readonly content: string;
+  readonly server: string;
+  /** Time since the request was sent there, in milliseconds. */
+  readonly ranMs: number;
+  /** Whether the server is known to have ended. */
+  readonly hasEnded: boolean;
+}
+
 /** What is logged, counted and billed of one request. */
 export class RelayRecord {
   /** Time from the request's arrival to the first byte of its answer. */
@@ -63,18 +73,12 @@
     });
   }
 
-  /**
-   * Writes that a server broke the request off while it worked on it.
-   * @param server - The server.
-   * @param ranMs - Time since the request was sent there.
-   * @param hasEnded - Whether the server is known to have ended.
-   */
-  addLoss(server: string, ranMs: number, hasEnded: boolean): void {
-    const {request} = this;
+  /** Writes that a server broke the request off while it worked on it. */
+  addLoss({content, server, ranMs, hasEnded}: LostRun): void {
     this.options.metrics.increment('runs_lost', {ended: String(hasEnded)});
     this.options.log.warn('run_lost', {
-      request: request.id,
-      content: getFingerprint(request),
+      request: this.request.id,
+      content,
       server,
       ran_ms: ranMs.toFixed(0),
       server_ended: hasEnded,
@@ -121,8 +125,3 @@
     });
   }
 }
-
-function getFingerprint({method, path, account, body}: RelayRequest): string {
-  const caller = account?.name ?? '';
-  return fingerprintRequest({method, path, caller, body});
-}
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -13,17 +13,31 @@
 import {RelayOptions} from './relay_options.js';
 import {RelayRecord} from './relay_record.js';
 import {RelayRequest} from './relay_request.js';
+import {WatchedContent} from './watched_content.js';
 
 /** Time left below which nothing is sent any more, in milliseconds. */
 const MIN_REMAINING_MS = 5;
 /** Servers asked beyond the attempts allowed, while none has run the request. */
 const MAX_NOT_RUN = 3;
 const SERVER_ERROR = 500;
+const MS_PER_SECOND = 1000;
 /** Time to come back after a refusal for want of room, in seconds. */
 const FULL_RETRY_S = 0.25;
 /** Share of its target that a request may spend where that saves prefill. */
 const SLACK_SHARE = 0.4;
 
+/** What one run serves, and for whom. */
+export interface RelayOrder {
+  readonly request: RelayRequest;
+  readonly content: WatchedContent;
+  /** Service of the route that was drawn. */
+  readonly service: string;
+  /** Where the answer goes. */
+  readonly sink: AnswerSink;
+  /** Aborted when the caller leaves. */
+  readonly left: AbortSignal;
+}
+
 /** One request on its way through its attempts, straight down. */
 export class RelayRun {
   private readonly late = new AbortController();
@@ -43,13 +57,22 @@
   /** Where the run goes on, with its memory. */
   private copied: CopiedRun | undefined;
 
+  private readonly request: RelayRequest;
+  private readonly content: WatchedContent;
+  private readonly service: string;
+  private readonly sink: AnswerSink;
+  private readonly left: AbortSignal;
+
   constructor(
     private readonly options: RelayOptions,
-    private readonly request: RelayRequest,
-    private readonly service: string,
-    private readonly sink: AnswerSink,
-    private readonly left: AbortSignal,
+    order: RelayOrder,
   ) {
+    const {request, service, sink, left} = order;
+    this.request = request;
+    this.content = order.content;
+    this.service = service;
+    this.sink = sink;
+    this.left = left;
     this.ended = AbortSignal.any([left, this.late.signal]);
     this.answer = new AnswerRelay(sink, request.lastEventId);
     this.record = new RelayRecord(options, request);
@@ -137,6 +160,11 @@
     if (this.isOver()) {
       return false;
     }
+    const heldMs = this.content.getHeldMs();
+    if (heldMs > 0) {
+      this.lastDetail = `${this.lastDetail}; kept away from servers`;
+      return this.fail(heldMs);
+    }
     if (!this.attempts.begin()) {
       this.lastDetail = `${this.lastDetail}; retry budget spent`;
       return this.fail();
@@ -160,13 +188,12 @@
       return false;
     }
     const predictedMs = decision.chosen.firstTokenMs;
+    this.content.beginRun();
     const result = await this.attempt(server, predictedMs, copied);
+    await this.noteEnd(server, result);
     if (result.end === AttemptEnd.DONE) {
       return false;
     }
-    if (result.brokenOffMs !== undefined) {
-      await this.noteLoss(server, result.brokenOffMs);
-    }
     // The channel of a run that was stopped may close before the word of it.
     await this.relocation;
     if (this.copied !== undefined && this.copied !== copied) {
@@ -201,12 +228,29 @@
     return result;
   }
 
-  /** Notes that a server's side broke the request off, and whether it has ended. */
-  private async noteLoss(server: FleetServer, ranMs: number): Promise<void> {
+  /** Notes what the end of an attempt tells of the request itself. */
+  private async noteEnd(
+    server: FleetServer,
+    {end, brokenOffMs}: AttemptResult,
+  ): Promise<void> {
+    if (end === AttemptEnd.DONE || end === AttemptEnd.FAILED) {
+      this.content.addAnswer();
+    }
+    if (brokenOffMs === undefined) {
+      return;
+    }
     const hasEnded =
       this.lost.signal.aborted ||
       (await this.options.endedServers.hasEnded(server));
-    this.record.addLoss(server.id, ranMs, hasEnded);
+    this.record.addLoss({
+      content: this.content.getContent(),
+      server: server.id,
+      ranMs: brokenOffMs,
+      hasEnded,
+    });
+    if (hasEnded) {
+      this.content.addEnd(server.id);
+    }
   }
 
   /** Settles an attempt without an answer; returns whether another follows. */
@@ -253,8 +297,11 @@
     return false;
   }
 
-  /** Ends the request with the best answer that there is; returns `false`. */
-  private fail(): false {
+  /**
+   * Ends the request with the best answer that there is; returns `false`.
+   * @param heldMs - Time for which it is kept away from servers.
+   */
+  private fail(heldMs = 0): false {
     if (this.answer.hasBegun()) {
       this.outcome = 'broken-off';
       this.sink.breakOff();
@@ -266,7 +313,7 @@
       void this.sink.write(this.kept.body).then(() => this.sink.end());
       return false;
     }
-    const problem = this.createProblem();
+    const problem = this.createProblem(heldMs);
     this.outcome = problem.kind;
     this.sink.refuse(problem);
     return false;
@@ -286,12 +333,16 @@
     return decideByWait(waitMs, request.route.targetMs, options.random);
   }
 
-  private createProblem(): Problem {
+  private createProblem(heldMs: number): Problem {
     if (this.attempts.mayHaveRun()) {
       return this.late.signal.aborted
         ? problems.deadlinePassed(Ran.UNKNOWN)
         : problems.serverLost(this.lastDetail);
     }
+    if (heldMs > 0) {
+      const content = this.content.getContent();
+      return problems.quarantined(content, heldMs / MS_PER_SECOND);
+    }
     const spread = FULL_RETRY_S * (1 + this.options.random.next());
     return problems.noRoom(this.service, spread);
   }
--- a/src/relay_host/bind_knowledge.ts
+++ b/src/relay_host/bind_knowledge.ts
@@ -4,6 +4,7 @@
 import {Fleet} from '../fleet/index.js';
 import {Metrics} from '../metrics/index.js';
 import {HostReports, KnownHosts, ReadAge} from '../peering/index.js';
+import {Quarantine} from '../quarantine/index.js';
 import {Quota} from '../quota/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
 import {HostState} from './host_state.js';
@@ -31,6 +32,16 @@
       listPeerLoads: server => reports.listLoadsAt(server),
     });
   });
+  bind(
+    container,
+    Quarantine,
+    context =>
+      new Quarantine({
+        clock: context.get(CLOCK),
+        log: context.get(LOG),
+        metrics: context.get(Metrics),
+      }),
+  );
   bind(container, Quota, context => {
     const reports = context.get(HostReports);
     const known = context.get(KnownHosts);
--- a/src/relay_host/bind_peering.ts
+++ b/src/relay_host/bind_peering.ts
@@ -11,6 +11,7 @@
   PeerWords,
   ReadAge,
 } from '../peering/index.js';
+import {Quarantine} from '../quarantine/index.js';
 import {Quota} from '../quota/index.js';
 import {HostUsage, TrueTime, UsageLedger} from '../usage/index.js';
 import {createPeerKey} from './create_peer_key.js';
@@ -37,6 +38,8 @@
 export function bindPeering(container: Container): void {
   bind(container, PeerWords, context => {
     const state = context.get(HostState);
+    // The request comes again at once, and at any host.
+    context.get(Quarantine).addListener(() => container.get(Peers).hurry());
     return new PeerWords({
       self: context.get(SELF),
       incarnation: context.get(INCARNATION),
@@ -48,6 +51,7 @@
       readAge: context.get(ReadAge),
       fleet: context.get(Fleet),
       quota: context.get(Quota),
+      quarantine: context.get(Quarantine),
       ledger: context.get(UsageLedger),
       hostUsage: context.get(HostUsage),
       trueTime: context.get(TrueTime),
--- a/src/relay_host/bind_relay_host.ts
+++ b/src/relay_host/bind_relay_host.ts
@@ -4,6 +4,7 @@
 import {bind} from '../container/index.js';
 import {Fleet} from '../fleet/index.js';
 import {Metrics} from '../metrics/index.js';
+import {Quarantine} from '../quarantine/index.js';
 import {Quota} from '../quota/index.js';
 import {EndedServers, Relay} from '../relay/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
@@ -37,6 +38,7 @@
         catalog: context.get(CatalogStore),
         fleet: context.get(Fleet),
         quota: context.get(Quota),
+        quarantine: context.get(Quarantine),
         budget: context.get(SharedRetryBudget),
         ledger: context.get(UsageLedger),
         exchange: context.get(EXCHANGE),
--- a/test/peering/words_fixture.ts
+++ b/test/peering/words_fixture.ts
@@ -8,6 +8,7 @@
   PeerWords,
   ReadAge,
 } from '../../src/peering/index.js';
+import {Quarantine} from '../../src/quarantine/index.js';
 import {Quota} from '../../src/quota/index.js';
 import {SeededRandom} from '../../src/random/index.js';
 import {RowReplica} from '../../src/replica/index.js';
@@ -36,6 +37,7 @@
   readonly hostUsage = new HostUsage();
   readonly metrics = new Metrics();
   readonly replica = new RowReplica({getSubstance: text => text});
+  readonly quarantine: Quarantine;
   readonly words: PeerWords;
   holdsDuties = false;
 
@@ -76,6 +78,8 @@
       getBound: () => ({windowMs: 8000, overage: 0.1, slack: 140_000}),
     });
     this.ledger = new UsageLedger(WINDOW_MS, () => clock.monotonicMs());
+    const {metrics} = this;
+    this.quarantine = new Quarantine({clock, log, metrics});
     this.words = new PeerWords({
       self,
       incarnation,
@@ -87,6 +91,7 @@
       readAge: this.readAge,
       fleet: this.fleet,
       quota: this.quota,
+      quarantine: this.quarantine,
       ledger: this.ledger,
       hostUsage: this.hostUsage,
       trueTime: new TrueTime(clock, self.host),
--- /dev/null
+++ b/test/quarantine/quarantine_rows_test.ts
@@ -0,0 +1,129 @@
+import {expect} from 'chai';
+import {Result} from 'true-myth';
+import {SilentLog} from '../../src/log/index.js';
+import {Metrics} from '../../src/metrics/index.js';
+import {Quarantine, QuarantineRows} from '../../src/quarantine/index.js';
+import {
+  MemoryTableService,
+  StepKind,
+  TableFailureKind,
+} from '../../src/table/index.js';
+import {VirtualClock} from '../../src/time/index.js';
+
+const CONTENT = 'c1';
+
+describe('QuarantineRows', () => {
+  let clock: VirtualClock;
+  let table: MemoryTableService;
+
+  beforeEach(() => {
+    clock = new VirtualClock();
+    table = new MemoryTableService();
+  });
+
+  function createHost(hears = true) {
+    const log = new SilentLog();
+    const state = {hears};
+    const quarantine = new Quarantine({clock, log, metrics: new Metrics()});
+    const rows = new QuarantineRows({
+      clock,
+      log,
+      table,
+      quarantine,
+      hearsOthers: () => state.hears,
+    });
+    return {quarantine, rows, state};
+  }
+
+  function endInTurn(quarantine: Quarantine, ...servers: string[]): void {
+    for (const server of servers) {
+      quarantine.addEnd(CONTENT, server, quarantine.getLevel(CONTENT));
+    }
+  }
+
+  async function countRows(): Promise<number> {
+    return (await table.list('')).unwrapOr([]).length;
+  }
+
+  it('tells a host that starts what hosts knew that are gone', async () => {
+    const first = createHost();
+    endInTurn(first.quarantine, 's1', 's2@17', 's/3');
+    await first.rows.step();
+    const second = createHost();
+    await second.rows.step();
+    expect(second.quarantine.getHeldMs(CONTENT)).to.be.greaterThan(0);
+  });
+
+  it('writes nothing of a request that is not kept away', async () => {
+    const host = createHost();
+    endInTurn(host.quarantine, 's1', 's2');
+    await host.rows.step();
+    expect(await countRows()).to.equal(0);
+  });
+
+  it('adds up what hosts saw that do not hear each other', async () => {
+    const first = createHost(false);
+    const second = createHost(false);
+    endInTurn(first.quarantine, 's1', 's2');
+    endInTurn(second.quarantine, 's3');
+    await first.rows.step();
+    await second.rows.step();
+    await clock.advance(1000);
+    await first.rows.step();
+    await second.rows.step();
+    for (const {quarantine} of [first, second]) {
+      expect(quarantine.getHeldMs(CONTENT)).to.be.greaterThan(0);
+    }
+  });
+
+  it('reads once more when others are heard again', async () => {
+    const first = createHost();
+    await first.rows.step();
+    first.state.hears = false;
+    await clock.advance(1000);
+    await first.rows.step();
+    const second = createHost();
+    endInTurn(second.quarantine, 's1', 's2', 's3');
+    await second.rows.step();
+    first.state.hears = true;
+    await clock.advance(1000);
+    await first.rows.step();
+    expect(first.quarantine.getHeldMs(CONTENT)).to.be.greaterThan(0);
+  });
+
+  it('removes what an answer has cleared', async () => {
+    const {quarantine, rows} = createHost();
+    endInTurn(quarantine, 's1', 's2', 's3');
+    await rows.step();
+    expect(await countRows()).to.equal(3);
+    quarantine.addSuccess(CONTENT, 3);
+    await rows.step();
+    expect(await countRows()).to.equal(0);
+  });
+
+  it('removes what nobody counts any more, and what cannot be read', async () => {
+    const {quarantine, rows} = createHost();
+    endInTurn(quarantine, 's1', 's2', 's3');
+    await rows.step();
+    await table.transact([
+      {kind: StepKind.PUT, key: 'quarantine/x', value: 'no record'},
+    ]);
+    await clock.advance(1_300_000);
+    const late = createHost();
+    await late.rows.step();
+    expect(late.quarantine.hasSuspects()).to.equal(false);
+    expect(await countRows()).to.equal(0);
+  });
+
+  it('writes later what a table that was away did not take', async () => {
+    const host = createHost();
+    endInTurn(host.quarantine, 's1', 's2', 's3');
+    const {transact} = table;
+    table.transact = async () =>
+      Result.err({kind: TableFailureKind.UNREACHED, detail: 'away'});
+    await host.rows.step();
+    table.transact = transact;
+    await host.rows.step();
+    expect(await countRows()).to.equal(3);
+  });
+});
--- /dev/null
+++ b/test/quarantine/quarantine_test.ts
@@ -0,0 +1,187 @@
+import {expect} from 'chai';
+import {SilentLog} from '../../src/log/index.js';
+import {Metrics} from '../../src/metrics/index.js';
+import {Quarantine} from '../../src/quarantine/index.js';
+import {VirtualClock} from '../../src/time/index.js';
+
+const CONTENT = 'c1';
+const TEN_MINUTES_MS = 600_000;
+
+describe('Quarantine', () => {
+  let clock: VirtualClock;
+  let quarantine: Quarantine;
+
+  beforeEach(() => {
+    clock = new VirtualClock();
+    quarantine = create();
+  });
+
+  function create(): Quarantine {
+    return new Quarantine({
+      clock,
+      log: new SilentLog(),
+      metrics: new Metrics(),
+    });
+  }
+
+  /** Runs the content at servers, one after the other, that all end. */
+  function endInTurn(...servers: readonly string[]): void {
+    for (const server of servers) {
+      quarantine.addEnd(CONTENT, server, quarantine.getLevel(CONTENT));
+    }
+  }
+
+  function isHeld(held = quarantine): boolean {
+    return held.getHeldMs(CONTENT) > 0;
+  }
+
+  describe('a request under which servers end', () => {
+    it('is kept away after the third, for ten minutes', async () => {
+      endInTurn('s1', 's2');
+      expect(isHeld()).to.equal(false);
+      endInTurn('s3');
+      expect(quarantine.getHeldMs(CONTENT)).to.equal(TEN_MINUTES_MS);
+      await clock.advance(TEN_MINUTES_MS);
+      expect(isHeld()).to.equal(false);
+    });
+
+    it('is kept away though most of its runs began side by side', () => {
+      for (const server of ['s1', 's2', 's3']) {
+        quarantine.addEnd(CONTENT, server, 0);
+      }
+      expect(isHeld()).to.equal(false);
+      endInTurn('s4');
+      expect(isHeld()).to.equal(true);
+    });
+
+    it('counts a start of a server once', () => {
+      endInTurn('s1', 's1', 's1', 's1');
+      expect(isHeld()).to.equal(false);
+    });
+
+    it('leaves others alone', () => {
+      endInTurn('s1', 's2', 's3');
+      expect(quarantine.getHeldMs('c2')).to.equal(0);
+    });
+  });
+
+  describe('a popular request that runs where servers fail together', () => {
+    it('is not kept away, and is cleared by its next answer', () => {
+      for (const server of ['s1', 's2', 's3', 's4']) {
+        quarantine.addEnd(CONTENT, server, 0);
+      }
+      quarantine.addSuccess(CONTENT, quarantine.getLevel(CONTENT));
+      endInTurn('s5', 's6');
+      expect(isHeld()).to.equal(false);
+      endInTurn('s7');
+      expect(isHeld()).to.equal(true);
+    });
+
+    it('is not cleared by an answer to a run from before they failed', () => {
+      endInTurn('s1', 's2');
+      quarantine.addSuccess(CONTENT, 0);
+      endInTurn('s3');
+      expect(isHeld()).to.equal(true);
+    });
+  });
+
+  describe('word from host to host', () => {
+    it('adds up what several saw, in any order and more than once', () => {
+      const second = create();
+      const third = create();
+      quarantine.addEnd(CONTENT, 's1', 0);
+      second.merge(quarantine.listSince(0).suspects);
+      second.addEnd(CONTENT, 's2', second.getLevel(CONTENT));
+      third.addEnd(CONTENT, 's3', 0);
+      for (const from of [second, quarantine, third, second]) {
+        for (const to of [third, quarantine, second]) {
+          to.merge(from.listSince(0).suspects);
+        }
+      }
+      expect([quarantine, second, third].map(isHeld)).to.deep.equal([
+        true,
+        true,
+        true,
+      ]);
+    });
+
+    it('tells only what has changed since a version', () => {
+      endInTurn('s1');
+      const {version} = quarantine.listSince(0);
+      expect(quarantine.listSince(version).suspects).to.deep.equal([]);
+      quarantine.addEnd('c2', 's1', 0);
+      const contents = quarantine
+        .listSince(version)
+        .suspects.map(({content}) => content);
+      expect(contents).to.deep.equal(['c2']);
+    });
+
+    it('ends: what is known is no news', () => {
+      const second = create();
+      endInTurn('s1', 's2');
+      second.merge(quarantine.listSince(0).suspects);
+      const before = quarantine.getVersion();
+      quarantine.merge(second.listSince(0).suspects);
+      expect(quarantine.getVersion()).to.equal(before);
+    });
+
+    it('is told page by page where there is much', () => {
+      for (let index = 0; index < 450; index++) {
+        quarantine.addEnd(`c${index}`, 's1', 0);
+      }
+      const second = create();
+      let heard = 0;
+      for (let pages = 0; pages < 3; pages++) {
+        const {version, suspects} = quarantine.listSince(heard);
+        second.merge(suspects);
+        heard = version;
+      }
+      expect(heard).to.equal(quarantine.getVersion());
+      expect(second.listSince(0).suspects).to.have.length(200);
+      expect(second.getLevel('c0')).to.equal(1);
+      expect(second.getLevel('c449')).to.equal(1);
+    });
+
+    it('clears at every host what was answered at one', () => {
+      const second = create();
+      endInTurn('s1', 's2');
+      second.merge(quarantine.listSince(0).suspects);
+      second.addSuccess(CONTENT, second.getLevel(CONTENT));
+      quarantine.merge(second.listSince(0).suspects);
+      // Told late, the ends do not come back.
+      quarantine.merge([
+        {
+          content: CONTENT,
+          clearedLevel: 0,
+          ends: [{server: 's1', level: 1, ageMs: 0}],
+        },
+      ]);
+      endInTurn('s3', 's4');
+      expect(isHeld()).to.equal(false);
+    });
+
+    it('counts from when the servers ended, not from when it came', async () => {
+      const second = create();
+      endInTurn('s1', 's2', 's3');
+      await clock.advance(TEN_MINUTES_MS / 2);
+      second.merge(quarantine.listSince(0).suspects);
+      expect(second.getHeldMs(CONTENT)).to.equal(TEN_MINUTES_MS / 2);
+      await clock.advance(TEN_MINUTES_MS / 2);
+      const third = create();
+      third.merge(second.listSince(0).suspects);
+      expect(third.hasSuspects()).to.equal(false);
+    });
+  });
+
+  describe('many suspects', () => {
+    it('forget the oldest, but none that is kept away', () => {
+      endInTurn('s1', 's2', 's3');
+      for (let index = 0; index < 5000; index++) {
+        quarantine.addEnd(`other${index}`, 's1', 0);
+      }
+      expect(isHeld()).to.equal(true);
+      expect(quarantine.getLevel('other0')).to.equal(0);
+      expect(quarantine.getLevel('other4999')).to.equal(1);
+    });
+  });
+});
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -4,6 +4,7 @@
 import {Fleet, FleetServer, FleetState} from '../../src/fleet/index.js';
 import {SilentLog} from '../../src/log/index.js';
 import {Metrics} from '../../src/metrics/index.js';
+import {Quarantine} from '../../src/quarantine/index.js';
 import {Quota} from '../../src/quota/index.js';
 import {SeededRandom} from '../../src/random/index.js';
 import {
@@ -115,6 +116,7 @@
         countHeard: () => 1,
         getBound: () => ({windowMs: 8000, overage: 0, slack: 0}),
       }),
+      quarantine: new Quarantine({clock, log, metrics: new Metrics()}),
       budget: new SharedRetryBudget(clock, () => ({
         ratio: 0,
         windowMs: 10_000,
