The same cause in the product's own interface; tests of words, rows and relay

Cause: looked for elsewhere, the same cause stands in the product's own interface, and worse. A call that may be repeated is bounded by its deadline and the retry budget alone, so that one call ends every server of its service; a generation starts over once each engine has failed it, so that one ends engines without an end.

Change: GenerationRunner and ServiceDispatcher ask the same quarantine, tell it which servers ended (a server that does not tell its starts apart is counted anew for what came after the last end was known), and its words and rows go with that interface's heartbeats and table. An answer clears a request only where the server really ran it: a failure of the server's own may come before that. A look at a server that was there is not shared with later losses. Peers are hurried for ends alone.

--- a/src/daemon/container/bind_generations.ts
+++ b/src/daemon/container/bind_generations.ts
@@ -11,6 +11,7 @@
 } from '../../generation/index.js';
 import {LeavingHosts} from '../../membership/index.js';
 import {Metrics} from '../../metrics/index.js';
+import {EndedServers, Quarantine} from '../../quarantine/index.js';
 import {
   chooseServer,
   RetryBudget,
@@ -47,6 +48,8 @@
       configuration: context.get(ConfigurationStore),
       directory: context.get(ServerDirectory),
       budget: context.get(RetryBudget),
+      quarantine: context.get(Quarantine),
+      endedServers: context.get(EndedServers),
       running: context.get(RunningGenerations),
       lengths: context.get(AnswerLengths),
       meter: {
--- a/src/daemon/container/bind_journal.ts
+++ b/src/daemon/container/bind_journal.ts
@@ -10,6 +10,7 @@
 } from '../../journal/index.js';
 import {Membership} from '../../membership/index.js';
 import {PeerFailure, Peers} from '../../peer/index.js';
+import {EndedServers, Quarantine} from '../../quarantine/index.js';
 import {RetryBudget, ServerDirectory} from '../../routing/index.js';
 import {OnceCalls, ServiceDispatcher} from '../../service/index.js';
 import {CLOCK, LOG, RANDOM, SELF, SETTINGS, TABLE} from '../identifiers.js';
@@ -43,6 +44,8 @@
         configuration: context.get(ConfigurationStore),
         directory: context.get(ServerDirectory),
         budget: context.get(RetryBudget),
+        quarantine: context.get(Quarantine),
+        endedServers: context.get(EndedServers),
         isLeaving: createIsLeaving(context),
         dataCentre: context.get(SELF).dataCentre,
       }),
--- a/src/daemon/container/bind_knowledge.ts
+++ b/src/daemon/container/bind_knowledge.ts
@@ -7,6 +7,12 @@
 } from '../../configuration/index.js';
 import {LeavingHosts, Membership} from '../../membership/index.js';
 import {Metrics} from '../../metrics/index.js';
+import {refusesChannels} from '../../http/index.js';
+import {
+  EndedServers,
+  Quarantine,
+  QuarantineRows,
+} from '../../quarantine/index.js';
 import {RetryBudget, ServerDirectory} from '../../routing/index.js';
 import {createMetrics} from '../create_metrics.js';
 import {CLIENTS, CLOCK, LOG, SELF, SETTINGS, TABLE} from '../identifiers.js';
@@ -54,6 +60,7 @@
       .addListener(view => directory.setServers(view.servers.values()));
     return directory;
   });
+  bindQuarantine(container);
   bind(container, RetryBudget, context => new RetryBudget(context.get(CLOCK)));
   bind(container, UsageCounter, context => {
     const membership = context.get(Membership);
@@ -62,6 +69,34 @@
   });
 }
 
+function bindQuarantine(container: Container): void {
+  bind(
+    container,
+    Quarantine,
+    context =>
+      new Quarantine({
+        clock: context.get(CLOCK),
+        log: context.get(LOG),
+        metrics: context.get(Metrics),
+      }),
+  );
+  bind(
+    container,
+    EndedServers,
+    context => new EndedServers(context.get(CLOCK), refusesChannels),
+  );
+  bind(container, QuarantineRows, context => {
+    const membership = context.get(Membership);
+    return new QuarantineRows({
+      clock: context.get(CLOCK),
+      log: context.get(LOG),
+      table: context.get(TABLE),
+      quarantine: context.get(Quarantine),
+      hearsOthers: () => membership.hearsOthers(),
+    });
+  });
+}
+
 function listPeerUsage(
   membership: Membership,
   dataCentre: string,
--- a/src/daemon/container/bind_operators.ts
+++ b/src/daemon/container/bind_operators.ts
@@ -12,6 +12,7 @@
 import {InForce, OperatorApi, RecordChanges} from '../../operator/index.js';
 import {Peers} from '../../peer/index.js';
 import {Placer} from '../../placement/index.js';
+import {Quarantine, QuarantineRows} from '../../quarantine/index.js';
 import {ServerDirectory} from '../../routing/index.js';
 import {ConfigurationFeed} from '../configuration_feed.js';
 import {Daemon} from '../daemon.js';
@@ -150,5 +151,7 @@
     platform: context.get(PlatformWatcher),
     reclaimWatch: context.get(ReclaimWatch),
     placer: context.get(Placer),
+    quarantine: context.get(Quarantine),
+    quarantineRows: context.get(QuarantineRows),
   });
 }
--- a/src/daemon/container/bind_peers.ts
+++ b/src/daemon/container/bind_peers.ts
@@ -9,6 +9,7 @@
 import {BookDirectory, Bookkeeper} from '../../journal/index.js';
 import {LeavingHosts, Membership} from '../../membership/index.js';
 import {Peers} from '../../peer/index.js';
+import {Quarantine} from '../../quarantine/index.js';
 import {ServerDirectory} from '../../routing/index.js';
 import {ConfigurationFeed} from '../configuration_feed.js';
 import {Drain} from '../drain.js';
@@ -46,6 +47,7 @@
         servers: context.get(ServerDirectory),
         poller: context.get(LoadPoller),
         usage: context.get(UsageCounter),
+        quarantine: context.get(Quarantine),
         onHigherRevision: host =>
           void container.get(ConfigurationFeed).pull(host),
       }),
@@ -105,5 +107,6 @@
       kind: 'heartbeat',
       status: heartbeats.create(peer, acknowledged),
     }),
+    receiveReply: (peer, reply) => heartbeats.receiveReply(peer, reply),
   });
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -6,6 +6,7 @@
 import {Metrics} from '../metrics/index.js';
 import {OperatorApi} from '../operator/index.js';
 import {Peers} from '../peer/index.js';
+import {Quarantine, QuarantineRows} from '../quarantine/index.js';
 import {Placer} from '../placement/index.js';
 import {Settings} from '../settings/index.js';
 import {Clock} from '../time/index.js';
@@ -35,6 +36,8 @@
   readonly platform: PlatformWatcher;
   readonly reclaimWatch: ReclaimWatch;
   readonly placer: Placer;
+  readonly quarantine: Quarantine;
+  readonly quarantineRows: QuarantineRows;
 }
 
 const TRIM_MS = 1000;
@@ -132,6 +135,7 @@
       this.options;
     const {signal} = this.stopped;
     this.options.configuration.addListener(() => peers.hurry());
+    this.options.quarantine.addListener(() => peers.hurry());
     void platform.run(signal);
     void feed.run(signal);
     void peers.run(signal);
@@ -139,6 +143,7 @@
     void poller.run(signal);
     void reclaimWatch.run(signal);
     void this.options.placer.run(signal);
+    void this.options.quarantineRows.run(signal);
     void this.trim(signal);
   }
 
--- a/src/daemon/heartbeats.ts
+++ b/src/daemon/heartbeats.ts
@@ -12,6 +12,11 @@
   Membership,
 } from '../membership/index.js';
 import {PeerIdentity} from '../peer/index.js';
+import {
+  Quarantine,
+  suspectNewsSchema,
+  SuspectWords,
+} from '../quarantine/index.js';
 import {ServerDirectory} from '../routing/index.js';
 import {Clock} from '../time/index.js';
 import {LoadPoller} from './load_poller.js';
@@ -29,12 +34,17 @@
   readonly servers: ServerDirectory;
   readonly poller: LoadPoller;
   readonly usage: UsageCounter;
+  readonly quarantine: Quarantine;
   /** Told of a peer that has a higher revision. */
   readonly onHigherRevision: (host: string, revision: number) => void;
 }
 
-/** Reply to a heartbeat: the version of the detail that was taken in. */
-const acknowledgementSchema = z.object({detailVersion: z.number().int()});
+/** Reply to a heartbeat. */
+const acknowledgementSchema = z.object({
+  /** Version of the detail that was taken in. */
+  detailVersion: z.number().int(),
+  suspects: suspectNewsSchema.optional(),
+});
 
 /** Age at which an unchanged detail is sent again, in milliseconds. */
 const RESEND_MS = 60_000;
@@ -57,7 +67,11 @@
   private lookedMs = Number.NEGATIVE_INFINITY;
   private readonly facts = new Map<string, EngineFacts>();
 
-  constructor(private readonly options: HeartbeatsOptions) {}
+  private readonly suspects: SuspectWords;
+
+  constructor(private readonly options: HeartbeatsOptions) {
+    this.suspects = new SuspectWords(options.quarantine);
+  }
 
   /**
    * Makes a heartbeat as it is now.
@@ -70,6 +84,8 @@
     const parsed = acknowledgementSchema.safeParse(acknowledged);
     const known =
       parsed.success && parsed.data.detailVersion === this.detailVersion;
+    const reply = parsed.success ? parsed.data.suspects : undefined;
+    const suspects = this.suspects.create(peer, reply);
     const revision = configuration.getRevision();
     return {
       state: membership.getOwnState(),
@@ -81,6 +97,7 @@
         .map(usage => [usage.customer, usage.inFlight]),
       detailVersion: this.detailVersion,
       ...(known ? {} : {detail}),
+      ...(suspects === undefined ? {} : {suspects}),
     };
   }
 
@@ -90,7 +107,24 @@
    */
   acknowledge(status: HostStatus): z.output<typeof acknowledgementSchema> {
     this.receive(status);
-    return {detailVersion: status.detailVersion};
+    this.suspects.receive(status, status.suspects);
+    const suspects = this.suspects.create(status, status.suspects);
+    return {
+      detailVersion: status.detailVersion,
+      ...(suspects === undefined ? {} : {suspects}),
+    };
+  }
+
+  /**
+   * Takes in the reply to a heartbeat.
+   * @param peer - Who replied.
+   * @param body - The reply; not yet checked.
+   */
+  receiveReply(peer: PeerIdentity, body: unknown): void {
+    const parsed = acknowledgementSchema.safeParse(body);
+    if (parsed.success) {
+      this.suspects.receive(peer, parsed.data.suspects);
+    }
   }
 
   /** Hosts of other data centres need loads only while the system is small. */
--- a/src/generation/generation_runner.ts
+++ b/src/generation/generation_runner.ts
@@ -15,6 +15,7 @@
 } from '../configuration/index.js';
 import {problems, Ran} from '../errors/index.js';
 import {Log} from '../log/index.js';
+import {EndedServers, Quarantine, WatchedContent} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
 import {
   ChooseServer,
@@ -39,6 +40,8 @@
   readonly configuration: ConfigurationStore;
   readonly directory: ServerDirectory;
   readonly budget: RetryBudget;
+  readonly quarantine: Quarantine;
+  readonly endedServers: EndedServers;
   readonly running: RunningGenerations;
   readonly meter: GenerationMeter;
   readonly lengths: AnswerLengths;
@@ -68,10 +71,13 @@
   readonly detail: string;
   /** Whether it was told to leave its server. */
   readonly moved: boolean;
+  /** Whether the server may have had it when it broke off. */
+  readonly brokeOff: boolean;
   /** Server that holds the exported cache, if there is one. */
   readonly preferred: string | undefined;
 }
 
+const MS_PER_SECOND = 1000;
 const RETRY_PATIENCE_MS = 3000;
 const RETRY_POLL_MS = 100;
 /** Blocks that tell one kind of prompt from another. */
@@ -125,6 +131,7 @@
    */
   async run(generation: Generation, signal: AbortSignal): Promise<void> {
     const excluded = new Set<string>();
+    const content = this.watch(generation);
     this.options.budget.addRequest();
     let detail = '';
     let preferred: string | undefined;
@@ -133,6 +140,11 @@
         generation.fail(problems.deadlinePassed(Ran.UNKNOWN));
         return;
       }
+      const heldMs = content.getHeldMs();
+      if (heldMs > 0) {
+        failHeld(generation, content, attempt > 0, heldMs);
+        return;
+      }
       if (attempt > 0 && !(await this.waitForRetry(generation, detail))) {
         return;
       }
@@ -150,13 +162,20 @@
         this.failWithoutServer(generation, attempt > 0, detail);
         return;
       }
+      content.beginRun();
       const ended = await this.attempt(
         this.createAttempt(generation, deployment, chosen, engine),
         signal,
       );
       if (generation.isOver()) {
+        if (ended.detail === '') {
+          content.addAnswer();
+        }
         return;
       }
+      if (ended.brokeOff && !signal.aborted) {
+        await this.noteLoss(content, chosen.server);
+      }
       detail = ended.detail;
       preferred = ended.preferred;
       if (ended.moved) {
@@ -174,6 +193,27 @@
     }
   }
 
+  private watch({request}: Generation): WatchedContent {
+    return new WatchedContent(this.options.quarantine, () => ({
+      method: request.format,
+      path: `${request.deployment}/${request.adapter}`,
+      caller: request.customer,
+      body: Buffer.from(JSON.stringify(request.body)),
+    }));
+  }
+
+  /** Notes whether a server that broke a generation off has ended. */
+  private async noteLoss(
+    content: WatchedContent,
+    server: string,
+  ): Promise<void> {
+    const {directory, endedServers} = this.options;
+    const address = directory.getAddress(server);
+    if (address !== undefined && (await endedServers.hasEnded(address))) {
+      content.addEndOf(server);
+    }
+  }
+
   /**
    * Waits until the budget allows a retry. A caller that has tokens already
    * has more to lose than time, so it waits for one; others are told at once.
@@ -239,13 +279,21 @@
     try {
       await this.stream(attempt, flight, stop);
       flight.finish(true);
-      return {detail: '', moved: false, preferred: undefined};
+      return {
+        detail: '',
+        moved: false,
+        brokeOff: false,
+        preferred: undefined,
+      };
     } catch (error) {
       await place.waitForMove();
       const moved = place.moved.aborted;
       flight.finish(moved || signal.aborted);
       const detail = error instanceof Error ? error.message : String(error);
-      return {detail, moved, preferred: place.getPreferred()};
+      const isUnsent =
+        error instanceof ServerFailure && error.reach === Reach.NOT_SENT;
+      const brokeOff = !moved && !isUnsent;
+      return {detail, moved, brokeOff, preferred: place.getPreferred()};
     } finally {
       running.remove(generation.request.id);
     }
@@ -373,6 +421,23 @@
   }
 }
 
+/**
+ * Ends a generation that is kept away from servers: what a caller waits for with a
+ * retry after each loss would end one server after the other until its deadline.
+ */
+function failHeld(
+  generation: Generation,
+  content: WatchedContent,
+  hasRun: boolean,
+  heldMs: number,
+): void {
+  const problem = problems.quarantined(
+    content.getName(),
+    Math.ceil(heldMs / MS_PER_SECOND),
+  );
+  generation.fail(hasRun ? {...problem, ran: Ran.UNKNOWN} : problem);
+}
+
 /** Chooses the server that holds the exported cache, whatever its queue. */
 function prefer(
   decision: RoutingDecision,
--- a/src/measure/measured_world.ts
+++ b/src/measure/measured_world.ts
@@ -12,6 +12,8 @@
   RunningGenerations,
 } from '../generation/index.js';
 import {SilentLog} from '../log/index.js';
+import {Metrics} from '../metrics/index.js';
+import {EndedServers, Quarantine} from '../quarantine/index.js';
 import {SeededRandom} from '../random/index.js';
 import {ChooseServer, RetryBudget, ServerDirectory} from '../routing/index.js';
 import {VirtualClock} from '../time/index.js';
@@ -285,6 +287,8 @@
       random: this.random,
       directory,
       budget: new RetryBudget(this.clock),
+      quarantine: new Quarantine({...common, metrics: new Metrics()}),
+      endedServers: new EndedServers(this.clock, async () => false),
       running,
       meter: {addToken: () => undefined},
       lengths,
--- a/src/membership/host_status.ts
+++ b/src/membership/host_status.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {suspectNewsSchema} from '../quarantine/index.js';
 
 /** Whether an entry host takes new work. */
 export const EntryHostState = {LIVE: 'live', LEAVING: 'leaving'} as const;
@@ -86,6 +87,8 @@
   detailVersion: z.number().int().min(0),
   /** Present unless the receiver has said that it has this version. */
   detail: hostDetailSchema.optional(),
+  /** Requests that end servers; left out while there is none. */
+  suspects: suspectNewsSchema.optional(),
 });
 
 /** What a host tells its peers in each heartbeat. */
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -41,6 +41,8 @@
 
 /** Silence after which a host is forgotten, as a multiple of `deadAfterMs`. */
 const FORGET_FACTOR = 30;
+/** Share of many hosts that may be away: a few always are. */
+const AWAY_SHARE = 0.1;
 
 /**
  * The entry hosts: who lives, who is leaving, and since when.
@@ -105,6 +107,13 @@
     );
   }
 
+  /** Tells whether all hosts heard of are there, or of many nearly all. */
+  hearsOthers(): boolean {
+    const known = this.listKnown();
+    const away = known.filter(host => !this.isAlive(host)).length;
+    return away <= known.length * AWAY_SHARE;
+  }
+
   /** Returns the names of hosts that live and take new work, own included. */
   listLiveNames(): readonly string[] {
     const names = this.listLivePeers().map(known => known.host);
--- a/src/peering/peer_words.ts
+++ b/src/peering/peer_words.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {PeerIdentity} from '../peer/index.js';
+import {SuspectWords} from '../quarantine/index.js';
 import {HeardWords} from './heard_words.js';
 import {
   Acknowledgement,
@@ -15,7 +16,6 @@
 import {ReportWords} from './report_words.js';
 import {RowWords, rowsSchema} from './row_words.js';
 import {SummaryWords} from './summary_words.js';
-import {SuspectWords} from './suspect_words.js';
 import {UsageWords} from './usage_words.js';
 
 /** What hosts ask each other. */
--- a/src/prove/stream_world.ts
+++ b/src/prove/stream_world.ts
@@ -19,6 +19,8 @@
   RunningGenerations,
 } from '../generation/index.js';
 import {SilentLog} from '../log/index.js';
+import {Metrics} from '../metrics/index.js';
+import {EndedServers, Quarantine} from '../quarantine/index.js';
 import {SeededRandom} from '../random/index.js';
 import {chooseServer, RetryBudget, ServerDirectory} from '../routing/index.js';
 import {VirtualClock} from '../time/index.js';
@@ -156,6 +158,8 @@
         variant.givesUp === true
           ? Object.assign(budget, {spend: () => false})
           : budget,
+      quarantine: new Quarantine({...common, metrics: new Metrics()}),
+      endedServers: new EndedServers(this.clock, async () => false),
       running,
       meter: {addToken: () => undefined},
       lengths,
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -1,9 +1,13 @@
 /** Requests that end the servers that run them: how they are known and kept away. */
+export {EndedServers} from './ended_servers.js';
+export type {LookForEnd} from './ended_servers.js';
 export {fingerprintRequest} from './fingerprint_request.js';
 export type {RequestContent} from './fingerprint_request.js';
 export {Quarantine} from './quarantine.js';
 export type {QuarantineOptions, SuspectPage} from './quarantine.js';
 export {QuarantineRows} from './quarantine_rows.js';
 export type {QuarantineRowsOptions} from './quarantine_rows.js';
+export {SuspectWords} from './suspect_words.js';
 export {suspectNewsSchema} from './suspect.js';
 export type {SuspectNews, ToldEnd, ToldSuspect} from './suspect.js';
+export {WatchedContent} from './watched_content.js';
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -64,7 +64,7 @@
     );
   }
 
-  /** Has a function called when this host itself has learnt something. */
+  /** Has a function called when this host has seen a server end under a request. */
   addListener(listener: () => void): void {
     this.listeners.push(listener);
   }
@@ -108,7 +108,9 @@
     }
     suspect.isOwn = true;
     this.noteChange(content, suspect, wasHeld);
-    this.tellListeners();
+    for (const listener of this.listeners) {
+      listener();
+    }
   }
 
   /**
@@ -123,7 +125,6 @@
     }
     clear(suspect, level);
     this.noteChange(content, suspect, true);
-    this.tellListeners();
   }
 
   /** Returns the version that the last change made. */
@@ -225,12 +226,6 @@
     }
   }
 
-  private tellListeners(): void {
-    for (const listener of this.listeners) {
-      listener();
-    }
-  }
-
   /** Forgets what is too old, and the oldest where there are too many. */
   private trim(): void {
     const nowMs = this.options.clock.monotonicMs();
--- a/src/peering/suspect_words.ts
+++ b/src/quarantine/suspect_words.ts
@@ -1,5 +1,6 @@
 import {PeerIdentity} from '../peer/index.js';
-import {Quarantine, SuspectNews} from '../quarantine/index.js';
+import {Quarantine} from './quarantine.js';
+import {SuspectNews} from './suspect.js';
 
 /** Starts of peers that are remembered with what was heard of them. */
 const MAX_STARTS = 4096;
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -2,8 +2,6 @@
 export type {AnswerSink} from './answer_sink.js';
 export {CopyFailure} from './copy_run.js';
 export type {CopyOrder, CopyRun} from './copy_run.js';
-export {EndedServers} from './ended_servers.js';
-export type {LookForEnd} from './ended_servers.js';
 export {EventSplitter} from './event_splitter.js';
 export * from './exchange.js';
 export {Relay} from './relay.js';
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,11 +1,11 @@
 import {Route} from '../catalog/index.js';
 import {Problem, problems, Ran} from '../errors/index.js';
 import {FleetServer, FleetState} from '../fleet/index.js';
+import {WatchedContent} from '../quarantine/index.js';
 import {AnswerSink} from './answer_sink.js';
 import {RelayOptions} from './relay_options.js';
 import {RelayRequest} from './relay_request.js';
 import {RelayRun} from './relay_run.js';
-import {WatchedContent} from './watched_content.js';
 
 const MS_PER_SECOND = 1000;
 /** Part of a wait by which callers who come back are spread. */
@@ -44,7 +44,10 @@
     sink: AnswerSink,
     left: AbortSignal,
   ): Promise<void> {
-    const content = new WatchedContent(this.options.quarantine, request);
+    const content = new WatchedContent(this.options.quarantine, () => ({
+      ...request,
+      caller: request.account?.name ?? '',
+    }));
     const refusal = refuseHeld(content) ?? this.admit(request);
     if (refusal !== undefined) {
       this.logRefusal(request, refusal);
@@ -148,5 +151,5 @@
   const heldMs = content.getHeldMs();
   return heldMs === 0
     ? undefined
-    : problems.quarantined(content.getContent(), heldMs / MS_PER_SECOND);
+    : problems.quarantined(content.getName(), heldMs / MS_PER_SECOND);
 }
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -2,14 +2,13 @@
 import {Fleet} from '../fleet/index.js';
 import {Log} from '../log/index.js';
 import {Metrics} from '../metrics/index.js';
-import {Quarantine} from '../quarantine/index.js';
+import {EndedServers, Quarantine} from '../quarantine/index.js';
 import {Quota} from '../quota/index.js';
 import {Random} from '../random/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
 import {Clock} from '../time/index.js';
 import {UsageLedger} from '../usage/index.js';
 import {CopyRun} from './copy_run.js';
-import {EndedServers} from './ended_servers.js';
 import {Exchange} from './exchange.js';
 
 /** What the relay works with. */
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -3,6 +3,7 @@
 import {Repeat} from '../catalog/index.js';
 import {Problem, problems, Ran} from '../errors/index.js';
 import {FleetServer} from '../fleet/index.js';
+import {WatchedContent} from '../quarantine/index.js';
 import {chooseServer, RoutingDecision, ScoredServer} from '../routing/index.js';
 import {AnswerRelay} from './answer_relay.js';
 import {AnswerSink} from './answer_sink.js';
@@ -13,7 +14,6 @@
 import {RelayOptions} from './relay_options.js';
 import {RelayRecord} from './relay_record.js';
 import {RelayRequest} from './relay_request.js';
-import {WatchedContent} from './watched_content.js';
 
 /** Time left below which nothing is sent any more, in milliseconds. */
 const MIN_REMAINING_MS = 5;
@@ -233,7 +233,8 @@
     server: FleetServer,
     {end, brokenOffMs}: AttemptResult,
   ): Promise<void> {
-    if (end === AttemptEnd.DONE || end === AttemptEnd.FAILED) {
+    // A server may fail a request that it has not begun to run.
+    if (end === AttemptEnd.DONE) {
       this.content.addAnswer();
     }
     if (brokenOffMs === undefined) {
@@ -241,9 +242,9 @@
     }
     const hasEnded =
       this.lost.signal.aborted ||
-      (await this.options.endedServers.hasEnded(server));
+      (await this.options.endedServers.hasEnded(server.address));
     this.record.addLoss({
-      content: this.content.getContent(),
+      content: this.content.getName(),
       server: server.id,
       ranMs: brokenOffMs,
       hasEnded,
@@ -340,8 +341,8 @@
         : problems.serverLost(this.lastDetail);
     }
     if (heldMs > 0) {
-      const content = this.content.getContent();
-      return problems.quarantined(content, heldMs / MS_PER_SECOND);
+      const seconds = heldMs / MS_PER_SECOND;
+      return problems.quarantined(this.content.getName(), seconds);
     }
     const spread = FULL_RETRY_S * (1 + this.options.random.next());
     return problems.noRoom(this.service, spread);
--- a/src/relay_host/bind_relay_host.ts
+++ b/src/relay_host/bind_relay_host.ts
@@ -4,9 +4,9 @@
 import {bind} from '../container/index.js';
 import {Fleet} from '../fleet/index.js';
 import {Metrics} from '../metrics/index.js';
-import {Quarantine} from '../quarantine/index.js';
+import {EndedServers, Quarantine} from '../quarantine/index.js';
 import {Quota} from '../quota/index.js';
-import {EndedServers, Relay} from '../relay/index.js';
+import {Relay} from '../relay/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
 import {UsageLedger} from '../usage/index.js';
 import {bindDuties} from './bind_duties.js';
@@ -43,7 +43,10 @@
         ledger: context.get(UsageLedger),
         exchange: context.get(EXCHANGE),
         copyRun: context.get(COPY_RUN),
-        endedServers: new EndedServers(context.get(LOOK_FOR_END)),
+        endedServers: new EndedServers(
+          context.get(CLOCK),
+          context.get(LOOK_FOR_END),
+        ),
       }),
   );
 }
--- a/src/routing/server_directory.ts
+++ b/src/routing/server_directory.ts
@@ -89,6 +89,11 @@
     return [...this.tracked.values()].map(tracked => tracked.server);
   }
 
+  /** Returns where a server is reached: IP number and port. */
+  getAddress(name: string): string | undefined {
+    return this.tracked.get(name)?.server.address;
+  }
+
   /** Returns the engine of a server. */
   getEngine(name: string): ModelEngine | undefined {
     return this.tracked.get(name)?.engine;
--- a/src/service/service_dispatcher.ts
+++ b/src/service/service_dispatcher.ts
@@ -10,6 +10,7 @@
   RecordedAnswer,
 } from '../journal/index.js';
 import {Log} from '../log/index.js';
+import {EndedServers, Quarantine, WatchedContent} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
 import {
   chooseServer,
@@ -28,11 +29,16 @@
   readonly configuration: ConfigurationStore;
   readonly directory: ServerDirectory;
   readonly budget: RetryBudget;
+  readonly quarantine: Quarantine;
+  readonly endedServers: EndedServers;
   readonly isLeaving: (server: string) => boolean;
   /** Data centre of this host: its servers are tried first. */
   readonly dataCentre: string;
 }
 
+const MS_PER_SECOND = 1000;
+const SERVER_ERROR = 500;
+
 /** What a dispatch needs of a call. */
 export type DispatchOrder = Pick<
   CallOrder,
@@ -102,6 +108,7 @@
       kind: DispatchKind.NOT_SENT,
       problem: problems.noServer(order.deployment),
     };
+    const content = this.watch(order);
     budget.addRequest();
     for (;;) {
       const remainingMs = order.deadlineMs - clock.monotonicMs();
@@ -113,6 +120,10 @@
             }
           : failure;
       }
+      const heldMs = content.getHeldMs();
+      if (heldMs > 0) {
+        return attempts.count() === 0 ? refuseHeld(content, heldMs) : failure;
+      }
       if (!attempts.begin()) {
         return failure;
       }
@@ -123,10 +134,17 @@
       if (!server || !service) {
         return failure;
       }
+      content.beginRun();
       const result = await this.send(order.call, server, remainingMs);
       if (result.kind === DispatchKind.ANSWERED) {
+        if (result.answer.status < SERVER_ERROR) {
+          content.addAnswer();
+        }
         return result;
       }
+      if (result.kind === DispatchKind.LOST) {
+        await this.noteLoss(content, server);
+      }
       // Once one server may have run it, that is what the caller is told.
       failure = failure.kind === DispatchKind.LOST ? failure : result;
       if (!attempts.fail(server, result.kind === DispatchKind.LOST)) {
@@ -135,6 +153,27 @@
     }
   }
 
+  private watch({deployment, customer, call}: DispatchOrder): WatchedContent {
+    return new WatchedContent(this.options.quarantine, () => ({
+      method: call.method,
+      path: `${deployment}${call.path}`,
+      caller: customer,
+      body: call.body,
+    }));
+  }
+
+  /** Notes whether a server that lost a call has ended. */
+  private async noteLoss(
+    content: WatchedContent,
+    server: string,
+  ): Promise<void> {
+    const {directory, endedServers} = this.options;
+    const address = directory.getAddress(server);
+    if (address !== undefined && (await endedServers.hasEnded(address))) {
+      content.addEndOf(server);
+    }
+  }
+
   private async send(
     call: ServiceCall,
     server: string,
@@ -231,6 +270,20 @@
   }
 }
 
+/**
+ * Refuses a call that is kept away from servers: deadline and retry budget alone would
+ * let one that may be repeated end every server of its service.
+ */
+function refuseHeld(content: WatchedContent, heldMs: number): DispatchResult {
+  return {
+    kind: DispatchKind.NOT_SENT,
+    problem: problems.quarantined(
+      content.getName(),
+      Math.ceil(heldMs / MS_PER_SECOND),
+    ),
+  };
+}
+
 function toRecordedAnswer(answer: ServiceAnswer): RecordedAnswer {
   return {
     status: answer.status,
--- /dev/null
+++ b/test/peering/suspects_test.ts
@@ -0,0 +1,81 @@
+import {expect} from 'chai';
+import {HostsFixture} from './hosts_fixture.js';
+import {WordsHost} from './words_fixture.js';
+
+/** Time in which a fleet comes to know itself from its start, in milliseconds. */
+const MEET_MS = 5000;
+/** Time in which all hosts have to know what ends servers, in milliseconds. */
+const KNOWN_MS = 3000;
+const CONTENT = 'c1';
+
+describe('word of requests that end servers', () => {
+  /** Has servers end under one request, each seen by another host. */
+  function endServers(hosts: readonly WordsHost[]): void {
+    for (const [index, {quarantine}] of hosts.entries()) {
+      quarantine.addEnd(CONTENT, `s${index}`, index);
+    }
+  }
+
+  function countUnaware(fixture: HostsFixture): number {
+    return fixture.hosts.filter(
+      ({self, quarantine}) =>
+        !fixture.down.has(self.host) && quarantine.getHeldMs(CONTENT) === 0,
+    ).length;
+  }
+
+  for (const [count, centres] of [
+    [8, 4],
+    [89, 3],
+    [195, 6],
+    [350, 25],
+  ] as const) {
+    it(`reaches ${count} hosts in ${centres} data centres in time`, async () => {
+      const fixture = new HostsFixture(count, centres);
+      await fixture.run(MEET_MS);
+      endServers(fixture.hosts.slice(-3));
+      await fixture.run(KNOWN_MS);
+      expect(countUnaware(fixture)).to.equal(0);
+    }).timeout(60_000);
+  }
+
+  it('reaches a host that starts later', async () => {
+    const fixture = new HostsFixture(8, 4);
+    await fixture.run(MEET_MS);
+    endServers(fixture.hosts.slice(0, 3));
+    fixture.kill(fixture.hosts[7] as WordsHost);
+    await fixture.run(KNOWN_MS);
+    fixture.start(7);
+    await fixture.run(KNOWN_MS);
+    expect(countUnaware(fixture)).to.equal(0);
+  });
+
+  it('reaches a data centre that was cut off, once it is back', async () => {
+    const fixture = new HostsFixture(89, 3);
+    await fixture.run(MEET_MS);
+    const isCut = (dataCentre: string) => dataCentre === 'dc-2';
+    fixture.reaches = (from, to) =>
+      isCut(from.dataCentre) === isCut(to.dataCentre);
+    await fixture.run(MEET_MS);
+    // Two are seen on one side and one on the other.
+    const inside = fixture.hosts.filter(({self}) => isCut(self.dataCentre));
+    const outside = fixture.hosts.filter(({self}) => !isCut(self.dataCentre));
+    endServers([...outside.slice(-2), ...inside.slice(-1)]);
+    await fixture.run(MEET_MS);
+    expect(countUnaware(fixture)).to.equal(89);
+    fixture.reaches = () => true;
+    // A link that was given up is tried again after eight seconds at most.
+    await fixture.run(8000 + KNOWN_MS);
+    expect(countUnaware(fixture)).to.equal(0);
+  }).timeout(60_000);
+
+  it('says nothing while there is no suspect', async () => {
+    const fixture = new HostsFixture(8, 4);
+    await fixture.run(MEET_MS);
+    const [host, peer] = fixture.hosts as [WordsHost, WordsHost];
+    const beat = host.words.createHeartbeat(
+      {...peer.self, incarnation: peer.incarnation},
+      undefined,
+    );
+    expect(JSON.stringify(beat)).not.to.contain('suspects');
+  });
+});
--- a/test/platform/crashing_request_test.ts
+++ b/test/platform/crashing_request_test.ts
@@ -103,6 +103,20 @@
     expect(await askAllAgain()).to.be.at.most(MORE);
   });
 
+  it('is refused as not run, with a time to come back, and others are not', async () => {
+    await endServers(ENDS);
+    await waitForWord();
+    for (const host of hosts) {
+      const refused = await system.call(host, '/a/x', {}, BODY);
+      expect(refused.status).to.equal(503);
+      expect(refused.body).to.contain('"quarantined"').and.contain('"no"');
+      expect(Number(refused.headers['retry-after'])).to.be.within(500, 600);
+      expect((await system.call(host, '/a/x', {}, 'other')).status).to.equal(
+        200,
+      );
+    }
+  });
+
   it('reaches few more when every host has been started anew', async () => {
     await endServers(ENDS);
     await waitForWord();
--- /dev/null
+++ b/test/quarantine/servers_that_end.ts
@@ -0,0 +1,73 @@
+import {Reach, ServerFailure} from '../../src/backend/index.js';
+import {
+  ConfigurationStore,
+  RecordKind,
+  Repeat,
+} from '../../src/configuration/index.js';
+import {SilentLog} from '../../src/log/index.js';
+import {Metrics} from '../../src/metrics/index.js';
+import {EndedServers, Quarantine} from '../../src/quarantine/index.js';
+import {VirtualClock} from '../../src/time/index.js';
+
+export const DEPLOYMENT = 'dossier';
+const SERVERS = 10;
+
+/** Servers of one deployment; a test says which request ends those that run it. */
+export class ServersThatEnd {
+  readonly clock = new VirtualClock();
+  readonly log = new SilentLog();
+  readonly configuration = new ConfigurationStore(this.log);
+  readonly quarantine = new Quarantine({
+    clock: this.clock,
+    log: this.log,
+    metrics: new Metrics(),
+  });
+  readonly endedServers = new EndedServers(this.clock, async address =>
+    this.down.has(address),
+  );
+  /** Servers that have ended, in order; a name may come again. */
+  readonly ends: string[] = [];
+  /** Addresses where nothing listens now. */
+  readonly down = new Set<string>();
+
+  /** @param runs - What the servers run: an engine or a plain service. */
+  constructor(runs: 'engine' | 'service') {
+    const servers = Array.from({length: SERVERS}, (_unused, index) => ({
+      schemaVersion: 2,
+      kind: RecordKind.SERVER,
+      name: `server-${index}`,
+      runs,
+      service: runs === 'service' ? 'bids' : '',
+      dataCentre: 'tac-hall',
+      address: `127.0.0.${index + 1}:1`,
+    }));
+    const target =
+      runs === 'engine'
+        ? {kind: 'model', model: 'm', version: '1'}
+        : {kind: 'service', service: 'bids', repeat: Repeat.SAFE};
+    const deployment = {
+      schemaVersion: 2,
+      kind: RecordKind.DEPLOYMENT,
+      name: DEPLOYMENT,
+      target,
+    };
+    const records = [...servers, deployment].map(document => ({
+      kind: document.kind,
+      name: document.name,
+      revision: 1,
+      document,
+      changeId: 'test',
+    }));
+    this.configuration.apply({after: 0, revision: 1, records}, 'test');
+  }
+
+  /**
+   * Ends a server that runs a request, for good.
+   * @returns What its caller sees of that.
+   */
+  end(name: string, address: string): ServerFailure {
+    this.ends.push(name);
+    this.down.add(address);
+    return new ServerFailure(Reach.SENT, 'the channel ended');
+  }
+}
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -4,14 +4,13 @@
 import {Fleet, FleetServer, FleetState} from '../../src/fleet/index.js';
 import {SilentLog} from '../../src/log/index.js';
 import {Metrics} from '../../src/metrics/index.js';
-import {Quarantine} from '../../src/quarantine/index.js';
+import {EndedServers, Quarantine} from '../../src/quarantine/index.js';
 import {Quota} from '../../src/quota/index.js';
 import {SeededRandom} from '../../src/random/index.js';
 import {
   AnswerSink,
   CopyFailure,
   CopyOrder,
-  EndedServers,
   Exchange,
   ExchangeKind,
   ExchangeOrder,
@@ -81,6 +80,7 @@
 export class RelayFixture {
   readonly clock = new SystemClock();
   readonly fleet: Fleet;
+  readonly quarantine: Quarantine;
   readonly relay: Relay;
   readonly sent: ExchangeOrder[] = [];
   readonly copies: CopyOrder[] = [];
@@ -101,11 +101,13 @@
     });
     const catalog = new CatalogStore(log);
     catalog.offer(createCatalog(), 'test');
+    const metrics = new Metrics();
+    this.quarantine = new Quarantine({clock, log, metrics});
     this.relay = new Relay({
       clock,
       log,
       random: new SeededRandom(1),
-      metrics: new Metrics(),
+      metrics,
       catalog,
       fleet: this.fleet,
       quota: new Quota({
@@ -116,7 +118,7 @@
         countHeard: () => 1,
         getBound: () => ({windowMs: 8000, overage: 0, slack: 0}),
       }),
-      quarantine: new Quarantine({clock, log, metrics: new Metrics()}),
+      quarantine: this.quarantine,
       budget: new SharedRetryBudget(clock, () => ({
         ratio: 0,
         windowMs: 10_000,
@@ -132,7 +134,9 @@
         this.copies.push(order);
         return this.copyResult;
       },
-      endedServers: new EndedServers(async ({id}) => this.ended.has(id)),
+      endedServers: new EndedServers(clock, async address =>
+        this.ended.has(address.split(':')[0] ?? ''),
+      ),
     });
     for (const id of ['s1', 's2', 's3']) {
       this.fleet.set(createServer(id), 'test');
--- a/test/relay/relay_test.ts
+++ b/test/relay/relay_test.ts
@@ -66,6 +66,74 @@
     });
   });
 
+  describe('a request under which servers end', () => {
+    const route = {repeat: Repeat.ANY, maxAttempts: 2};
+    const SERVERS = ['s1', 's2', 's3', 's4', 's5', 's6', 's7', 's8'];
+
+    function createFixture(exchange: Exchange, ends: boolean): RelayFixture {
+      const fixture = new RelayFixture((order, signal) => {
+        if (ends) {
+          fixture.ended.add(order.server.id);
+        }
+        return exchange(order, signal);
+      });
+      for (const id of SERVERS) {
+        fixture.fleet.set(createServer(id), 'test');
+      }
+      return fixture;
+    }
+
+    async function serveOften(fixture: RelayFixture): Promise<void> {
+      for (let count = 0; count < 10; count++) {
+        await fixture.serve(route);
+      }
+    }
+
+    it('is refused unsent once three have ended', async () => {
+      const fixture = createFixture(lose, true);
+      await serveOften(fixture);
+      expect(new Set(fixture.listServers()).size).to.equal(3);
+      const before = fixture.sent.length;
+      const sink = await fixture.serve(route);
+      expect(fixture.sent).to.have.length(before);
+      expect(sink.problem?.kind).to.equal('quarantined');
+      expect(sink.problem?.ran).to.equal(Ran.NO);
+      expect(sink.problem?.retryAfterSeconds).to.be.within(599, 600);
+    });
+
+    it('is not suspected where the servers are still there', async () => {
+      const fixture = createFixture(lose, false);
+      await serveOften(fixture);
+      expect(fixture.quarantine.hasSuspects()).to.equal(false);
+    });
+
+    it('is not suspected where an answer was spoiled', async () => {
+      const spoil: Exchange = async () => ({
+        kind: ExchangeKind.LOST,
+        detail: 'answer of another request',
+        spoiled: true,
+      });
+      const fixture = createFixture(spoil, true);
+      await serveOften(fixture);
+      expect(fixture.quarantine.hasSuspects()).to.equal(false);
+    });
+
+    it('is not suspected where its caller left', async () => {
+      const fixture = createFixture(hang, true);
+      await fixture.serve(route, 2000, AbortSignal.timeout(20));
+      expect(fixture.quarantine.hasSuspects()).to.equal(false);
+    });
+
+    it('is cleared by an answer', async () => {
+      const fixture = createFixture(answerInTurn(lose, lose, answer), true);
+      await fixture.serve(route);
+      await fixture.serve(route);
+      const name = fixture.quarantine.listSince(0).suspects[0];
+      expect(name?.clearedLevel).to.equal(2);
+      expect(name?.ends).to.deep.equal([]);
+    });
+  });
+
   describe('more streams than are computed', () => {
     const prompt = (tokens: number) => ({
       parts: [{id: 'own', tokens}],
--- /dev/null
+++ b/test/service/service_dispatcher_test.ts
@@ -0,0 +1,102 @@
+import {expect} from 'chai';
+import {Result} from 'true-myth';
+import {PlainService, ServiceAnswer} from '../../src/backend/index.js';
+import {Server} from '../../src/configuration/index.js';
+import {ProblemKind} from '../../src/errors/index.js';
+import {DispatchKind, DispatchResult} from '../../src/journal/index.js';
+import {SeededRandom} from '../../src/random/index.js';
+import {RetryBudget, ServerDirectory} from '../../src/routing/index.js';
+import {ServiceDispatcher} from '../../src/service/index.js';
+import {DEPLOYMENT, ServersThatEnd} from '../quarantine/servers_that_end.js';
+
+const ENDING = 'ends its server';
+
+describe('ServiceDispatcher', () => {
+  let servers: ServersThatEnd;
+  let dispatcher: ServiceDispatcher;
+
+  beforeEach(() => {
+    servers = new ServersThatEnd('service');
+    const {clock, configuration} = servers;
+    const directory = new ServerDirectory(
+      {
+        createEngine: () => {
+          throw new Error('there are only services here');
+        },
+        createService,
+      },
+      clock,
+      'tac-hall',
+      () => 1,
+    );
+    directory.setServers(configuration.getView().servers.values());
+    const budget = new RetryBudget(clock);
+    dispatcher = new ServiceDispatcher({
+      ...servers,
+      random: new SeededRandom(1),
+      directory,
+      budget: Object.assign(budget, {spend: () => true}),
+      isLeaving: () => false,
+      dataCentre: 'tac-hall',
+    });
+  });
+
+  function createService({name, address}: Server): PlainService {
+    return {
+      getOutcome: async () => Result.ok(undefined),
+      send: async ({requestId, body}) => {
+        if (Buffer.from(body).toString() === ENDING) {
+          return Result.err(servers.end(name, address));
+        }
+        const answer: ServiceAnswer = {
+          requestId,
+          status: 200,
+          contentType: 'text/plain',
+          body: Buffer.from('booked'),
+        };
+        return Result.ok(answer);
+      },
+    };
+  }
+
+  function dispatch(body: string): Promise<DispatchResult> {
+    return dispatcher.dispatchRepeatable({
+      requestId: 'r1',
+      deployment: DEPLOYMENT,
+      customer: 'guild',
+      deadlineMs: 1000,
+      call: {
+        requestId: 'r1',
+        method: 'POST',
+        path: '/bids',
+        contentType: 'text/plain',
+        body: Buffer.from(body),
+      },
+    });
+  }
+
+  describe('a call that ends the servers that run it', () => {
+    it('ends three of them, however long it may be retried', async () => {
+      const result = await dispatch(ENDING);
+      expect(result.kind).to.equal(DispatchKind.LOST);
+      expect(servers.ends).to.have.length(3);
+    });
+
+    it('is refused as not run when it is sent again', async () => {
+      await dispatch(ENDING);
+      const result = await dispatch(ENDING);
+      expect(result.kind).to.equal(DispatchKind.NOT_SENT);
+      const problem =
+        result.kind === DispatchKind.NOT_SENT ? result.problem : undefined;
+      expect(problem?.kind).to.equal(ProblemKind.QUARANTINED);
+      expect(problem?.retryAfterSeconds).to.equal(600);
+      expect(servers.ends).to.have.length(3);
+    });
+
+    it('does not keep others from the servers that are left', async () => {
+      await dispatch(ENDING);
+      const result = await dispatch('another');
+      expect(result.kind).to.equal(DispatchKind.ANSWERED);
+    });
+  });
+});
