--- /dev/null
+++ b/test/soak/main.ts
@@ -0,0 +1,165 @@
+/** Program: a fault soak of the real programs; see docs/SOAK.md. */
+import {mkdir, readFile, writeFile} from 'node:fs/promises';
+import {join} from 'node:path';
+import {cac} from 'cac';
+import {formatLine} from '../../src/log/index.js';
+import {runSoak, SoakReport} from './run_soak.js';
+import {drawSchedule, Schedule} from './schedule.js';
+import {shrinkSchedule} from './shrink_schedule.js';
+
+/** Options of the program, as the command line gives them. */
+interface Options {
+  readonly seed?: number;
+  readonly runs: number;
+  readonly minutes?: number;
+  readonly hosts: number;
+  readonly seconds: number;
+  readonly schedule?: string;
+  readonly print?: boolean;
+  readonly shrink?: boolean;
+  readonly folder: string;
+}
+
+const MAX_SEED = 0x7fffffff;
+const MS_PER_SECOND = 1000;
+const MS_PER_MINUTE = 60_000;
+const EXIT_BROKEN = 1;
+const EXIT_USAGE = 2;
+const EXIT_INTERRUPTED = 130;
+
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+  process.once(signal, () => process.exit(EXIT_INTERRUPTED));
+}
+
+const cli = cac('soak');
+cli
+  .command(
+    '',
+    'Play faults against the real programs and check what is promised',
+  )
+  .option('--seed <n>', 'First seed; a random one is printed')
+  .option('--runs <n>', 'Seeds to play, one after the other', {default: 1})
+  .option('--minutes <n>', 'Play seeds for so long instead')
+  .option('--hosts <n>', 'Entry hosts, from 1 to 60', {default: 3})
+  .option('--seconds <n>', 'Length of the traffic of a run', {default: 15})
+  .option('--schedule <file>', 'Play a schedule that a failed run left')
+  .option('--print', 'Print the schedule of the seed and play nothing')
+  .option('--shrink', 'Leave faults out while the run still fails')
+  .option('--folder <path>', 'Where failed runs are left', {
+    default: 'soak-failures',
+  })
+  .action(main);
+cli.help();
+cli.parse();
+
+async function main(options: Options): Promise<void> {
+  const mistake = findMistake(options);
+  if (mistake !== undefined) {
+    process.stderr.write(`soak: ${mistake}\n`);
+    process.exitCode = EXIT_USAGE;
+    return;
+  }
+  const first = Number(options.seed ?? Math.floor(Math.random() * MAX_SEED));
+  const endMs =
+    performance.now() + Number(options.minutes ?? 0) * MS_PER_MINUTE;
+  let played = 0;
+  let broken = 0;
+  for (let seed = first; ; seed++) {
+    const schedule = await createSchedule(options, seed);
+    if (options.print === true) {
+      print(JSON.stringify(schedule, undefined, 2));
+      return;
+    }
+    broken += (await playOne(schedule, options)) ? 1 : 0;
+    played++;
+    const isLast =
+      options.minutes === undefined
+        ? played >= Number(options.runs)
+        : performance.now() >= endMs;
+    if (isLast || options.schedule !== undefined) {
+      break;
+    }
+  }
+  print(formatLine({soak: 'done', first_seed: first, played, broken}));
+  process.exitCode = broken > 0 ? EXIT_BROKEN : 0;
+}
+
+function findMistake({hosts, seconds, runs}: Options): string | undefined {
+  if (!(hosts >= 1 && hosts <= 60)) {
+    return '--hosts must be from 1 to 60: each is a process of its own';
+  }
+  if (!(seconds >= 4)) {
+    return '--seconds must be 4 or more: a run begins and ends with calm';
+  }
+  return runs >= 1 ? undefined : '--runs must be 1 or more';
+}
+
+async function createSchedule(
+  options: Options,
+  seed: number,
+): Promise<Schedule> {
+  if (options.schedule !== undefined) {
+    return JSON.parse(await readFile(options.schedule, 'utf8')) as Schedule;
+  }
+  const lengthMs = Number(options.seconds) * MS_PER_SECOND;
+  return drawSchedule(seed, Number(options.hosts), lengthMs);
+}
+
+/** Plays one schedule; returns whether a promise was broken. */
+async function playOne(schedule: Schedule, options: Options): Promise<boolean> {
+  const startMs = performance.now();
+  const report = await runSoak(schedule, true);
+  print(
+    formatLine({
+      seed: schedule.seed,
+      hosts: schedule.hosts,
+      faults: schedule.faults.length,
+      sent: report.history.sendings.length,
+      ...Object.fromEntries(
+        [...report.outcomes].map(([outcome, count]) => [
+          `got_${outcome.replace(' ', '_')}`,
+          count,
+        ]),
+      ),
+      violations: report.violations.length,
+      took_s: ((performance.now() - startMs) / MS_PER_SECOND).toFixed(0),
+    }),
+  );
+  if (report.violations.length === 0) {
+    return false;
+  }
+  await leave(report, options.folder);
+  if (options.shrink === true) {
+    const small = await shrinkSchedule(schedule, async tried => {
+      const again = await runSoak(tried, true);
+      return again.violations.length > 0;
+    });
+    print(`shrunk to ${JSON.stringify(small.faults)}`);
+  }
+  return true;
+}
+
+/** Leaves a failed run for whoever looks into it. */
+async function leave(report: SoakReport, folder: string): Promise<void> {
+  const {schedule, history, violations, lines} = report;
+  const path = join(folder, `seed-${schedule.seed}`);
+  await mkdir(path, {recursive: true});
+  const write = (name: string, value: unknown) =>
+    writeFile(join(path, name), JSON.stringify(value, undefined, 1));
+  await write('schedule.json', schedule);
+  await write('violations.json', violations);
+  await write('history.json', {...history, logged: undefined});
+  for (const [host, text] of lines) {
+    await writeFile(join(path, `${host}.log`), text.join('\n'));
+  }
+  for (const {check, detail} of violations.slice(0, 10)) {
+    print(`broken: ${check}: ${detail}`);
+  }
+  print(
+    `left in ${path}; again: npm run soak -- --schedule ${path}/schedule.json`,
+  );
+}
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
--- /dev/null
+++ b/test/soak/schedule.ts
@@ -0,0 +1,104 @@
+import {Random, SeededRandom} from '../../src/random/index.js';
+
+/** Kinds of fault, all from outside the programs. */
+export const FaultKind = {
+  HOST_KILL: 'host-kill',
+  HOST_STOP: 'host-stop',
+  HOST_FREEZE: 'host-freeze',
+  HOST_RELOAD: 'host-reload',
+  ALL_KILLED: 'all-killed',
+  STORE_BUSY: 'store-busy',
+  STORE_SILENT: 'store-silent',
+  STORE_LOSES_ANSWERS: 'store-loses-answers',
+  STORE_DEAF: 'store-deaf',
+  STORE_FORGETS: 'store-forgets',
+  STORE_LINK_CUT: 'store-link-cut',
+  STORE_LINK_SLOW: 'store-link-slow',
+  SERVER_CRASH: 'server-crash',
+  SERVER_REBORN: 'server-reborn',
+  SERVER_DARK: 'server-dark',
+  SERVER_LEAVES: 'server-leaves',
+  SERVER_LOSES_ANSWERS: 'server-loses-answers',
+  SERVER_SPOILS: 'server-spoils',
+  SERVER_FAILS: 'server-fails',
+  SERVER_SHEDS: 'server-sheds',
+  SERVER_LINK_RESET: 'server-link-reset',
+  SERVER_LINK_ONE_WAY: 'server-link-one-way',
+  SERVER_LINK_SLOW: 'server-link-slow',
+  FOREIGN_ENTRY: 'foreign-entry',
+  CHANGE: 'change',
+  CALLERS_PRESS: 'callers-press',
+  CALLERS_LEAVE: 'callers-leave',
+  ENDING_REQUEST: 'ending-request',
+} as const;
+export type FaultKind = (typeof FaultKind)[keyof typeof FaultKind];
+
+/** One fault of a schedule. */
+export interface Fault {
+  readonly kind: FaultKind;
+  /** From the start of traffic, in milliseconds. */
+  readonly atMs: number;
+  readonly forMs: number;
+  /** Which host or server, counted from 0; those that are fewer wrap around. */
+  readonly target: number;
+}
+
+/** What happens in a run. */
+export interface Schedule {
+  readonly seed: number;
+  readonly hosts: number;
+  readonly servers: number;
+  /** Length of the traffic, in milliseconds. */
+  readonly lengthMs: number;
+  readonly faults: readonly Fault[];
+}
+
+/** Calm at the beginning and at the end, in milliseconds. */
+const CALM_MS = 1500;
+/** Mean pause between the beginnings of faults, in milliseconds. */
+const PAUSE_MS = 1200;
+const SHORTEST_MS = 300;
+const LONGEST_MS = 3000;
+/** Share of faults that come as a series of the same kind. */
+const SERIES_SHARE = 0.2;
+const SERIES = 3;
+const SERIES_GAP_MS = 600;
+
+/**
+ * Draws a schedule.
+ * @param seed - Decides everything.
+ * @param hosts - Entry hosts.
+ * @param lengthMs - Length of the traffic, in milliseconds.
+ */
+export function drawSchedule(
+  seed: number,
+  hosts: number,
+  lengthMs: number,
+): Schedule {
+  const random = new SeededRandom(seed);
+  const faults: Fault[] = [];
+  let atMs = CALM_MS;
+  while (atMs < lengthMs - CALM_MS) {
+    const fault = drawFault(random, atMs);
+    const times = random.next() < SERIES_SHARE ? SERIES : 1;
+    for (let step = 0; step < times; step++) {
+      const target = fault.target + step;
+      faults.push({...fault, atMs: atMs + step * SERIES_GAP_MS, target});
+    }
+    atMs += Math.round(PAUSE_MS * (0.3 + 1.4 * random.next()));
+  }
+  faults.sort((a, b) => a.atMs - b.atMs);
+  return {seed, hosts, servers: 2 * hosts, lengthMs, faults};
+}
+
+function drawFault(random: Random, atMs: number): Fault {
+  const kinds = Object.values(FaultKind);
+  const kind = kinds[Math.floor(random.next() * kinds.length)];
+  const spanMs = LONGEST_MS - SHORTEST_MS;
+  return {
+    kind: kind ?? FaultKind.CHANGE,
+    atMs,
+    forMs: Math.round(SHORTEST_MS + spanMs * random.next()),
+    target: Math.floor(random.next() * 64),
+  };
+}
--- /dev/null
+++ b/test/soak/soak_system.ts
@@ -0,0 +1,326 @@
+import {createServer, Server} from 'node:http';
+import {AddressInfo} from 'node:net';
+import {StandInStore} from '../platform/stand_in/stand_in_store.js';
+import {History} from './history.js';
+import {SoakHost} from './soak_host.js';
+import {SoakServer} from './soak_server.js';
+
+/** Sizes of a system. */
+export interface SoakSize {
+  readonly hosts: number;
+  readonly servers: number;
+}
+
+export const CUSTOMER = 'guild';
+export const KEY = 'k1';
+/** Customer with a low rate, which some callers press. */
+export const PRESSING_CUSTOMER = 'press';
+export const PRESSING_KEY = 'k2';
+export const HOST_NAME = 'desk.example';
+const CENTRES = ['tac', 'pdx'];
+const POLL_MS = 10;
+const READY_POLL_MS = 300;
+const SERVICE = 'ledger';
+/** Time after an end at which the entry lapses, and at which the server is back. */
+const LAPSE_MS = 900;
+const BACK_MS = 1800;
+/** Time for which a server that leaves goes on after the store has its word. */
+const LEAVES_MS = 2600;
+
+/** Store, cloud, servers and the real hosts before them, all on loopback. */
+export class SoakSystem {
+  readonly store = new StandInStore();
+  readonly hosts: SoakHost[] = [];
+  readonly servers: SoakServer[] = [];
+  /** Hosts that the balancer sends new channels to. */
+  readonly inRotation = new Set<string>();
+  private readonly cloud: Server;
+  /** Where each start of a server is reached. */
+  private readonly addresses = new Map<string, string>();
+  private readonly startMs = performance.now();
+  private storePort = 0;
+  private version = 0;
+  private extraRoute = '';
+  private stopped = false;
+  private bornMs = Date.now();
+
+  constructor(
+    private readonly size: SoakSize,
+    private readonly history: History,
+    private readonly folder: string,
+  ) {
+    this.cloud = createServer((request, response) => {
+      let text = '';
+      request.on('data', piece => (text += String(piece)));
+      request.on('end', () => {
+        this.noteDuty(request.headers, text);
+        response.end('{}');
+      });
+    });
+  }
+
+  /** Returns the time of the run, in milliseconds. */
+  getNowMs(): number {
+    return performance.now() - this.startMs;
+  }
+
+  /** Starts everything; returns once every host is ready. */
+  async start(): Promise<void> {
+    this.storePort = Number((await this.store.listen()).split(':')[1]);
+    await new Promise<void>(resolve => {
+      this.cloud.listen(0, '127.0.0.1', resolve);
+    });
+    for (let index = 0; index < this.size.servers; index++) {
+      await this.startServer(`i-${index}`);
+    }
+    this.changeRoutes();
+    const cloudAddress = `127.0.0.1:${(this.cloud.address() as AddressInfo).port}`;
+    for (let index = 0; index < this.size.hosts; index++) {
+      const host = new SoakHost({
+        name: `front-${index}`,
+        dataCentre: CENTRES[index % CENTRES.length] ?? '',
+        folder: this.folder,
+        bounds: this.history.bounds,
+        getStorePort: () => this.storePort,
+        cloudAddress,
+      });
+      await host.prepare();
+      host.start();
+      this.hosts.push(host);
+    }
+    void this.balance();
+    await this.waitUntilReady();
+  }
+
+  /** Waits until every host is in rotation. */
+  async waitUntilReady(): Promise<void> {
+    while (this.inRotation.size < this.hosts.length && !this.stopped) {
+      await wait(POLL_MS);
+    }
+  }
+
+  /** Ends every process and listener that was started here. */
+  async stop(): Promise<void> {
+    this.stopped = true;
+    await Promise.all(this.hosts.map(host => host.stop()));
+    for (const server of this.servers) {
+      server.crash();
+    }
+    this.store.stop();
+    this.cloud.close();
+    this.cloud.closeAllConnections();
+  }
+
+  /** Returns the hosts that new channels go to: all where none is ready. */
+  listInRotation(): readonly SoakHost[] {
+    const ready = this.hosts.filter(({options}) =>
+      this.inRotation.has(options.name),
+    );
+    return ready.length > 0 ? ready : this.hosts;
+  }
+
+  /** Returns a host by its number; numbers wrap around. */
+  getHost(number: number): SoakHost {
+    const host = this.hosts[number % this.hosts.length];
+    if (host === undefined) {
+      throw new Error('the system has no host');
+    }
+    return host;
+  }
+
+  /** Returns a server that serves, by its number; numbers wrap around. */
+  getServer(number: number): SoakServer | undefined {
+    return this.servers[number % Math.max(1, this.servers.length)];
+  }
+
+  /** Kills a host's process; it starts again after a while. */
+  async killHost(host: SoakHost, downMs: number): Promise<void> {
+    await host.end('SIGKILL', downMs);
+    this.inRotation.delete(host.options.name);
+  }
+
+  /** Stops a host as planned; it starts again. */
+  async stopHost(host: SoakHost): Promise<void> {
+    await host.end('SIGTERM');
+    this.inRotation.delete(host.options.name);
+  }
+
+  /** Ends a server; it is back under another name, or under its own. */
+  async crashServer(server: SoakServer, underItsName = false): Promise<void> {
+    const index = this.servers.indexOf(server);
+    if (index < 0) {
+      return;
+    }
+    this.servers.splice(index, 1);
+    server.crash();
+    if (underItsName) {
+      await wait(BACK_MS);
+      await this.startServer(server.name);
+      return;
+    }
+    await wait(LAPSE_MS);
+    this.store.remove('servers', server.name);
+    await wait(BACK_MS - LAPSE_MS);
+    await this.startServer(`${server.name.split('.')[0]}.${++this.bornMs}`);
+  }
+
+  /** Has a server leave as planned; another takes its place. */
+  async drainServer(server: SoakServer): Promise<void> {
+    const index = this.servers.indexOf(server);
+    if (index < 0) {
+      return;
+    }
+    this.servers.splice(index, 1);
+    await this.startServer(`${server.name.split('.')[0]}.${++this.bornMs}`);
+    this.register(server, 'draining');
+    const atMs = this.getNowMs();
+    this.history.leavings.push({server: server.start, atMs});
+    await wait(LEAVES_MS);
+    this.store.remove('servers', server.name);
+    await wait(LEAVES_MS / 2);
+    server.crash();
+  }
+
+  /** Adds a route and removes the one that was added before. */
+  changeRoutes(): void {
+    const removed = this.extraRoute;
+    this.version += 2;
+    this.extraRoute = `/v${this.version}/`;
+    this.store.put('op', 'config', {
+      version: this.version,
+      routes: [
+        createRoute('/i/', {kind: 'idempotent'}),
+        createRoute('/o/', {kind: 'non_idempotent', max_attempts: 1}),
+        createRoute('/s/', {kind: 'streaming', resumable: true}),
+        createRoute(this.extraRoute, {kind: 'idempotent'}),
+      ],
+      services: [{name: SERVICE, max_connections: 500}],
+      tenants: [
+        {name: CUSTOMER, api_keys: [KEY]},
+        {
+          name: PRESSING_CUSTOMER,
+          api_keys: [PRESSING_KEY],
+          rate_per_s: this.history.bounds.rates.get(PRESSING_CUSTOMER)?.[0],
+          burst: this.history.bounds.rates.get(PRESSING_CUSTOMER)?.[1],
+        },
+      ],
+      limits: {idle_timeout_ms: 4000},
+    });
+    this.history.changes.push({
+      version: this.version,
+      ackMs: this.getNowMs(),
+      added: this.extraRoute,
+      removed,
+    });
+  }
+
+  /** Returns the paths that changes have added, the last two of them. */
+  listExtraRoutes(): string[] {
+    return this.history.changes.slice(-2).map(({added}) => added);
+  }
+
+  private async startServer(name: string): Promise<void> {
+    if (this.stopped) {
+      return;
+    }
+    const server: SoakServer = new SoakServer(name, ++this.bornMs, {
+      history: this.history,
+      getNowMs: () => this.getNowMs(),
+      onEnd: ending => {
+        this.history.endsMs.push(this.getNowMs());
+        void this.crashServer(ending);
+      },
+    });
+    this.register(server, 'ready', await server.listen());
+    this.servers.push(server);
+  }
+
+  private register(
+    {start, name, bornMs}: SoakServer,
+    state: string,
+    address = this.addresses.get(start) ?? '',
+  ): void {
+    this.addresses.set(start, address);
+    this.store.put('servers', name, {
+      service: SERVICE,
+      address,
+      zone: CENTRES[Number(/\d+/.exec(name)?.[0] ?? 0) % CENTRES.length],
+      version: 'v1',
+      slots: 16,
+      state,
+      cold_remaining_ms: 0,
+      sequence: 1,
+      born: bornMs,
+    });
+  }
+
+  private noteDuty(
+    headers: Readonly<Record<string, unknown>>,
+    text: string,
+  ): void {
+    const body = JSON.parse(text) as {
+      readonly window_number: number;
+      readonly counts: Readonly<Record<string, number>>;
+    };
+    this.history.duties.push({
+      atMs: this.getNowMs(),
+      holder: String(headers['duty-holder']),
+      fence: Number(headers['fencing-token']),
+      window: body.window_number,
+      counts: JSON.stringify(Object.entries(body.counts).sort()),
+    });
+  }
+
+  /** Asks every host whether it is ready; two misses take it out. */
+  private async balance(): Promise<void> {
+    const misses = new Map<string, number>();
+    while (!this.stopped) {
+      await Promise.all(
+        this.hosts.map(async ({options: {name}, ready}) => {
+          const isReady = await asksReady(ready);
+          misses.set(name, isReady ? 0 : (misses.get(name) ?? 0) + 1);
+          if (isReady) {
+            this.inRotation.add(name);
+          } else if ((misses.get(name) ?? 0) > 1) {
+            this.inRotation.delete(name);
+          }
+        }),
+      );
+      await wait(READY_POLL_MS);
+    }
+  }
+}
+
+/** Waits for a span of time. */
+export function wait(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+async function asksReady(address: string): Promise<boolean> {
+  try {
+    const answer = await fetch(`http://${address}/readiness`, {
+      signal: AbortSignal.timeout(1000),
+    });
+    await answer.text();
+    return answer.status === 200;
+  } catch {
+    return false;
+  }
+}
+
+function createRoute(
+  prefix: string,
+  overrides: Readonly<Record<string, unknown>>,
+): Readonly<Record<string, unknown>> {
+  return {
+    name: `r${prefix}`,
+    host: HOST_NAME,
+    prefix,
+    timeout_ms: 2000,
+    target_latency_ms: 300,
+    gap_target_ms: 300,
+    service: SERVICE,
+    max_attempts: 2,
+    ...overrides,
+  };
+}
