Split the choice of a server off the run; one place notes a lost run

Change: ServerChoice, watch_generation.ts; WatchedContent.addLoss looks and notes for all three. No decision changes.

--- a/src/generation/generation_runner.ts
+++ b/src/generation/generation_runner.ts
@@ -15,7 +15,7 @@
 } from '../configuration/index.js';
 import {problems, Ran} from '../errors/index.js';
 import {Log} from '../log/index.js';
-import {EndedServers, Quarantine, WatchedContent} from '../quarantine/index.js';
+import {WatchOptions} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
 import {
   ChooseServer,
@@ -31,17 +31,16 @@
 import {Generation} from './generation.js';
 import {GenerationMeter} from './generation_meter.js';
 import {RunningGenerations} from './running_generations.js';
+import {failHeld, watchGeneration} from './watch_generation.js';
 
 /** What the runner works with. */
-export interface GenerationRunnerOptions {
+export interface GenerationRunnerOptions extends WatchOptions {
   readonly clock: Clock;
   readonly log: Log;
   readonly random: Random;
   readonly configuration: ConfigurationStore;
   readonly directory: ServerDirectory;
   readonly budget: RetryBudget;
-  readonly quarantine: Quarantine;
-  readonly endedServers: EndedServers;
   readonly running: RunningGenerations;
   readonly meter: GenerationMeter;
   readonly lengths: AnswerLengths;
@@ -77,7 +76,6 @@
   readonly preferred: string | undefined;
 }
 
-const MS_PER_SECOND = 1000;
 const RETRY_PATIENCE_MS = 3000;
 const RETRY_POLL_MS = 100;
 /** Blocks that tell one kind of prompt from another. */
@@ -131,7 +129,7 @@
    */
   async run(generation: Generation, signal: AbortSignal): Promise<void> {
     const excluded = new Set<string>();
-    const content = this.watch(generation);
+    const content = watchGeneration(this.options, generation);
     this.options.budget.addRequest();
     let detail = '';
     let preferred: string | undefined;
@@ -173,8 +171,9 @@
         }
         return;
       }
+      const {directory} = this.options;
       if (ended.brokeOff && !signal.aborted) {
-        await this.noteLoss(content, chosen.server);
+        await content.addLoss(directory.getServer(chosen.server));
       }
       detail = ended.detail;
       preferred = ended.preferred;
@@ -193,27 +192,6 @@
     }
   }
 
-  private watch({request}: Generation): WatchedContent {
-    return new WatchedContent(this.options.quarantine, () => ({
-      method: request.format,
-      path: `${request.deployment}/${request.adapter}`,
-      caller: request.customer,
-      body: Buffer.from(JSON.stringify(request.body)),
-    }));
-  }
-
-  /** Notes whether a server that broke a generation off has ended. */
-  private async noteLoss(
-    content: WatchedContent,
-    server: string,
-  ): Promise<void> {
-    const {directory, endedServers} = this.options;
-    const address = directory.getAddress(server);
-    if (address !== undefined && (await endedServers.hasEnded(address))) {
-      content.addEndOf(server);
-    }
-  }
-
   /**
    * Waits until the budget allows a retry. A caller that has tokens already
    * has more to lose than time, so it waits for one; others are told at once.
@@ -421,23 +399,6 @@
   }
 }
 
-/**
- * Ends a generation that is kept away from servers: what a caller waits for with a
- * retry after each loss would end one server after the other until its deadline.
- */
-function failHeld(
-  generation: Generation,
-  content: WatchedContent,
-  hasRun: boolean,
-  heldMs: number,
-): void {
-  const problem = problems.quarantined(
-    content.getName(),
-    Math.ceil(heldMs / MS_PER_SECOND),
-  );
-  generation.fail(hasRun ? {...problem, ran: Ran.UNKNOWN} : problem);
-}
-
 /** Chooses the server that holds the exported cache, whatever its queue. */
 function prefer(
   decision: RoutingDecision,
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -11,3 +11,4 @@
 export {suspectNewsSchema} from './suspect.js';
 export type {SuspectNews, ToldEnd, ToldSuspect} from './suspect.js';
 export {WatchedContent} from './watched_content.js';
+export type {BrokenServer, WatchOptions} from './watched_content.js';
--- a/src/quarantine/watched_content.ts
+++ b/src/quarantine/watched_content.ts
@@ -1,6 +1,22 @@
+import {EndedServers} from './ended_servers.js';
 import {fingerprintRequest, RequestContent} from './fingerprint_request.js';
 import {Quarantine} from './quarantine.js';
 
+/** What watched contents work with. */
+export interface WatchOptions {
+  readonly quarantine: Quarantine;
+  readonly endedServers: EndedServers;
+}
+
+/** A server that broke a run off. */
+export interface BrokenServer {
+  readonly name: string;
+  /** Differs for every start of the server, where it tells them apart. */
+  readonly start?: string;
+  /** IP number and port. */
+  readonly address: string;
+}
+
 /** What the quarantine knows of one caller's request, and learns from its runs. */
 export class WatchedContent {
   private name: string | undefined;
@@ -8,11 +24,11 @@
   private level = 0;
 
   /**
-   * @param quarantine - Knows what ended servers.
+   * @param options - Knows what ended servers, and which have.
    * @param getContent - Returns the content; asked for only while it matters.
    */
   constructor(
-    private readonly quarantine: Quarantine,
+    private readonly options: WatchOptions,
     private readonly getContent: () => RequestContent,
   ) {}
 
@@ -24,39 +40,45 @@
 
   /** Returns the time for which it is kept away from servers, in milliseconds. */
   getHeldMs(): number {
-    return this.quarantine.hasSuspects()
-      ? this.quarantine.getHeldMs(this.getName())
+    return this.options.quarantine.hasSuspects()
+      ? this.options.quarantine.getHeldMs(this.getName())
       : 0;
   }
 
   /** Notes that a run begins. */
   beginRun(): void {
-    this.level = this.quarantine.hasSuspects()
-      ? this.quarantine.getLevel(this.getName())
+    this.level = this.options.quarantine.hasSuspects()
+      ? this.options.quarantine.getLevel(this.getName())
       : 0;
   }
 
   /**
-   * Notes that a server ended while it worked on the run.
-   * @param start - The server's start.
+   * Notes that a server broke the run off, and looks whether it has ended.
+   * @param server - The server, if it is still known; without a start where it does not tell its starts
+   *   apart: an end that was not known when the run began is another start's.
+   * @returns Whether it has ended.
    */
-  addEnd(start: string): void {
-    this.quarantine.addEnd(this.getName(), start, this.level);
+  async addLoss(server: BrokenServer | undefined): Promise<boolean> {
+    if (server === undefined) {
+      return false;
+    }
+    const {name, start, address} = server;
+    const hasEnded = await this.options.endedServers.hasEnded(address);
+    if (hasEnded) {
+      this.addEnd(start ?? `${name}/${this.level}`);
+    }
+    return hasEnded;
   }
 
-  /**
-   * Notes that a server which does not tell its starts apart ended while it worked on
-   * the run: an end that was not known when the run began is another start's.
-   * @param server - The server's name.
-   */
-  addEndOf(server: string): void {
-    this.addEnd(`${server}/${this.level}`);
+  /** Notes that a start of a server is known to have ended during the run. */
+  addEnd(start: string): void {
+    this.options.quarantine.addEnd(this.getName(), start, this.level);
   }
 
   /** Notes that the server answered the run. */
   addAnswer(): void {
     if (this.level > 0) {
-      this.quarantine.addSuccess(this.getName(), this.level);
+      this.options.quarantine.addSuccess(this.getName(), this.level);
     }
   }
 }
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -44,7 +44,7 @@
     sink: AnswerSink,
     left: AbortSignal,
   ): Promise<void> {
-    const content = new WatchedContent(this.options.quarantine, () => ({
+    const content = new WatchedContent(this.options, () => ({
       ...request,
       caller: request.account?.name ?? '',
     }));
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -4,7 +4,7 @@
 import {Problem, problems, Ran} from '../errors/index.js';
 import {FleetServer} from '../fleet/index.js';
 import {WatchedContent} from '../quarantine/index.js';
-import {chooseServer, RoutingDecision, ScoredServer} from '../routing/index.js';
+import {ScoredServer} from '../routing/index.js';
 import {AnswerRelay} from './answer_relay.js';
 import {AnswerSink} from './answer_sink.js';
 import {BufferedAnswer} from './buffered_answer.js';
@@ -14,6 +14,7 @@
 import {RelayOptions} from './relay_options.js';
 import {RelayRecord} from './relay_record.js';
 import {RelayRequest} from './relay_request.js';
+import {ServerChoice} from './server_choice.js';
 
 /** Time left below which nothing is sent any more, in milliseconds. */
 const MIN_REMAINING_MS = 5;
@@ -23,8 +24,6 @@
 const MS_PER_SECOND = 1000;
 /** Time to come back after a refusal for want of room, in seconds. */
 const FULL_RETRY_S = 0.25;
-/** Share of its target that a request may spend where that saves prefill. */
-const SLACK_SHARE = 0.4;
 
 /** What one run serves, and for whom. */
 export interface RelayOrder {
@@ -45,6 +44,7 @@
   private readonly attempts: Attempts;
   private readonly record: RelayRecord;
   private readonly answer: AnswerRelay;
+  private readonly choice: ServerChoice;
   /** A server's own failure, relayed unless a later attempt does better. */
   private kept: BufferedAnswer | undefined;
   private outcome = 'answered';
@@ -82,6 +82,8 @@
       maxNotRun: MAX_NOT_RUN,
       spendRetry: () => options.budget.spend(service),
     });
+    const {attempts} = this;
+    this.choice = new ServerChoice(options, {request, service, attempts});
   }
 
   /** Serves the request to its end. */
@@ -152,7 +154,7 @@
 
   private chooseDestination(from: FleetServer): FleetServer | undefined {
     this.attempts.exclude(from.id);
-    return this.getServer(this.choose().chosen?.server);
+    return this.choice.getServer(this.choice.choose());
   }
 
   /** Makes one attempt; returns whether another is to follow. */
@@ -170,13 +172,13 @@
       return this.fail();
     }
     const {copied} = this;
-    const decision = this.choose();
+    const decision = this.choice.choose();
     this.record.addDecision(
       decision,
       this.attempts.count() - 1,
       this.answer.getLastEventId(),
     );
-    const server = copied?.server ?? this.getServer(decision.chosen?.server);
+    const server = copied?.server ?? this.choice.getServer(decision);
     if (server === undefined || decision.chosen === undefined) {
       this.lastDetail ||= 'no server';
       return this.fail();
@@ -240,18 +242,21 @@
     if (brokenOffMs === undefined) {
       return;
     }
-    const hasEnded =
-      this.lost.signal.aborted ||
-      (await this.options.endedServers.hasEnded(server.address));
     this.record.addLoss({
       content: this.content.getName(),
       server: server.id,
       ranMs: brokenOffMs,
-      hasEnded,
+      hasEnded: await this.noteLoss(server),
     });
-    if (hasEnded) {
-      this.content.addEnd(server.id);
+  }
+
+  /** Notes that a server broke the request off; returns whether it has ended. */
+  private async noteLoss({id, name, address}: FleetServer): Promise<boolean> {
+    if (this.lost.signal.aborted) {
+      this.content.addEnd(id);
+      return true;
     }
+    return this.content.addLoss({name, start: id, address});
   }
 
   /** Settles an attempt without an answer; returns whether another follows. */
@@ -348,36 +353,6 @@
     return problems.noRoom(this.service, spread);
   }
 
-  private choose(): RoutingDecision {
-    const {fleet, random} = this.options;
-    const {prompt} = this.request;
-    return chooseServer(
-      {
-        promptTokens: prompt.tokensIn,
-        expectedTokens: Math.max(1, prompt.tokensOut),
-        excluded: this.attempts.excluded,
-        slackMs: this.getSlackMs(),
-      },
-      fleet.listKnowledge(this.service, {
-        parts: prompt.parts,
-        urgency: rankUrgency(this.request),
-        excluded: this.attempts.excluded,
-      }),
-      random,
-    );
-  }
-
-  /** The first token may take this long at no loss, with room for surprises. */
-  private getSlackMs(): number {
-    const {route, arrivedMs} = this.request;
-    const agoMs = this.options.clock.monotonicMs() - arrivedMs;
-    return route.targetMs * SLACK_SHARE - agoMs;
-  }
-
-  private getServer(id: string | undefined): FleetServer | undefined {
-    return id === undefined ? undefined : this.options.fleet.get(id);
-  }
-
   private getRemainingMs(): number {
     return this.request.deadlineMs - this.options.clock.monotonicMs();
   }
--- a/src/routing/server_directory.ts
+++ b/src/routing/server_directory.ts
@@ -89,9 +89,9 @@
     return [...this.tracked.values()].map(tracked => tracked.server);
   }
 
-  /** Returns where a server is reached: IP number and port. */
-  getAddress(name: string): string | undefined {
-    return this.tracked.get(name)?.server.address;
+  /** Returns how operators describe a server, if they still do. */
+  getServer(name: string): Server | undefined {
+    return this.tracked.get(name)?.server;
   }
 
   /** Returns the engine of a server. */
--- a/src/service/service_dispatcher.ts
+++ b/src/service/service_dispatcher.ts
@@ -10,7 +10,7 @@
   RecordedAnswer,
 } from '../journal/index.js';
 import {Log} from '../log/index.js';
-import {EndedServers, Quarantine, WatchedContent} from '../quarantine/index.js';
+import {WatchedContent, WatchOptions} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
 import {
   chooseServer,
@@ -22,15 +22,13 @@
 import {Clock} from '../time/index.js';
 
 /** What the dispatcher works with. */
-export interface ServiceDispatcherOptions {
+export interface ServiceDispatcherOptions extends WatchOptions {
   readonly clock: Clock;
   readonly log: Log;
   readonly random: Random;
   readonly configuration: ConfigurationStore;
   readonly directory: ServerDirectory;
   readonly budget: RetryBudget;
-  readonly quarantine: Quarantine;
-  readonly endedServers: EndedServers;
   readonly isLeaving: (server: string) => boolean;
   /** Data centre of this host: its servers are tried first. */
   readonly dataCentre: string;
@@ -143,7 +141,7 @@
         return result;
       }
       if (result.kind === DispatchKind.LOST) {
-        await this.noteLoss(content, server);
+        await content.addLoss(directory.getServer(server));
       }
       // Once one server may have run it, that is what the caller is told.
       failure = failure.kind === DispatchKind.LOST ? failure : result;
@@ -154,7 +152,7 @@
   }
 
   private watch({deployment, customer, call}: DispatchOrder): WatchedContent {
-    return new WatchedContent(this.options.quarantine, () => ({
+    return new WatchedContent(this.options, () => ({
       method: call.method,
       path: `${deployment}${call.path}`,
       caller: customer,
@@ -162,18 +160,6 @@
     }));
   }
 
-  /** Notes whether a server that lost a call has ended. */
-  private async noteLoss(
-    content: WatchedContent,
-    server: string,
-  ): Promise<void> {
-    const {directory, endedServers} = this.options;
-    const address = directory.getAddress(server);
-    if (address !== undefined && (await endedServers.hasEnded(address))) {
-      content.addEndOf(server);
-    }
-  }
-
   private async send(
     call: ServiceCall,
     server: string,
