--- /dev/null
+++ b/test/soak/find_excess.ts
@@ -0,0 +1,86 @@
+/** What bounds over all hosts do not allow. */
+import {History} from './history.js';
+import {groupRuns, isStruck} from './history_questions.js';
+
+/** Yields the start of each span that ends with one of some times. */
+function* listWindows(
+  timesMs: readonly number[],
+  windowMs: number,
+): Iterable<readonly [fromMs: number, toMs: number]> {
+  for (const toMs of timesMs) {
+    yield [toMs - windowMs, toMs];
+  }
+}
+
+export function* findExcessRetries(history: History): Iterable<string> {
+  const {retryRatio, retrySlack, retryWindowMs} = history.bounds;
+  const seen = new Set<string>();
+  const retriesMs: number[] = [];
+  for (const {id, atMs} of history.arrivals) {
+    if (seen.has(id)) {
+      retriesMs.push(atMs);
+    }
+    seen.add(id);
+  }
+  const sentMs = history.sendings.map(sending => sending.sentMs);
+  const count = (times: readonly number[], fromMs: number, toMs: number) =>
+    times.filter(ms => ms > fromMs && ms <= toMs).length;
+  for (const [fromMs, toMs] of listWindows(retriesMs, retryWindowMs)) {
+    const requests = Math.max(
+      count(sentMs, fromMs, toMs),
+      count(sentMs, fromMs - retryWindowMs, toMs - retryWindowMs),
+    );
+    const retries = count(retriesMs, fromMs, toMs);
+    if (retries > retryRatio * requests + retrySlack) {
+      yield `${retries} retries of ${requests} requests until ${toMs} ms`;
+      return;
+    }
+  }
+}
+
+export function* findExcessUnits(history: History): Iterable<string> {
+  const {rates, quotaWindowMs, quotaOverage, quotaSlack} = history.bounds;
+  const runs = groupRuns(history);
+  for (const [customer, [rate, burst]] of rates) {
+    const firstMs = [...runs.values()]
+      .filter(([first]) => first?.customer === customer)
+      .map(([first]) => first?.atMs ?? 0)
+      .sort((a, b) => a - b);
+    const allowed =
+      ((rate * quotaWindowMs) / 1000 + burst) * (1 + quotaOverage) + quotaSlack;
+    for (const [fromMs, toMs] of listWindows(firstMs, quotaWindowMs)) {
+      const units = firstMs.filter(ms => ms > fromMs && ms <= toMs).length;
+      if (units > allowed) {
+        yield `${customer}: ${units} of ${allowed} until ${toMs} ms`;
+        break;
+      }
+    }
+  }
+}
+
+export function* findChangedCounts(history: History): Iterable<string> {
+  const decided = new Map<number, string>();
+  for (const {window, counts, holder} of history.duties) {
+    const before = decided.get(window);
+    if (before !== undefined && before !== counts) {
+      yield `window ${window}: ${before}, then ${counts} by ${holder}`;
+    }
+    decided.set(window, counts);
+  }
+}
+
+export function* findLowerFences(history: History): Iterable<string> {
+  const holders = new Map<number, string>();
+  let highest = 0;
+  for (const {fence, holder, atMs} of history.duties) {
+    const known = holders.get(fence);
+    if (known !== undefined && known !== holder) {
+      yield `${holder} and ${known} both used fence ${fence}`;
+    }
+    holders.set(fence, holder);
+    if (fence < highest && !isStruck(history, holder, atMs)) {
+      yield `${holder} used fence ${fence} after ${highest}`;
+    }
+    highest = Math.max(highest, fence);
+  }
+}
--- /dev/null
+++ b/test/soak/history_questions.ts
@@ -0,0 +1,57 @@
+import {Arrival, FaultSpan, History} from './history.js';
+
+/** Time in which a line may not have left its process, in milliseconds. */
+const UNWRITTEN_MS = 1000;
+
+export function groupRuns(history: History): Map<string, Arrival[]> {
+  const runs = new Map<string, Arrival[]>();
+  for (const arrival of history.arrivals) {
+    if (arrival.ran) {
+      const known = runs.get(arrival.id);
+      if (known === undefined) {
+        runs.set(arrival.id, [arrival]);
+      } else {
+        known.push(arrival);
+      }
+    }
+  }
+  return runs;
+}
+
+/** Tells whether a fault struck a host, or all, in the time of contact before. */
+export function isStruck(
+  history: History,
+  host: string,
+  atMs: number,
+): boolean {
+  const sinceMs = atMs - history.bounds.contactMs;
+  return history.faults.some(
+    fault => touches(fault, host) && overlaps(fault, sinceMs, atMs),
+  );
+}
+
+export function touches({target}: FaultSpan, host: string): boolean {
+  return target === '' || target === host;
+}
+
+export function overlaps(
+  fault: FaultSpan,
+  fromMs: number,
+  toMs: number,
+): boolean {
+  return fault.fromMs <= toMs && fault.toMs >= fromMs;
+}
+
+/** Tells whether a host was killed so soon after that its last lines are lost. */
+export function wasKilled(
+  history: History,
+  host: string,
+  atMs: number,
+): boolean {
+  return history.faults.some(
+    fault =>
+      fault.kind.includes('kill') &&
+      touches(fault, host) &&
+      overlaps(fault, atMs - UNWRITTEN_MS, atMs + UNWRITTEN_MS),
+  );
+}
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -81,7 +81,8 @@
     }
   }
   print(formatLine({soak: 'done', first_seed: first, played, broken}));
-  process.exitCode = broken > 0 ? EXIT_BROKEN : 0;
+  // A channel that was reset while it opened would keep Node running.
+  process.exit(broken > 0 ? EXIT_BROKEN : 0);
 }
 
 function findMistake({hosts, seconds, runs}: Options): string | undefined {
--- a/test/soak/soak_system.ts
+++ b/test/soak/soak_system.ts
@@ -231,7 +231,12 @@
         void this.crashServer(ending);
       },
     });
-    this.register(server, 'ready', await server.listen());
+    const address = await server.listen();
+    if (this.stopped) {
+      server.crash();
+      return;
+    }
+    this.register(server, 'ready', address);
     this.servers.push(server);
   }
 
