--- a/src/quarantine/quarantine_rows.ts
+++ b/src/quarantine/quarantine_rows.ts
@@ -11,7 +11,7 @@
   readonly log: Log;
   readonly table: TableService;
   readonly quarantine: Quarantine;
-  /** Tells whether this host hears the others, so that they tell it all they know. */
+  /** Tells whether this host hears most others, so that they tell it all they know. */
   readonly hearsOthers: () => boolean;
 }
 
