Look through no suspects where a peer has heard of all

Cause, found in reading the change again: each heartbeat and reply went through all suspects, though nearly always nothing was new for the peer. It answers as before; the version says so at once.

Also a comment wrapped.

--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -134,6 +134,10 @@
 
   /** Tells what has changed since a version, the oldest changes first. */
   listSince(version: number): SuspectPage {
+    if (version === this.version) {
+      // So it is with nearly every heartbeat.
+      return {version, suspects: []};
+    }
     const suspects: ToldSuspect[] = [];
     let last = this.version;
     for (const [content, suspect] of this.suspects) {
--- a/src/quarantine/watched_content.ts
+++ b/src/quarantine/watched_content.ts
@@ -54,8 +54,9 @@
 
   /**
    * Notes that a server broke the run off, and looks whether it has ended.
-   * @param server - The server, if it is still known; without a start where it does not tell its starts
-   *   apart: an end that was not known when the run began is another start's.
+   * @param server - The server, if it is still known; without a start where it does
+   *   not tell its starts apart: an end that was not known when the run began is
+   *   another start's.
    * @returns Whether it has ended.
    */
   async addLoss(server: BrokenServer | undefined): Promise<boolean> {
