Keep what a replica is complete up to apart from the rows it has

Cause: a host took the version of the latest row that it had heard for the version up to which it had heard everything. Two ways lead to a server that stays known as ready after it has left, each shown by a test that failed on the code before: - rows passed on were lost on the way to a host; the next ones came, raised its version, and the question for what it lacked then asked only for what came after those. - the host that tells had just started: it has read the table without the server, so it has no row of the removal to tell, and yet its version said that nothing is missing. Both need hosts that restart, or lose links, while servers are replaced, which is when a server that was leaving got requests 3.7 and 3.9 s after its leaving was acknowledged.

Ruled out: the age of the word of a reader (a host that is not told reads for itself); the feed's cursor (changes are read from where it stopped).

Change: a replica knows the version up to which nothing is missing, and since when it remembers removals. Hosts tell both that version and a digest of their rows; whoever has less asks for what changed since its own, and gets the whole table where the other does not remember far enough. Equal digests need no rows.

--- a/src/peering/host_report.ts
+++ b/src/peering/host_report.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 import {suspectNewsSchema} from '../quarantine/index.js';
 import {hostAddressSchema} from './host_address.js';
+import {newsSchema} from './row_words.js';
 import {workSummarySchema} from './work_summary.js';
 
 const MAX_LISTED = 4096;
@@ -17,8 +18,8 @@
   hosts: z.array(hostAddressSchema).max(MAX_LISTED),
   /** Number of that list; left out by hosts of the release before. */
   hostsVersion: count.default(0),
-  /** Per replica, the highest version at which it has news. */
-  news: z.record(name, count),
+  /** What its replicas hold. */
+  news: newsSchema,
   /** Server, requests in flight there, prompt tokens not yet computed in all. */
   loads: z.array(z.tuple([name, count, count])).max(MAX_LISTED),
   /**
@@ -73,8 +74,8 @@
   hostsVersion: count.optional(),
   /** Number of the list of a data centre's hosts that the sender has. */
   membersVersion: count.optional(),
-  /** Per replica, the highest version at which the sender has news. */
-  news: z.record(name, count).optional(),
+  /** What the sender's replicas hold. */
+  news: newsSchema.optional(),
   /** What the hosts of the sender's data centre have under way. */
   centre: workSummarySchema.optional(),
   /** What all hosts but the receiver have under way. */
--- a/src/peering/report_words.ts
+++ b/src/peering/report_words.ts
@@ -86,7 +86,7 @@
       : undefined;
     return {
       hostsVersion,
-      news: this.parts.rows.listVersions(),
+      news: this.parts.rows.listStates(),
       ...optional('all', all),
       ...(Number.isFinite(readAgeMs) ? {readAgeMs} : {}),
       ...optional('sharedMs', trueTime.readSharedMs()),
@@ -122,7 +122,7 @@
       ...optional('capacity', self.capacity),
       hosts: [],
       hostsVersion: 0,
-      news: this.parts.rows.listVersions(),
+      news: this.parts.rows.listStates(),
       loads: [],
       prefillByRank: [],
       parts: [],
--- a/src/peering/row_words.ts
+++ b/src/peering/row_words.ts
@@ -1,11 +1,22 @@
 import {z} from 'zod';
 import {Log} from '../log/index.js';
 import {Peers} from '../peer/index.js';
-import {RowReplica, versionedRowSchema} from '../replica/index.js';
+import {
+  ReplicaState,
+  replicaStateSchema,
+  RowChanges,
+  rowChangesSchema,
+  RowReplica,
+  ToldState,
+} from '../replica/index.js';
 import {Clock} from '../time/index.js';
 
-/** Rows in one message, at most. */
-const MAX_ROWS = 10_000;
+/** What is told of a replica that is not there. */
+const NOTHING: RowChanges = {
+  rows: [],
+  after: 0,
+  state: {version: 0, digest: 0},
+};
 const PULL_MS = 1000;
 /** Time in which changes that come together are gathered, in milliseconds. */
 const GATHER_MS = 10;
@@ -14,17 +25,11 @@
 export const rowsSchema = z.object({
   kind: z.literal('rows'),
   replica: z.string(),
-  rows: z.array(versionedRowSchema).max(MAX_ROWS),
-  /** Version after which these are all that changed. */
-  after: z.number().int().min(0),
-  version: z.number().int().min(0),
+  changes: rowChangesSchema,
 });
 
-/** Reply to a question for news. */
-const newsSchema = z.object({
-  rows: z.array(versionedRowSchema).max(MAX_ROWS),
-  version: z.number().int().min(0),
-});
+/** What each replica of a host holds, by name. */
+export const newsSchema = z.record(z.string().max(200), replicaStateSchema);
 
 /** What the words of rows are made of. */
 export interface RowWordsOptions {
@@ -41,58 +46,62 @@
   readonly listReceivers: (isFirst: boolean) => readonly string[];
 }
 
-/** News of the platform's tables, from peer to peer. */
+/**
+ * News of the platform's tables, from peer to peer.
+ *
+ * Each host tells what its replicas hold in two numbers; whoever holds less asks for
+ * what it lacks. What is new is passed on at once besides.
+ */
 export class RowWords {
   private readonly pulling = new Set<string>();
-  /** Versions up to which news were passed on, by replica. */
-  private readonly passed = new Map<string, number>();
+  /** What was passed on last, by replica. */
+  private readonly passed = new Map<string, ToldState>();
   /** Replicas whose changes are being gathered, and whether any was read here. */
   private readonly gathering = new Map<string, boolean>();
 
   constructor(private readonly options: RowWordsOptions) {}
 
-  /** Returns the highest version at which each replica has news. */
-  listVersions(): Record<string, number> {
-    const versions: Record<string, number> = {};
+  /** Returns what each replica holds. */
+  listStates(): z.input<typeof newsSchema> {
+    const states: z.input<typeof newsSchema> = {};
     for (const [name, replica] of this.options.replicas) {
-      versions[name] = replica.getNewsVersion();
+      states[name] = replica.getState();
     }
-    return versions;
+    return states;
   }
 
-  /** Answers a peer that asks for news. */
-  listNews(name: string, after: number): z.input<typeof newsSchema> {
-    const replica = this.options.replicas.get(name);
-    return {
-      rows: replica?.listNewsSince(after) ?? [],
-      version: replica?.getNewsVersion() ?? 0,
-    };
+  /**
+   * Answers a peer that asks for news.
+   * @param name - The replica.
+   * @param after - Version up to which the peer is complete.
+   */
+  listNews(name: string, after: number): RowChanges {
+    return this.options.replicas.get(name)?.listChangesSince(after) ?? NOTHING;
   }
 
   /** Asks a peer for news where it has later ones. */
-  compare(host: string, told: Readonly<Record<string, number>>): void {
+  compare(host: string, told: z.output<typeof newsSchema>): void {
     for (const [name, replica] of this.options.replicas) {
-      if ((told[name] ?? 0) > replica.getNewsVersion()) {
+      const state = told[name];
+      if (state !== undefined && isBehind(replica, state)) {
         void this.pull(name, replica, host);
       }
     }
   }
 
   /** Takes in rows that a peer passed on. */
-  receive(host: string, message: z.output<typeof rowsSchema>): void {
-    const replica = this.options.replicas.get(message.replica);
+  receive(
+    host: string,
+    {replica: name, changes}: z.output<typeof rowsSchema>,
+  ): void {
+    const replica = this.options.replicas.get(name);
     if (replica === undefined) {
       return;
     }
-    const isComplete = replica.getNewsVersion() >= message.after;
-    for (const row of message.rows) {
-      replica.add(row, `peer:${host}`);
+    const isComplete = replica.addTold(changes, `peer:${host}`);
+    if (!isComplete && isBehind(replica, changes.state)) {
+      void this.pull(name, replica, host);
     }
-    if (isComplete) {
-      replica.setCaughtUp(message.version);
-      return;
-    }
-    void this.pull(message.replica, replica, host);
   }
 
   /**
@@ -101,7 +110,8 @@
    * @param wasRead - Whether the change was read here, and not told by a peer.
    */
   async passOn(name: string, wasRead: boolean): Promise<void> {
-    if (!this.options.replicas.has(name)) {
+    const replica = this.options.replicas.get(name);
+    if (replica === undefined) {
       return;
     }
     const isGathering = this.gathering.has(name);
@@ -112,15 +122,12 @@
     await this.options.clock.sleep(GATHER_MS);
     const isFirst = this.gathering.get(name) === true;
     this.gathering.delete(name);
-    const after = this.passed.get(name) ?? 0;
-    const {rows, version} = this.listNews(name, after);
-    this.passed.set(name, version);
+    const changes = replica.listChangesBeyond(this.passed.get(name));
+    this.passed.set(name, replica.getToldState());
     const body: z.input<typeof rowsSchema> = {
       kind: 'rows',
       replica: name,
-      rows,
-      after,
-      version,
+      changes,
     };
     for (const host of this.options.listReceivers(isFirst)) {
       void this.options.requestPeer(host, body, PULL_MS);
@@ -140,7 +147,7 @@
     const body = {kind: 'news', replica: name, after: replica.getNewsVersion()};
     const reply = await this.options.requestPeer(host, body, PULL_MS);
     this.pulling.delete(name);
-    const news = newsSchema.safeParse(reply.unwrapOr(undefined));
+    const news = rowChangesSchema.safeParse(reply.unwrapOr(undefined));
     if (!news.success) {
       this.options.log.warn('pull_failed', {
         peer: host,
@@ -149,9 +156,16 @@
       });
       return;
     }
-    for (const row of news.data.rows) {
-      replica.add(row, `peer:${host}`);
-    }
-    replica.setCaughtUp(news.data.version);
+    replica.addTold(news.data, `peer:${host}`);
   }
 }
+
+/**
+ * Tells whether a peer's replica has news. While nothing is known for certain, any
+ * row that the peer has may be.
+ */
+function isBehind(replica: RowReplica, state: ReplicaState): boolean {
+  const version = replica.getNewsVersion();
+  const mayLack = state.version > version || version === 0;
+  return mayLack && !replica.isEqual(state);
+}
--- /dev/null
+++ b/src/replica/replica_state.ts
@@ -0,0 +1,12 @@
+import {z} from 'zod';
+
+/** What a replica holds, in two numbers. */
+export const replicaStateSchema = z.object({
+  /** Version of the table up to which every change in substance is merged. */
+  version: z.number().int().min(0),
+  /** See `RowDigest`. */
+  digest: z.number().int().min(0),
+});
+
+/** What a replica holds, in two numbers. */
+export type ReplicaState = z.output<typeof replicaStateSchema>;
--- a/src/replica/row_replica.ts
+++ b/src/replica/row_replica.ts
@@ -1,3 +1,6 @@
+import {ReplicaState} from './replica_state.js';
+import {RowChanges} from './row_changes.js';
+import {RowDigest} from './row_digest.js';
 import {VersionedRow} from './versioned_row.js';
 
 /** Called with a row whose content has changed. */
@@ -12,10 +15,32 @@
   readonly getSubstance: (text: string) => string;
 }
 
-/** A row, and the version since which its substance stands. */
+/** Rows that changed between two versions of a table, as the table told. */
+export interface TableChanges {
+  readonly rows: readonly VersionedRow[];
+  /** Version after which these are all that changed. */
+  readonly after: number;
+  /** Version up to which they are. */
+  readonly version: number;
+}
+
+/** What was told last to others, to go on from. */
+export interface ToldState {
+  /** Version up to which they were told. */
+  readonly version: number;
+  /** See `HeldRow.changeNumber`. */
+  readonly changeNumber: number;
+}
+
+/** A row, and since when its substance stands. */
 interface HeldRow {
-  row: VersionedRow;
-  newsVersion: number;
+  readonly row: VersionedRow;
+  /** What of the row matters; absent for a removed one. */
+  readonly substance: string | undefined;
+  /** Version of the table at which the substance became so. */
+  readonly newsVersion: number;
+  /** Counts the changes of substance in the order in which they came here. */
+  readonly changeNumber: number;
 }
 
 /** Removed rows remembered; the oldest are forgotten beyond. */
@@ -25,14 +50,23 @@
  * A copy of one table, fed by the table and by peers in any order.
  *
  * Rows are merged by version, so a late, stale or repeated answer never takes
- * a row back.
+ * a row back. Which version the copy is complete up to is kept apart from the rows
+ * it has: a later row tells nothing of an earlier one that was missed.
  */
 export class RowReplica {
   private readonly rows = new Map<string, HeldRow>();
   private readonly listeners: RowListener[] = [];
+  private readonly digest = new RowDigest();
   /** Rows that may be gone, each with the version at which it was known. */
   private readonly doubted = new Map<string, number>();
-  private newsVersion = 0;
+  /** Version up to which every change in substance is merged. */
+  private completeVersion = 0;
+  /** Version after which every removal is remembered. */
+  private rememberedVersion = 0;
+  /** Highest version at which anything changed in substance. */
+  private changedVersion = 0;
+  private changeNumber = 0;
+  private removedCount = 0;
 
   constructor(private readonly options: RowReplicaOptions) {}
 
@@ -46,7 +80,13 @@
    * in doubt may have changed since they were known.
    */
   getNewsVersion(): number {
-    return Math.min(this.newsVersion, ...this.doubted.values());
+    const known = Math.min(this.completeVersion, this.changedVersion);
+    return Math.min(known, ...this.doubted.values());
+  }
+
+  /** Returns what this replica holds, to tell peers. */
+  getState(): ReplicaState {
+    return {version: this.getNewsVersion(), digest: this.digest.get()};
   }
 
   /** Notes that a row may be gone: peers who know are asked until it is told. */
@@ -72,19 +112,46 @@
     return this.rows.get(key)?.row.text;
   }
 
-  /** Returns the rows that changed in substance after a version. */
-  listNewsSince(version: number): VersionedRow[] {
-    const news: VersionedRow[] = [];
+  /**
+   * Tells a peer what changed in substance after a version; the whole table where
+   * removals since then may have been missed or forgotten.
+   */
+  listChangesSince(version: number): RowChanges {
+    const isWhole = version < this.rememberedVersion;
+    const rows: VersionedRow[] = [];
+    for (const {row, newsVersion} of this.rows.values()) {
+      const isTold = isWhole ? row.text !== undefined : newsVersion > version;
+      if (isTold) {
+        rows.push(row);
+      }
+    }
+    const state = this.getState();
+    return isWhole ? {rows, state} : {rows, after: version, state};
+  }
+
+  /**
+   * Tells peers what came here since they were told last, late or not.
+   * @param told - What they were told last; nothing at first.
+   */
+  listChangesBeyond(told: ToldState | undefined): RowChanges {
+    const after = Math.max(told?.version ?? 0, this.rememberedVersion);
+    const rows: VersionedRow[] = [];
     for (const held of this.rows.values()) {
-      if (held.newsVersion > version) {
-        news.push({...held.row, version: held.row.version});
+      const isLate = held.changeNumber > (told?.changeNumber ?? 0);
+      if (isLate || held.newsVersion > after) {
+        rows.push(held.row);
       }
     }
-    return news;
+    return {rows, after, state: this.getState()};
+  }
+
+  /** Returns where `listChangesBeyond` is to go on after what it tells now. */
+  getToldState(): ToldState {
+    return {version: this.getNewsVersion(), changeNumber: this.changeNumber};
   }
 
   /**
-   * Merges one row.
+   * Merges one row, which tells nothing of any other.
    * @param row - What was heard.
    * @param source - Where from, for the log.
    */
@@ -94,20 +161,67 @@
       return;
     }
     this.doubted.delete(row.key);
-    const changed = this.isChanged(held, row);
-    const newsVersion = changed ? row.version : (held?.newsVersion ?? 0);
-    this.rows.delete(row.key);
-    this.rows.set(row.key, {row, newsVersion});
-    if (!changed) {
+    const substance = this.readSubstance(row);
+    const isChanged = held === undefined || held.substance !== substance;
+    this.hold(row, substance, held);
+    if (!isChanged) {
       return;
     }
-    this.newsVersion = Math.max(this.newsVersion, row.version);
+    this.changedVersion = Math.max(this.changedVersion, row.version);
     this.trim();
     for (const listener of this.listeners) {
       listener(row, source);
     }
   }
 
+  /**
+   * Merges what the table told of its changes.
+   * @param changes - The changes.
+   * @param source - Where from, for the log.
+   */
+  addChanges({rows, after, version}: TableChanges, source: string): void {
+    for (const row of rows) {
+      this.add(row, source);
+    }
+    if (after <= this.completeVersion) {
+      this.completeVersion = Math.max(this.completeVersion, version);
+    }
+  }
+
+  /**
+   * Merges what a peer told.
+   * @param changes - What it told.
+   * @param source - Which peer, for the log.
+   * @returns Whether nothing that the peer has is missing here.
+   */
+  addTold({rows, after, state}: RowChanges, source: string): boolean {
+    if (after === undefined) {
+      this.addSnapshot(rows, state.version, source);
+      return true;
+    }
+    const goesOn = after <= this.completeVersion;
+    for (const row of rows) {
+      this.add(row, source);
+    }
+    if (goesOn) {
+      this.completeVersion = Math.max(this.completeVersion, state.version);
+      this.changedVersion = Math.max(this.changedVersion, state.version);
+    }
+    return goesOn || this.isEqual(state);
+  }
+
+  /**
+   * Tells whether this replica holds what a peer's does: then it is as complete,
+   * though it may not know what came and went between.
+   */
+  isEqual({version, digest}: ReplicaState): boolean {
+    if (this.digest.get() !== digest) {
+      return false;
+    }
+    this.setComplete(version);
+    return true;
+  }
+
   /**
    * Merges the whole table as it was at one version: what it lacks was removed.
    * @param rows - All rows.
@@ -130,31 +244,71 @@
         this.add({key: row.key, version}, source);
       }
     }
+    this.setComplete(version);
   }
 
-  /** Notes that a peer's news up to this version are merged. */
-  setCaughtUp(version: number): void {
-    this.newsVersion = Math.max(this.newsVersion, version);
+  /**
+   * Notes that this holds what the table held at a version, though it may not know
+   * what came and went before.
+   */
+  setComplete(version: number): void {
+    if (version <= this.completeVersion) {
+      return;
+    }
+    this.completeVersion = version;
+    this.changedVersion = Math.max(this.changedVersion, version);
+    this.rememberedVersion = version;
+  }
+
+  private readSubstance({text}: VersionedRow): string | undefined {
+    return text === undefined ? undefined : this.options.getSubstance(text);
   }
 
-  private isChanged(held: HeldRow | undefined, row: VersionedRow): boolean {
-    const {getSubstance} = this.options;
-    const before = held?.row.text;
-    if (before === undefined || row.text === undefined) {
-      return before !== row.text;
+  /** Holds a row in place of what was held before, the latest last. */
+  private hold(
+    row: VersionedRow,
+    substance: string | undefined,
+    before: HeldRow | undefined,
+  ): void {
+    this.rows.delete(row.key);
+    if (before !== undefined && before.substance === substance) {
+      this.rows.set(row.key, {...before, row});
+      return;
+    }
+    this.takeOut(row.key, before);
+    this.rows.set(row.key, {
+      row,
+      substance,
+      newsVersion: row.version,
+      changeNumber: ++this.changeNumber,
+    });
+    if (substance === undefined) {
+      this.removedCount++;
+    } else {
+      this.digest.add(row.key, substance);
+    }
+  }
+
+  private takeOut(key: string, held: HeldRow | undefined): void {
+    if (held === undefined) {
+      return;
+    }
+    if (held.substance === undefined) {
+      this.removedCount--;
+    } else {
+      this.digest.remove(key, held.substance);
     }
-    return (
-      before !== row.text && getSubstance(before) !== getSubstance(row.text)
-    );
   }
 
   private trim(): void {
-    if (this.rows.size <= MAX_REMOVED) {
+    if (this.removedCount <= MAX_REMOVED) {
       return;
     }
-    for (const [key, held] of this.rows) {
-      if (held.row.text === undefined) {
+    for (const [key, {row, newsVersion}] of this.rows) {
+      if (row.text === undefined) {
         this.rows.delete(key);
+        this.removedCount--;
+        this.rememberedVersion = Math.max(this.rememberedVersion, newsVersion);
         return;
       }
     }
--- /dev/null
+++ b/test/peering/row_words_test.ts
@@ -0,0 +1,86 @@
+/** Pattern: servers are replaced while the hosts that tell of it restart in turn. */
+import {expect} from 'chai';
+import {VersionedRow} from '../../src/replica/index.js';
+import {HostsFixture} from './hosts_fixture.js';
+import {WordsHost} from './words_fixture.js';
+
+const HOSTS = 16;
+/** Time in which every host hears what one has read, in milliseconds. */
+const TOLD_MS = 2500;
+
+describe('RowWords', () => {
+  let fixture: HostsFixture;
+  /** Reads the table for all. */
+  let reader: WordsHost;
+  /** Hears of it through the reader. */
+  let member: WordsHost;
+
+  beforeEach(async () => {
+    fixture = new HostsFixture(HOSTS, 2);
+    await fixture.run(TOLD_MS);
+    reader = fixture.getAggregator('dc-0');
+    member = findMember(fixture, reader);
+  });
+
+  async function read(version: number, ...rows: VersionedRow[]): Promise<void> {
+    reader.replica.addSnapshot(rows, version, 'store');
+    await fixture.clock.advance(50);
+  }
+
+  it('tells a host again what it missed when more is told before it asks', async () => {
+    const ready = {key: 'a', version: 100, text: 'ready'};
+    await read(100, ready);
+    await fixture.run(TOLD_MS);
+    expect(member.replica.getText('a')).to.equal('ready');
+
+    fixture.reaches = () => false;
+    const draining = {key: 'a', version: 105, text: 'draining'};
+    await read(105, draining);
+    fixture.reaches = () => true;
+    await read(120, draining, {key: 'b', version: 120, text: 'ready'});
+    expect(member.replica.getText('b')).to.equal('ready');
+
+    await fixture.run(TOLD_MS);
+    expect(member.replica.getText('a')).to.equal('draining');
+  });
+
+  it('tells of a removal that came before the start of the host that tells', async () => {
+    const leaving = {key: 'a', version: 100, text: 'ready'};
+    const staying = {key: 'b', version: 90, text: 'ready'};
+    await read(100, leaving, staying);
+    await fixture.run(TOLD_MS);
+
+    const readerCentre = reader.self.dataCentre;
+    fixture.reaches = (from, to) =>
+      from.dataCentre !== readerCentre && to.dataCentre !== readerCentre;
+    await fixture.run(TOLD_MS);
+    // All of its data centre start anew, so that none has heard of the removal.
+    for (const [index, host] of fixture.hosts.entries()) {
+      if (host.self.dataCentre === readerCentre) {
+        fixture.start(index);
+      }
+    }
+    await fixture.run(TOLD_MS);
+    reader = fixture.getAggregator(readerCentre);
+    await read(200, {key: 'b', version: 195, text: 'ready'});
+    fixture.reaches = () => true;
+    await fixture.run(2 * TOLD_MS);
+
+    const keeping = fixture.hosts.filter(
+      ({replica}) => replica.getText('a') !== undefined,
+    );
+    expect(keeping.map(({self}) => self.host)).to.deep.equal([]);
+  });
+});
+
+/** Finds a host that hears of the table through another one only. */
+function findMember(fixture: HostsFixture, reader: WordsHost): WordsHost {
+  const {dataCentre} = reader.self;
+  const ranked = reader.known.rankAggregators(dataCentre);
+  const last = ranked.at(-1)?.host;
+  const found = fixture.hosts.find(({self}) => self.host === last);
+  if (found === undefined) {
+    throw new Error(`no member in ${dataCentre}`);
+  }
+  return found;
+}
