--- a/src/fleet/choose_home.ts
+++ b/src/fleet/choose_home.ts
@@ -1,4 +1,4 @@
-import {rankByRendezvous} from '../random/index.js';
+import {findByRendezvous} from '../random/index.js';
 import {PromptPart} from './part_memory.js';
 import {TrackedServer} from './tracked_server.js';
 
@@ -17,5 +17,5 @@
     return undefined;
   }
   const ids = ready.map(({server}) => server.id);
-  return rankByRendezvous(last.id, ids)[0];
+  return findByRendezvous(last.id, ids);
 }
--- a/src/log/consola_log.ts
+++ b/src/log/consola_log.ts
@@ -22,6 +22,8 @@
     writeLine: (line: string) => void = writeStandardError,
   ) {
     this.consola = createConsola({
+      // Each line counts, and to compare it with the last costs more than to write it.
+      throttle: 0,
       reporters: [
         {
           log: entry => {
--- a/src/log/queued_output.ts
+++ b/src/log/queued_output.ts
@@ -10,6 +10,8 @@
 const MAX_WAITING_BYTES = 1_048_576;
 const STANDARD_OUTPUT = 1;
 const RETRY_MS = 20;
+/** Longest wait for the reader at the end of the process, in milliseconds. */
+const DRAIN_MS = 200;
 
 /**
  * Lines on their way to a pipe whose reader may be slow. Writing never blocks
@@ -21,9 +23,18 @@
   private waitingBytes = 0;
   private writing = false;
   private dropped = 0;
+  /** Set while lines are gathered. */
+  private timer: NodeJS.Timeout | undefined;
 
-  /** @param writeText - Where the text goes; standard output if left out. */
-  constructor(private readonly writeText: WriteText = writeStandardOutput) {}
+  /**
+   * @param writeText - Where the text goes; standard output if left out.
+   * @param gatherMs - Time for which lines are gathered, in milliseconds: each write
+   *   costs two changes of thread, and there are several lines a request.
+   */
+  constructor(
+    private readonly writeText: WriteText = writeStandardOutput,
+    private readonly gatherMs = 0,
+  ) {}
 
   /** Returns the lines that were dropped since the last that fitted. */
   countDropped(): number {
@@ -41,7 +52,25 @@
       this.dropped = 0;
     }
     this.push(line);
+    if (this.gatherMs === 0) {
+      this.flush();
+      return;
+    }
+    this.timer ??= setTimeout(() => {
+      this.timer = undefined;
+      this.flush();
+    }, this.gatherMs);
+  }
+
+  /** Waits until what was added is written, or its reader does not take it. */
+  async drain(): Promise<void> {
+    clearTimeout(this.timer);
+    this.timer = undefined;
     this.flush();
+    const endMs = performance.now() + DRAIN_MS;
+    while (this.writing && performance.now() < endMs) {
+      await new Promise(resolve => setTimeout(resolve, RETRY_MS));
+    }
   }
 
   private push(line: string): void {
--- a/src/peering/host_reports.ts
+++ b/src/peering/host_reports.ts
@@ -50,6 +50,17 @@
   readonly goneMs: number;
 }
 
+/** Words that count together, as found at one moment. */
+interface CountedWork {
+  readonly foundMs: number;
+  readonly told: readonly ToldWork[];
+}
+
+/**
+ * Time for which what counts is not looked for anew, in milliseconds: a request asks
+ * for it once for each server that it may go to.
+ */
+const COUNTED_MS = 10;
 /** Age up to which the summary of a data centre is not taken over, in ms. */
 const KEPT_SUMMARY_MS = 1000;
 
@@ -61,6 +72,8 @@
  */
 export class HostReports {
   private readonly told = new Map<string, ToldWork>();
+  /** What counts, by the age up to which it does. */
+  private readonly counted = new Map<number, CountedWork>();
 
   constructor(private readonly options: HostReportsOptions) {}
 
@@ -122,6 +135,7 @@
   /** Lets go of everything, after a pause that no clock has counted. */
   forget(): void {
     this.told.clear();
+    this.counted.clear();
   }
 
   /** Returns the age of the last word of all hosts, in milliseconds. */
@@ -258,6 +272,7 @@
     from: PeerIdentity,
     told: Pick<ToldWork, 'hosts' | 'work' | 'hops' | 'holdsDuties'>,
   ): void {
+    this.counted.clear();
     this.told.set(key, {
       ...told,
       scope,
@@ -269,11 +284,18 @@
   }
 
   /** Lists what is not too old, so that no host is in it twice. */
-  private listCounted(maxAgeMs: number): ToldWork[] {
+  private listCounted(maxAgeMs: number): readonly ToldWork[] {
+    const nowMs = this.options.clock.monotonicMs();
+    const known = this.counted.get(maxAgeMs);
+    if (known !== undefined && nowMs - known.foundMs < COUNTED_MS) {
+      return known.told;
+    }
     this.trim();
     const recent = this.listRecent(maxAgeMs);
     const all = recent.find(({scope}) => scope === Scope.ALL);
-    return all === undefined ? listOnce(recent) : [all];
+    const told = all === undefined ? listOnce(recent) : [all];
+    this.counted.set(maxAgeMs, {foundMs: nowMs, told});
+    return told;
   }
 
   private listRecent(maxAgeMs: number): ToldWork[] {
--- a/src/prove/gate.ts
+++ b/src/prove/gate.ts
@@ -1,4 +1,4 @@
-import {Clock} from '../time/index.js';
+import {CancelTimer, Clock} from '../time/index.js';
 
 /**
  * Lets a host be frozen or killed: everything the host awaits passes through
@@ -75,4 +75,19 @@
     await this.clock.sleep(ms, signal);
     await this.gate.pass();
   }
+
+  startTimer(ms: number, call: () => void): CancelTimer {
+    let isCancelled = false;
+    const callOnceOpen = async () => {
+      await this.gate.pass();
+      if (!isCancelled) {
+        call();
+      }
+    };
+    const cancel = this.clock.startTimer(ms, () => void callOnceOpen());
+    return () => {
+      isCancelled = true;
+      cancel();
+    };
+  }
 }
--- a/src/random/hash.ts
+++ b/src/random/hash.ts
@@ -20,6 +20,28 @@
   return hash >>> 0;
 }
 
+/**
+ * Returns the name that `rankByRendezvous` puts first, without ordering the others.
+ * @param key - What is being placed.
+ * @param names - Candidates.
+ */
+export function findByRendezvous(
+  key: string,
+  names: Iterable<string>,
+): string | undefined {
+  let first: string | undefined;
+  let most = -1;
+  for (const name of names) {
+    const hash = hashText(`${key}|${name}`);
+    const isFirst = hash > most || (hash === most && name < (first ?? ''));
+    if (isFirst) {
+      first = name;
+      most = hash;
+    }
+  }
+  return first;
+}
+
 /**
  * Orders names by rendezvous hash: every host computes the same order, and a
  * name that comes or goes moves only its own share.
--- a/src/random/index.ts
+++ b/src/random/index.ts
@@ -2,4 +2,4 @@
 export type {Random} from './random.js';
 export {SeededRandom} from './seeded_random.js';
 export {SystemRandom} from './system_random.js';
-export {hashText, rankByRendezvous} from './hash.js';
+export {findByRendezvous, hashText, rankByRendezvous} from './hash.js';
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -11,7 +11,7 @@
 import {RelayOptions} from './relay_options.js';
 import {RelayRecord} from './relay_record.js';
 import {RelayRequest} from './relay_request.js';
-import {SilenceWatch} from '../time/index.js';
+import {endWithAny, SilenceWatch} from '../time/index.js';
 
 /** How an attempt ended. */
 export const AttemptEnd = {
@@ -138,7 +138,7 @@
     if (this.silence !== undefined) {
       signals.push(this.silence.getSignal());
     }
-    return AbortSignal.any(signals);
+    return endWithAny(signals);
   }
 
   /** Gives a silent server up where the request may go on elsewhere. */
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -5,6 +5,7 @@
 import {FleetServer} from '../fleet/index.js';
 import {WatchedContent} from '../quarantine/index.js';
 import {ScoredServer} from '../routing/index.js';
+import {endWithAny} from '../time/index.js';
 import {AnswerRelay} from './answer_relay.js';
 import {AnswerSink} from './answer_sink.js';
 import {BufferedAnswer} from './buffered_answer.js';
@@ -22,6 +23,8 @@
 const MAX_NOT_RUN = 3;
 const SERVER_ERROR = 500;
 const MS_PER_SECOND = 1000;
+/** Made once: an error made for each request costs a trace of the stack. */
+const TOO_LATE = new Error('deadline passed');
 /** Time to come back after a refusal for want of room, in seconds. */
 const FULL_RETRY_S = 0.25;
 
@@ -73,7 +76,7 @@
     this.service = service;
     this.sink = sink;
     this.left = left;
-    this.ended = AbortSignal.any([left, this.late.signal]);
+    this.ended = endWithAny([left, this.late.signal]);
     this.answer = new AnswerRelay(sink, request.lastEventId);
     this.record = new RelayRecord(options, request);
     this.attempts = new Attempts({
@@ -89,7 +92,10 @@
   /** Serves the request to its end. */
   async execute(): Promise<void> {
     this.options.budget.addRequest(this.service);
-    const timer = setTimeout(() => this.late.abort(), this.getRemainingMs());
+    const timer = setTimeout(
+      () => this.late.abort(TOO_LATE),
+      this.getRemainingMs(),
+    );
     try {
       while (await this.tryOnce()) {
         // Each round is one attempt.
--- a/src/time/clock.ts
+++ b/src/time/clock.ts
@@ -1,3 +1,6 @@
+/** Takes a timer back; does nothing once it has run. */
+export type CancelTimer = () => void;
+
 /**
  * Source of time, passed in so that tests can run on a virtual clock.
  */
@@ -12,4 +15,11 @@
    * @param signal - Ends the wait early, without an error, when aborted.
    */
   sleep(ms: number, signal?: AbortSignal): Promise<void>;
+  /**
+   * Has a function called later, which costs less than a wait that may be ended.
+   * @param ms - When to call it, in milliseconds from now.
+   * @param call - The function.
+   * @returns Takes it back.
+   */
+  startTimer(ms: number, call: () => void): CancelTimer;
 }
--- a/src/time/silence_watch.ts
+++ b/src/time/silence_watch.ts
@@ -1,7 +1,9 @@
-import {Clock} from './clock.js';
+import {CancelTimer, Clock} from './clock.js';
 
 /** Longest pause between looks, in milliseconds. */
 const MAX_WAIT_MS = 500;
+/** Made once: an error made for each watch costs a trace of the stack. */
+const TOO_SILENT = new Error('silent for too long');
 
 /**
  * Ends a stream that has been silent for too long. One timer per stream, not
@@ -9,8 +11,8 @@
  */
 export class SilenceWatch {
   private readonly silent = new AbortController();
-  private readonly over = new AbortController();
   private lastMs: number;
+  private cancel: CancelTimer = () => undefined;
 
   /**
    * @param clock - Measures the silence.
@@ -21,7 +23,7 @@
     private limitMs: number,
   ) {
     this.lastMs = clock.monotonicMs();
-    void this.run();
+    this.look();
   }
 
   /** Aborted after too long a silence. */
@@ -45,19 +47,17 @@
 
   /** Ends the watch. */
   stop(): void {
-    this.over.abort();
+    this.cancel();
   }
 
-  private async run(): Promise<void> {
-    while (!this.over.signal.aborted) {
-      const silentMs = this.clock.monotonicMs() - this.lastMs;
-      if (silentMs >= this.limitMs) {
-        this.silent.abort();
-        return;
-      }
-      // The limit may shrink meanwhile, so look again soon enough.
-      const waitMs = Math.min(this.limitMs - silentMs, MAX_WAIT_MS);
-      await this.clock.sleep(waitMs, this.over.signal);
+  private look(): void {
+    const silentMs = this.clock.monotonicMs() - this.lastMs;
+    if (silentMs >= this.limitMs) {
+      this.silent.abort(TOO_SILENT);
+      return;
     }
+    // The limit may shrink meanwhile, so look again soon enough.
+    const waitMs = Math.min(this.limitMs - silentMs, MAX_WAIT_MS);
+    this.cancel = this.clock.startTimer(waitMs, () => this.look());
   }
 }
--- a/src/time/system_clock.ts
+++ b/src/time/system_clock.ts
@@ -1,4 +1,4 @@
-import {Clock} from './clock.js';
+import {CancelTimer, Clock} from './clock.js';
 
 /** Clock of the machine the process runs on. */
 export class SystemClock implements Clock {
@@ -25,4 +25,9 @@
       signal?.addEventListener('abort', finish, {once: true});
     });
   }
+
+  startTimer(ms: number, call: () => void): CancelTimer {
+    const timer = setTimeout(call, ms);
+    return () => clearTimeout(timer);
+  }
 }
--- a/src/time/virtual_clock.ts
+++ b/src/time/virtual_clock.ts
@@ -1,4 +1,4 @@
-import {Clock} from './clock.js';
+import {CancelTimer, Clock} from './clock.js';
 import {Sleeper, SleeperQueue} from './sleeper_queue.js';
 
 /** Turns of the event loop given to woken tasks before time moves again. */
@@ -44,6 +44,19 @@
     });
   }
 
+  startTimer(ms: number, call: () => void): CancelTimer {
+    const sleeper: Sleeper = {
+      wakeAtMs: this.currentMs + Math.max(0, ms),
+      order: this.order++,
+      cancelled: false,
+      wake: call,
+    };
+    this.sleepers.add(sleeper);
+    return () => {
+      sleeper.cancelled = true;
+    };
+  }
+
   /**
    * Moves time forward and wakes every sleeper that falls due, in order.
    * @param ms - Span to move by, in milliseconds.
--- a/test/lease/duty_test.ts
+++ b/test/lease/duty_test.ts
@@ -2,7 +2,7 @@
 import {Duty, Lease} from '../../src/lease/index.js';
 import {SilentLog} from '../../src/log/index.js';
 import {MemoryTableService} from '../../src/table/index.js';
-import {Clock, VirtualClock} from '../../src/time/index.js';
+import {CancelTimer, Clock, VirtualClock} from '../../src/time/index.js';
 
 const LEASE_MS = 3000;
 
@@ -23,6 +23,10 @@
   sleep(ms: number, signal?: AbortSignal): Promise<void> {
     return this.clock.sleep(ms, signal);
   }
+
+  startTimer(ms: number, call: () => void): CancelTimer {
+    return this.clock.startTimer(ms, call);
+  }
 }
 
 describe('Duty', () => {
--- a/test/log/queued_output_test.ts
+++ b/test/log/queued_output_test.ts
@@ -33,4 +33,17 @@
       await new Promise(resolve => setTimeout(resolve, 5));
     }
   });
+
+  it('writes lines that come within a moment at once, and all before the end', async () => {
+    const taken: string[] = [];
+    const output = new QueuedOutput((text, done) => {
+      taken.push(text);
+      setImmediate(() => done(null, Buffer.byteLength(text)));
+    }, 60_000);
+    output.add('first\n');
+    output.add('second\n');
+    expect(taken).to.deep.equal([]);
+    await output.drain();
+    expect(taken).to.deep.equal(['first\nsecond\n']);
+  });
 });
--- a/test/usage/true_time_test.ts
+++ b/test/usage/true_time_test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {Clock, VirtualClock} from '../../src/time/index.js';
+import {CancelTimer, Clock, VirtualClock} from '../../src/time/index.js';
 import {TrueTime} from '../../src/usage/index.js';
 
 /** A clock whose time of day can be stepped. */
@@ -19,6 +19,10 @@
   sleep(ms: number, signal?: AbortSignal): Promise<void> {
     return this.clock.sleep(ms, signal);
   }
+
+  startTimer(ms: number, call: () => void): CancelTimer {
+    return this.clock.startTimer(ms, call);
+  }
 }
 
 describe('TrueTime', () => {
