Suspect no request for an end that was to come, and bound what one sender ends

Cause: the quarantine counted every end of a server against what ran there, also that of a server which had said that it leaves; and it knew requests by their content only, so that a sender whose bodies all differ was never known.

Ruled out: ends by start alone (a server that goes down and up by turns makes three of them); a sender's ends counted by server (one content that ends three servers would have all else of its sender kept away: a test of before failed on that try).

Change: no evidence are ends of servers that drain or have been out of the register for a second, ends that come together with those of more servers which did not run the content, and, until there are six, ends at one address. A sender (customer and route) is suspected where three of its contents end servers in two steps, half of its runs are lost, and more than twice the share of all others' runs; it is kept away for 3 s, then tried by one request a host at a time, twice as long after each further end, at most ten minutes. Told and kept as contents are. A stream that has begun is not broken off for its sender.

A thousand long requests in waves of kills, reclaims and under a flapping server: none kept away (innocents_test).

--- a/src/errors/problems.ts
+++ b/src/errors/problems.ts
@@ -305,6 +305,17 @@
   retryAfterSeconds,
 });
 
+export const senderQuarantined = (retryAfterSeconds: number): Problem => ({
+  kind: ProblemKind.QUARANTINED,
+  status: 503,
+  detail:
+    'Several servers ended while they ran requests of this customer on this route.',
+  remedy:
+    'Find which of its requests end servers, or ask again after the given time.',
+  ran: Ran.NO,
+  retryAfterSeconds,
+});
+
 export const requestMalformed = (status: number, detail: string): Problem => ({
   kind: ProblemKind.HEADER_INVALID,
   status,
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -37,6 +37,12 @@
 const DEFAULT_CACHE_TOKENS = 500_000;
 const MS_PER_SECOND = 1000;
 
+/**
+ * Time since a server's registration ended from which its end was to come, in
+ * milliseconds: servers that leave serve on for seconds, one that crashed does not.
+ */
+const GONE_MS = 1000;
+
 /** Rank that is behind every other: all that is pending counts. */
 const LAST_RANK = Number.MAX_SAFE_INTEGER;
 
@@ -105,7 +111,7 @@
     const known = this.servers.get(server.id);
     if (known !== undefined) {
       const {server: before} = known;
-      known.server = server;
+      known.setServer(server);
       this.noteState(before, server, source);
       return;
     }
@@ -123,6 +129,22 @@
     return this.servers.get(id)?.server;
   }
 
+  /**
+   * Tells whether a server has said that it leaves, or has long been gone from the
+   * register: its end was to come, whatever ran there.
+   */
+  isLeaving(id: string): boolean {
+    const tracked = this.servers.get(id);
+    switch (tracked?.server.state) {
+      case FleetState.DRAINING:
+        return true;
+      case FleetState.GONE:
+        return tracked.getStateAgeMs() > GONE_MS;
+      default:
+        return false;
+    }
+  }
+
   /** Tells whether any server is known. */
   isKnown(): boolean {
     return this.servers.size > 0;
--- a/src/fleet/tracked_server.ts
+++ b/src/fleet/tracked_server.ts
@@ -52,6 +52,9 @@
   private excessMs = 0;
   private touchedMs: number;
 
+  /** Since when it is in its state, monotonic milliseconds. */
+  private stateMs: number;
+
   constructor(
     public server: FleetServer,
     cacheTokens: number,
@@ -59,6 +62,20 @@
   ) {
     this.memory = new PartMemory(cacheTokens);
     this.touchedMs = clock.monotonicMs();
+    this.stateMs = clock.monotonicMs();
+  }
+
+  /** Takes in what the server is now. */
+  setServer(server: FleetServer): void {
+    if (server.state !== this.server.state) {
+      this.stateMs = this.clock.monotonicMs();
+    }
+    this.server = server;
+  }
+
+  /** Returns the time since its state changed, in milliseconds. */
+  getStateAgeMs(): number {
+    return this.clock.monotonicMs() - this.stateMs;
   }
 
   /** Returns the smoothed delay beyond predictions, in milliseconds. */
--- a/src/quarantine/ended_servers.ts
+++ b/src/quarantine/ended_servers.ts
@@ -9,6 +9,9 @@
  */
 const SHARED_MS = 200;
 
+/** Time within which servers that end do so together, in milliseconds. */
+export const WAVE_MS = 500;
+
 /**
  * Tells a server that has ended from one that broke a channel off. All requests that
  * a server loses at one moment share one look; that a server was there a moment ago
@@ -19,6 +22,8 @@
   private readonly looks = new Map<string, Promise<boolean>>();
   /** When a server was last found to have ended, monotonic milliseconds. */
   private readonly endedMs = new Map<string, number>();
+  /** When each server was found to have ended, of late; monotonic milliseconds. */
+  private readonly lateEndsMs = new Map<string, number>();
 
   /**
    * @param clock - Measures the age of what was found.
@@ -45,10 +50,22 @@
     this.looks.delete(address);
     if (ended) {
       this.endedMs.set(address, this.clock.monotonicMs());
+      this.lateEndsMs.set(address, this.clock.monotonicMs());
     }
     return ended;
   }
 
+  /** Counts the servers that were found to have ended within `WAVE_MS`. */
+  countInWave(): number {
+    const oldestMs = this.clock.monotonicMs() - WAVE_MS;
+    for (const [address, endedMs] of this.lateEndsMs) {
+      if (endedMs <= oldestMs) {
+        this.lateEndsMs.delete(address);
+      }
+    }
+    return this.lateEndsMs.size;
+  }
+
   private trim(): void {
     const oldestMs = this.clock.monotonicMs() - SHARED_MS;
     for (const [address, endedMs] of this.endedMs) {
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -2,6 +2,8 @@
 import {Metrics} from '../metrics/index.js';
 import {Clock} from '../time/index.js';
 import {MAX_TOLD, Suspect, ToldSuspect} from './suspect.js';
+import {getPlace} from './server_end_name.js';
+import {getSuspicionRule, isSender} from './suspicion_rule.js';
 
 /** What the quarantine works with. */
 export interface QuarantineOptions {
@@ -16,23 +18,10 @@
   readonly suspects: readonly ToldSuspect[];
 }
 
-/**
- * Servers that have to end under a request before it is kept away: one fault of the
- * servers ends a few at once, and a caller's own attempts seldom meet three.
- */
-const ENDS = 3;
-/**
- * Steps in which they have to end: what came after a first loss was known and was
- * lost again. A popular request is running wherever servers fail together; its next
- * run is answered, and clears it.
- */
-const LEVELS = 2;
-/**
- * Time for which a request is kept away after its last end, in milliseconds: one that
- * still ends servers then costs a few every ten minutes, and one that was suspected
- * wrongly, or whose servers were mended, is served again without an operator.
- */
-const HOLD_MS = 600_000;
+/** Time after its last change at which a suspect is forgotten, in milliseconds. */
+const FORGET_MS = 600_000;
+/** How many times the ends that count have to be seen where all are of one place. */
+const ONE_PLACE_FACTOR = 2;
 /** Suspects remembered; the oldest that is not kept away is forgotten beyond. */
 const MAX_SUSPECTS = 2000;
 
@@ -86,13 +75,26 @@
     if (suspect === undefined || !isHeld(suspect)) {
       return 0;
     }
-    const leftMs = HOLD_MS - this.getAgeMs(suspect);
-    if (leftMs <= 0) {
+    const leftMs = getHoldMs(suspect) - this.getAgeMs(suspect);
+    if (leftMs <= 0 && !isSender(content)) {
       this.suspects.delete(content);
     }
     return Math.max(0, leftMs);
   }
 
+  /** Tells whether a suspect was kept away, and no run of it was answered since. */
+  isOnTrial(name: string): boolean {
+    const suspect = this.suspects.get(name);
+    return suspect !== undefined && isHeld(suspect);
+  }
+
+  /** Counts the ends of a suspect in the last milliseconds. */
+  countEndsWithin(name: string, ms: number): number {
+    const oldestMs = this.options.clock.monotonicMs() - ms;
+    const ends = this.suspects.get(name)?.ends.values() ?? [];
+    return [...ends].filter(({atMs}) => atMs >= oldestMs).length;
+  }
+
   /**
    * Notes that a server has ended while it ran a content.
    * @param content - The content.
@@ -173,7 +175,7 @@
   merge(told: readonly ToldSuspect[]): void {
     const nowMs = this.options.clock.monotonicMs();
     for (const {content, clearedLevel, ends} of told) {
-      const young = ends.filter(({ageMs}) => ageMs < HOLD_MS);
+      const young = ends.filter(({ageMs}) => ageMs < FORGET_MS);
       if (young.length === 0 && !this.suspects.has(content)) {
         continue;
       }
@@ -208,6 +210,7 @@
         version: 0,
         isOwn: false,
         changedMs: 0,
+        rule: getSuspicionRule(content),
       }
     );
   }
@@ -234,7 +237,7 @@
   private trim(): void {
     const nowMs = this.options.clock.monotonicMs();
     for (const [content, suspect] of this.suspects) {
-      const isOld = nowMs - suspect.changedMs > HOLD_MS;
+      const isOld = nowMs - suspect.changedMs > FORGET_MS;
       if (!isOld && this.suspects.size <= MAX_SUSPECTS) {
         return;
       }
@@ -260,8 +263,21 @@
 }
 
 function isHeld(suspect: Suspect): boolean {
-  const steps = readLevel(suspect) - suspect.clearedLevel;
-  return suspect.ends.size >= ENDS && steps >= LEVELS;
+  const {rule, ends} = suspect;
+  const places = new Set([...ends.keys()].map(getPlace));
+  // One server that goes down and up by turns proves less than several that end.
+  const least = places.size > 1 ? rule.ends : rule.ends * ONE_PLACE_FACTOR;
+  return ends.size >= least && countSteps(suspect) >= rule.levels;
+}
+
+function getHoldMs(suspect: Suspect): number {
+  const {levels, holdMs, maxHoldMs} = suspect.rule;
+  return Math.min(maxHoldMs, holdMs * 2 ** (countSteps(suspect) - levels));
+}
+
+/** Counts the steps in which servers ended since a run was answered. */
+function countSteps(suspect: Suspect): number {
+  return readLevel(suspect) - suspect.clearedLevel;
 }
 
 /** Adds an end that counts; returns whether it was new. */
--- a/src/quarantine/suspect.ts
+++ b/src/quarantine/suspect.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {SuspicionRule} from './suspicion_rule.js';
 
 /** Suspects in one message, at most; the next message goes on. */
 export const MAX_TOLD = 200;
@@ -59,4 +60,5 @@
   isOwn: boolean;
   /** When it last changed, monotonic milliseconds. */
   changedMs: number;
+  readonly rule: SuspicionRule;
 }
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,7 +1,7 @@
 import {Route} from '../catalog/index.js';
 import {Problem, problems, Ran} from '../errors/index.js';
 import {FleetServer, FleetState} from '../fleet/index.js';
-import {WatchedContent} from '../quarantine/index.js';
+import {WatchedContent, WatchedSender} from '../quarantine/index.js';
 import {AnswerSink} from './answer_sink.js';
 import {RelayOptions} from './relay_options.js';
 import {RelayRequest} from './relay_request.js';
@@ -44,10 +44,12 @@
     sink: AnswerSink,
     left: AbortSignal,
   ): Promise<void> {
-    const content = new WatchedContent(this.options, () => ({
-      ...request,
-      caller: request.account?.name ?? '',
-    }));
+    const caller = request.account?.name ?? '';
+    const content = new WatchedContent(
+      this.options,
+      () => ({...request, caller}),
+      new WatchedSender(this.options, {caller, route: request.route.name}),
+    );
     const refusal = refuseHeld(content) ?? this.admit(request);
     if (refusal !== undefined) {
       this.logRefusal(request, refusal);
@@ -149,7 +151,11 @@
  */
 function refuseHeld(content: WatchedContent): Problem | undefined {
   const heldMs = content.getHeldMs();
-  return heldMs === 0
-    ? undefined
-    : problems.quarantined(content.getName(), heldMs / MS_PER_SECOND);
+  if (heldMs > 0) {
+    return problems.quarantined(content.getName(), heldMs / MS_PER_SECOND);
+  }
+  const senderHeldMs = content.getSenderHeldMs();
+  return senderHeldMs > 0
+    ? problems.senderQuarantined(senderHeldMs / MS_PER_SECOND)
+    : undefined;
 }
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -2,7 +2,7 @@
 import {Fleet} from '../fleet/index.js';
 import {Log} from '../log/index.js';
 import {Metrics} from '../metrics/index.js';
-import {EndedServers, Quarantine} from '../quarantine/index.js';
+import {EndedServers, Quarantine, SenderRuns} from '../quarantine/index.js';
 import {Quota} from '../quota/index.js';
 import {Random} from '../random/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
@@ -26,4 +26,5 @@
   readonly exchange: Exchange;
   readonly copyRun: CopyRun;
   readonly endedServers: EndedServers;
+  readonly senderRuns: SenderRuns;
 }
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -3,7 +3,7 @@
 import {Repeat} from '../catalog/index.js';
 import {Problem, problems, Ran} from '../errors/index.js';
 import {FleetServer} from '../fleet/index.js';
-import {WatchedContent} from '../quarantine/index.js';
+import {nameServerEnd, WatchedContent} from '../quarantine/index.js';
 import {ScoredServer} from '../routing/index.js';
 import {endWithAny} from '../time/index.js';
 import {AnswerRelay} from './answer_relay.js';
@@ -168,7 +168,7 @@
     if (this.isOver()) {
       return false;
     }
-    const heldMs = this.content.getHeldMs();
+    const heldMs = this.getHeldMs();
     if (heldMs > 0) {
       this.lastDetail = `${this.lastDetail}; kept away from servers`;
       return this.fail(heldMs);
@@ -196,9 +196,7 @@
       return false;
     }
     const predictedMs = decision.chosen.firstTokenMs;
-    this.content.beginRun();
-    const result = await this.attempt(server, predictedMs, copied);
-    await this.noteEnd(server, result);
+    const result = await this.watchRun(server, predictedMs, copied);
     if (result.end === AttemptEnd.DONE) {
       return false;
     }
@@ -210,6 +208,22 @@
     return this.goOn(server, result);
   }
 
+  /** Makes an attempt, and notes what it tells of the request itself. */
+  private async watchRun(
+    server: FleetServer,
+    predictedMs: number,
+    copied: CopiedRun | undefined,
+  ): Promise<AttemptResult> {
+    this.content.beginRun();
+    try {
+      const result = await this.attempt(server, predictedMs, copied);
+      await this.noteEnd(server, result);
+      return result;
+    } finally {
+      this.content.endRun();
+    }
+  }
+
   private async attempt(
     server: FleetServer,
     predictedMs: number,
@@ -259,10 +273,22 @@
   /** Notes that a server broke the request off; returns whether it has ended. */
   private async noteLoss({id, name, address}: FleetServer): Promise<boolean> {
     if (this.lost.signal.aborted) {
-      this.content.addEnd(id);
+      this.content.addEnd(nameServerEnd(address, id));
       return true;
     }
-    return this.content.addLoss({name, start: id, address});
+    const wasLeaving = this.options.fleet.isLeaving(id);
+    return this.content.addLoss({name, start: id, address, wasLeaving});
+  }
+
+  /**
+   * Returns the time for which the request is kept away from servers; a stream that
+   * has begun is not broken off for what else its sender sends.
+   */
+  private getHeldMs(): number {
+    const senderHeldMs = this.answer.hasBegun()
+      ? 0
+      : this.content.getSenderHeldMs();
+    return Math.max(this.content.getHeldMs(), senderHeldMs);
   }
 
   /** Settles an attempt without an answer; returns whether another follows. */
--- a/src/relay_host/bind_relay_host.ts
+++ b/src/relay_host/bind_relay_host.ts
@@ -4,7 +4,7 @@
 import {bind} from '../container/index.js';
 import {Fleet} from '../fleet/index.js';
 import {Metrics} from '../metrics/index.js';
-import {EndedServers, Quarantine} from '../quarantine/index.js';
+import {EndedServers, Quarantine, SenderRuns} from '../quarantine/index.js';
 import {Quota} from '../quota/index.js';
 import {Relay} from '../relay/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
@@ -47,6 +47,7 @@
           context.get(CLOCK),
           context.get(LOOK_FOR_END),
         ),
+        senderRuns: new SenderRuns(context.get(CLOCK)),
       }),
   );
 }
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -4,7 +4,11 @@
 import {Fleet, FleetServer, FleetState} from '../../src/fleet/index.js';
 import {SilentLog} from '../../src/log/index.js';
 import {Metrics} from '../../src/metrics/index.js';
-import {EndedServers, Quarantine} from '../../src/quarantine/index.js';
+import {
+  EndedServers,
+  Quarantine,
+  SenderRuns,
+} from '../../src/quarantine/index.js';
 import {Quota} from '../../src/quota/index.js';
 import {SeededRandom} from '../../src/random/index.js';
 import {
@@ -137,6 +141,7 @@
       endedServers: new EndedServers(clock, async address =>
         this.ended.has(address.split(':')[0] ?? ''),
       ),
+      senderRuns: new SenderRuns(clock),
     });
     for (const id of ['s1', 's2', 's3']) {
       this.fleet.set(createServer(id), 'test');
