Move a service to another version step by step, and back where it is bad

An operator's order is a duty under the lease of the others, written in one transaction with what the operator reads. The new version gets 0.4 of the share that a bad one may get, paused at 0.6 of the bound, until 0.96 of the time is over; then all, for 2 s and until the old servers run nothing; then it is completed. It is judged by its answers beside those of the old one, in all and by route, over the whole time and the last 3 s, by failures and by times. Hosts tell the holder sums since their start by name of the start, so that nothing counts twice, and follow a word that is 2 s old at most: a host that hears nothing, or whose holder is gone, sends the new version nothing.

Weighed: a share that grows in steps to the whole within the time. A version that turns bad late, found within a second, would by then have had more than a tenth. Not built: streams moved off old servers for the end (it waits for them).

A version that no order has named gets nothing, and a move of a stream's memory stays at servers of its version.

Shown by rollout_test (twelve hosts, virtual clock: good, bad at once, slow, bad on one route, in the middle, at the end; holder killed at six moments, two that believe to hold it, hosts cut off, table away and losing answers at three) and by the programs before a store and servers of two versions.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -169,6 +169,16 @@
     return found;
   }
 
+  /** Counts the servers of a service that take work, by version. */
+  countReady(service: string): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const {server} of this.listReady(service)) {
+      const version = server.version ?? '';
+      counts.set(version, (counts.get(version) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   /** Returns the work of this host at each server, to tell peers. */
   listOwnLoads(): HostLoad[] {
     const loads: HostLoad[] = [];
@@ -209,7 +219,7 @@
     question: KnowledgeQuestion,
   ): ServerKnowledge[] {
     const {parts, urgency = LAST_RANK} = question;
-    const ready = this.listReady(service);
+    const ready = this.listAllowed(service, question);
     const shared = parts.slice(0, -1);
     const home = chooseHome(shared, ready);
     const candidates = chooseCandidates(ready, {
@@ -287,6 +297,16 @@
     }
   }
 
+  private listAllowed(
+    service: string,
+    {allows}: KnowledgeQuestion,
+  ): TrackedServer[] {
+    const ready = this.listReady(service);
+    return allows === undefined
+      ? ready
+      : ready.filter(({server}) => allows(server));
+  }
+
   private listReady(service: string): TrackedServer[] {
     const ready: TrackedServer[] = [];
     for (const tracked of this.servers.values()) {
--- a/src/fleet/fleet_server.ts
+++ b/src/fleet/fleet_server.ts
@@ -19,6 +19,8 @@
   /** Unix millisecond of its start; 0 where it does not say. */
   readonly startedMs: number;
   readonly service: string;
+  /** Version of its software; absent where it does not say. */
+  readonly version?: string;
   /** IP number and port. */
   readonly address: string;
   readonly dataCentre: string;
--- a/src/lease/duty.ts
+++ b/src/lease/duty.ts
@@ -49,6 +49,11 @@
     this.note(undefined);
   }
 
+  /** Reads who holds the duty, as the table says; nothing where nobody does. */
+  readHolder(): Promise<string | undefined> {
+    return this.options.lease.readHolder();
+  }
+
   /** Tells whether this host holds the duty, if only to become quiet. */
   isHeld(): boolean {
     return this.options.lease.getHeld() !== undefined;
--- a/src/lease/lease.ts
+++ b/src/lease/lease.ts
@@ -1,7 +1,9 @@
+import {Result} from 'true-myth';
 import {
   ABSENT,
   Row,
   StepKind,
+  TableFailure,
   TableFailureKind,
   TableService,
 } from '../table/index.js';
@@ -79,6 +81,8 @@
   private releasing = false;
   private seenVersion = -1;
   private seenMs = 0;
+  /** The row as this holder wrote it last; absent where that is in doubt. */
+  private writtenRow: Row | undefined;
 
   constructor(private readonly options: LeaseOptions) {}
 
@@ -103,7 +107,7 @@
     }
     const key = PREFIX + this.options.role;
     const {releases} = this;
-    const found = await this.options.table.get(key);
+    const found = await this.findRow(key);
     if (found.isErr) {
       return this.getHeld();
     }
@@ -119,6 +123,24 @@
     return this.getHeld();
   }
 
+  /** Reads who holds the lease, as the table says; nothing where nobody does. */
+  async readHolder(): Promise<string | undefined> {
+    const found = await this.options.table.get(PREFIX + this.options.role);
+    const row = found.unwrapOr(undefined)?.value as LeaseRow | undefined;
+    return row === undefined || row.holder === '' ? undefined : row.holder;
+  }
+
+  /** A holder knows the row as long as nobody else writes it: it need not read it. */
+  private async findRow(
+    key: string,
+  ): Promise<Result<Row | undefined, TableFailure>> {
+    const known = this.writtenRow;
+    this.writtenRow = undefined;
+    return known !== undefined && this.getHeld() !== undefined
+      ? Result.ok(known)
+      : this.options.table.get(key);
+  }
+
   /** Gives the lease up, so that another host can take it at once. */
   async release(): Promise<void> {
     const key = PREFIX + this.options.role;
@@ -179,6 +201,9 @@
       return;
     }
     if (written.isOk) {
+      const version = written.value.versions[key];
+      this.writtenRow =
+        version === undefined ? undefined : {key, version, value: next};
       const startMs = judge?.(sentMs, clock.monotonicMs()) ?? sentMs;
       this.held = {
         fence: next.fence,
--- a/src/peering/peer_words.ts
+++ b/src/peering/peer_words.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 import {PeerIdentity} from '../peer/index.js';
 import {SuspectWords} from '../quarantine/index.js';
+import {rolloutQuestionSchema} from '../rollout/index.js';
 import {HeardWords} from './heard_words.js';
 import {
   Acknowledgement,
@@ -28,6 +29,7 @@
   }),
   z.object({kind: z.literal('usage'), window: z.number().int().min(0)}),
   rowsSchema,
+  rolloutQuestionSchema,
 ]);
 
 /**
@@ -140,6 +142,11 @@
       case 'rows':
         this.rows.receive(from.host, message);
         return {};
+      case 'rollout':
+        return this.options.answerRollout(
+          message,
+          `${from.host}/${from.incarnation}`,
+        );
     }
   }
 
--- a/src/peering/peer_words_options.ts
+++ b/src/peering/peer_words_options.ts
@@ -5,6 +5,7 @@
 import {Quota} from '../quota/index.js';
 import {Quarantine} from '../quarantine/index.js';
 import {RowReplica} from '../replica/index.js';
+import {RolloutAnswer, RolloutQuestionMessage} from '../rollout/index.js';
 import {Clock} from '../time/index.js';
 import {HostUsage, TrueTime, UsageLedger} from '../usage/index.js';
 import {HostAddress} from './host_address.js';
@@ -31,6 +32,15 @@
   readonly trueTime: TrueTime;
   /** Tables of which hosts tell each other news, by name. */
   readonly replicas: ReadonlyMap<string, RowReplica>;
+  /**
+   * Answers a host in a roll-out.
+   * @param question - What it tells.
+   * @param origin - The host, and its start.
+   */
+  readonly answerRollout: (
+    question: RolloutQuestionMessage,
+    origin: string,
+  ) => RolloutAnswer;
   readonly isStopping: () => boolean;
   readonly holdsDuties: () => boolean;
   readonly requestPeer: Peers['request'];
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -31,6 +31,12 @@
   readonly end: AttemptEnd;
   /** What went wrong; empty when nothing did. */
   readonly detail: string;
+  /** What it tells of its server. */
+  readonly judged: FlightEnd;
+  /** Time to the first byte of an answer, in milliseconds; absent without one. */
+  readonly firstMs?: number;
+  /** Time to its end, in milliseconds. */
+  readonly wholeMs: number;
   /** The server's own failure, for relaying. */
   readonly failure?: BufferedAnswer;
   /**
@@ -87,7 +93,8 @@
   private readonly flight: FleetFlight;
   private readonly sentMs: number;
   private readonly ending: AbortSignal;
-  private hasBegun = false;
+  /** Time to the first byte of the answer; absent before. */
+  private firstMs: number | undefined;
 
   constructor(
     private readonly options: RelayOptions,
@@ -159,8 +166,10 @@
         return await this.receiveFailure(answer);
       }
       await this.relay(answer);
-      this.flight.finish(FlightEnd.SUCCEEDED);
-      return {end: AttemptEnd.DONE, detail: ''};
+      return this.finish(FlightEnd.SUCCEEDED, {
+        end: AttemptEnd.DONE,
+        detail: '',
+      });
     } catch (error) {
       const detail = error instanceof Error ? error.message : String(error);
       return this.fail({kind: ExchangeKind.LOST, detail});
@@ -171,9 +180,27 @@
     this.noteFirstByte();
     const failure = await readAnswer(answer, MAX_KEPT_BYTES);
     const isOwnFault = answer.status >= SERVER_ERROR;
-    this.flight.finish(isOwnFault ? FlightEnd.FAILED : FlightEnd.SUCCEEDED);
     const detail = `${this.order.server.id}: status ${answer.status}`;
-    return {end: AttemptEnd.FAILED, detail, failure};
+    return this.finish(isOwnFault ? FlightEnd.FAILED : FlightEnd.SUCCEEDED, {
+      end: AttemptEnd.FAILED,
+      detail,
+      failure,
+    });
+  }
+
+  /** Ends the flight, and says what it tells of the server. */
+  private finish(
+    judged: FlightEnd,
+    result: Pick<AttemptResult, 'end' | 'detail' | 'failure' | 'brokenOffMs'>,
+  ): AttemptResult {
+    this.flight.finish(judged);
+    const wholeMs = this.options.clock.monotonicMs() - this.sentMs;
+    return {
+      ...result,
+      judged,
+      wholeMs,
+      ...(this.firstMs === undefined ? {} : {firstMs: this.firstMs}),
+    };
   }
 
   private async relay(answer: ExchangeAnswer): Promise<void> {
@@ -195,27 +222,26 @@
 
   /** Notes that the server answers, the first time it is called. */
   private noteFirstByte(): void {
-    if (this.hasBegun) {
+    if (this.firstMs !== undefined) {
       return;
     }
-    this.hasBegun = true;
     const tookMs = this.options.clock.monotonicMs() - this.sentMs;
+    this.firstMs = tookMs;
     this.flight.addFirstByte(tookMs);
     this.context.record.addFirstByte(tookMs);
   }
 
   private fail(failure: ExchangeFailure): AttemptResult {
     const {server, number} = this.order;
-    this.flight.finish(this.judge(failure));
     const {kind, detail} = failure;
     this.context.record.addFailure(server.id, number, kind, detail);
-    return {
+    return this.finish(this.judge(failure), {
       end: kind,
       detail: `${server.id}: ${detail}`,
       ...(this.isBrokenOff(failure)
         ? {brokenOffMs: this.options.clock.monotonicMs() - this.sentMs}
         : {}),
-    };
+    });
   }
 
   /** Tells whether the server's side ended the channel, and not this host. */
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -6,6 +6,7 @@
 import {Quota} from '../quota/index.js';
 import {Random} from '../random/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
+import {VersionGate, VersionLedger} from '../rollout/index.js';
 import {Clock} from '../time/index.js';
 import {UsageLedger} from '../usage/index.js';
 import {CopyRun} from './copy_run.js';
@@ -27,4 +28,6 @@
   readonly copyRun: CopyRun;
   readonly endedServers: EndedServers;
   readonly senderRuns: SenderRuns;
+  readonly versionGate: Pick<VersionGate, 'draw'>;
+  readonly versionLedger: VersionLedger;
 }
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -2,8 +2,9 @@
 import {Attempts} from '../attempts/index.js';
 import {Repeat} from '../catalog/index.js';
 import {Problem, problems, Ran} from '../errors/index.js';
-import {FleetServer} from '../fleet/index.js';
+import {FleetServer, FlightEnd} from '../fleet/index.js';
 import {nameServerEnd, WatchedContent} from '../quarantine/index.js';
+import {VersionEnd} from '../rollout/index.js';
 import {ScoredServer} from '../routing/index.js';
 import {endWithAny} from '../time/index.js';
 import {AnswerRelay} from './answer_relay.js';
@@ -160,7 +161,7 @@
 
   private chooseDestination(from: FleetServer): FleetServer | undefined {
     this.attempts.exclude(from.id);
-    return this.choice.getServer(this.choice.choose());
+    return this.choice.getServer(this.choice.chooseBeside(from));
   }
 
   /** Makes one attempt; returns whether another is to follow. */
@@ -214,12 +215,18 @@
     predictedMs: number,
     copied: CopiedRun | undefined,
   ): Promise<AttemptResult> {
+    const {service, version = ''} = server;
+    const {name: route} = this.request.route;
+    const run = this.options.versionLedger.begin(service, version, route);
     this.content.beginRun();
     try {
       const result = await this.attempt(server, predictedMs, copied);
-      await this.noteEnd(server, result);
+      const hasEnded = await this.noteEnd(server, result);
+      const {firstMs, wholeMs} = result;
+      run.finish(judgeVersionEnd(result, hasEnded), firstMs, wholeMs);
       return result;
     } finally {
+      run.finish(VersionEnd.NEUTRAL);
       this.content.endRun();
     }
   }
@@ -250,24 +257,29 @@
     return result;
   }
 
-  /** Notes what the end of an attempt tells of the request itself. */
+  /**
+   * Notes what the end of an attempt tells of the request itself; returns whether its
+   * server has ended.
+   */
   private async noteEnd(
     server: FleetServer,
     {end, brokenOffMs}: AttemptResult,
-  ): Promise<void> {
+  ): Promise<boolean> {
     // A server may fail a request that it has not begun to run.
     if (end === AttemptEnd.DONE) {
       this.content.addAnswer();
     }
     if (brokenOffMs === undefined) {
-      return;
+      return false;
     }
+    const hasEnded = await this.noteLoss(server);
     this.record.addLoss({
       content: this.content.getName(),
       server: server.id,
       ranMs: brokenOffMs,
-      hasEnded: await this.noteLoss(server),
+      hasEnded,
     });
+    return hasEnded;
   }
 
   /** Notes that a server broke the request off; returns whether it has ended. */
@@ -389,3 +401,16 @@
     return this.request.deadlineMs - this.options.clock.monotonicMs();
   }
 }
+
+/** Judges what an attempt tells of the version that ran it. */
+function judgeVersionEnd(
+  {judged}: AttemptResult,
+  hasEnded: boolean,
+): VersionEnd {
+  if (judged === FlightEnd.SUCCEEDED) {
+    return VersionEnd.GOOD;
+  }
+  // What ended the server, or who took it away, is another question.
+  const isNeutral = judged === FlightEnd.NEUTRAL || hasEnded;
+  return isNeutral ? VersionEnd.NEUTRAL : VersionEnd.BAD;
+}
--- a/src/relay/server_choice.ts
+++ b/src/relay/server_choice.ts
@@ -1,6 +1,7 @@
 import {Attempts} from '../attempts/index.js';
 import {FleetServer} from '../fleet/index.js';
 import {chooseServer, RoutingDecision} from '../routing/index.js';
+import {AllowsServer} from '../rollout/index.js';
 import {rankUrgency} from './rank_urgency.js';
 import {RelayOptions} from './relay_options.js';
 import {RelayRequest} from './relay_request.js';
@@ -26,6 +27,17 @@
 
   /** Chooses a server by what is known now. */
   choose(): RoutingDecision {
+    const isFirst = this.order.attempts.count() <= 1;
+    const {service} = this.order;
+    return this.chooseOf(this.options.versionGate.draw(service, isFirst));
+  }
+
+  /** Chooses where a run goes on with its memory: at a server of the same version. */
+  chooseBeside(from: FleetServer): RoutingDecision {
+    return this.chooseOf(({version}) => version === from.version);
+  }
+
+  private chooseOf(allows: AllowsServer | undefined): RoutingDecision {
     const {fleet, random} = this.options;
     const {request, service, attempts} = this.order;
     const {prompt} = request;
@@ -40,6 +52,7 @@
         parts: prompt.parts,
         urgency: rankUrgency(request),
         excluded: attempts.excluded,
+        ...(allows === undefined ? {} : {allows}),
       }),
       random,
     );
--- a/src/relay_host/bind_peering.ts
+++ b/src/relay_host/bind_peering.ts
@@ -12,6 +12,7 @@
   ReadAge,
 } from '../peering/index.js';
 import {Quarantine} from '../quarantine/index.js';
+import {RolloutDriver} from '../rollout/index.js';
 import {Quota} from '../quota/index.js';
 import {HostUsage, TrueTime, UsageLedger} from '../usage/index.js';
 import {createPeerKey} from './create_peer_key.js';
@@ -59,6 +60,8 @@
         [REPLICA.CATALOG, context.get(CATALOG_ROWS)],
         [REPLICA.SERVERS, context.get(SERVER_ROWS)],
       ]),
+      answerRollout: (question, origin) =>
+        container.get(RolloutDriver).answer(question, origin),
       isStopping: () => state.isStopping(),
       holdsDuties: () => container.get(Duty).isHeld(),
       requestPeer: (...request) => container.get(Peers).request(...request),
--- a/src/relay_host/bind_relay_host.ts
+++ b/src/relay_host/bind_relay_host.ts
@@ -6,11 +6,13 @@
 import {Metrics} from '../metrics/index.js';
 import {EndedServers, Quarantine, SenderRuns} from '../quarantine/index.js';
 import {Quota} from '../quota/index.js';
+import {VersionGate, VersionLedger} from '../rollout/index.js';
 import {Relay} from '../relay/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
 import {UsageLedger} from '../usage/index.js';
 import {bindDuties} from './bind_duties.js';
 import {bindKnowledge} from './bind_knowledge.js';
+import {bindRollouts} from './bind_rollouts.js';
 import {bindPeering} from './bind_peering.js';
 import {
   CLOCK,
@@ -26,6 +28,7 @@
   bindKnowledge(container);
   bindDuties(container);
   bindPeering(container);
+  bindRollouts(container);
   bind(
     container,
     Relay,
@@ -48,6 +51,8 @@
           context.get(LOOK_FOR_END),
         ),
         senderRuns: new SenderRuns(context.get(CLOCK)),
+        versionGate: context.get(VersionGate),
+        versionLedger: context.get(VersionLedger),
       }),
   );
 }
--- a/src/relay_host/identifiers.ts
+++ b/src/relay_host/identifiers.ts
@@ -6,6 +6,7 @@
 import {LookForEnd} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
 import {CopyRun, Exchange} from '../relay/index.js';
+import {RolloutStore} from '../rollout/index.js';
 import {RowReplica} from '../replica/index.js';
 import {TableService} from '../table/index.js';
 import {Clock} from '../time/index.js';
@@ -26,6 +27,8 @@
 export const EXCHANGE: ServiceIdentifier<Exchange> = Symbol('Exchange');
 export const COPY_RUN: ServiceIdentifier<CopyRun> = Symbol('CopyRun');
 export const LOOK_FOR_END: ServiceIdentifier<LookForEnd> = Symbol('LookForEnd');
+export const ROLLOUT_STORE: ServiceIdentifier<RolloutStore> =
+  Symbol('RolloutStore');
 export const SEND_USAGE: ServiceIdentifier<SendUsage> = Symbol('SendUsage');
 export const ORDER_SERVERS: ServiceIdentifier<OrderServers> =
   Symbol('OrderServers');
--- a/src/relay_host/relay_host_settings.ts
+++ b/src/relay_host/relay_host_settings.ts
@@ -1,4 +1,5 @@
 import {QuotaBound} from '../quota/index.js';
+import {ExposureBound} from '../rollout/index.js';
 
 /** Settings of an entry host that relays requests. */
 export interface RelayHostSettings {
@@ -31,6 +32,8 @@
   /** How long a duty is held without renewal, in milliseconds. */
   readonly leaseMs: number;
   readonly quota: QuotaBound;
+  /** What a bad version may get of its service's requests. */
+  readonly exposure: ExposureBound;
   /** Whether usage is to be reported. */
   readonly reportsUsage: boolean;
   /** Whether servers are to be ordered. */
--- /dev/null
+++ b/src/rollout/rollout_driver.ts
@@ -0,0 +1,344 @@
+import {Log} from '../log/index.js';
+import {TableFailureKind} from '../table/index.js';
+import {Clock} from '../time/index.js';
+import {ActiveRollout} from './active_rollout.js';
+import {
+  decideRollout,
+  ExposureBound,
+  RolloutAct,
+  RolloutDecision,
+} from './decide_rollout.js';
+import {isFinal, Rollout, RolloutState} from './rollout.js';
+import {RolloutOrder} from './rollout_order.js';
+import {RolloutOrders} from './rollout_orders.js';
+import {RolloutStore, StoredRollout} from './rollout_store.js';
+import {
+  RolloutAnswer,
+  RolloutQuestionMessage,
+  RolloutWord,
+} from './rollout_word.js';
+import {sumVersionCounts, VersionCounts} from './version_counts.js';
+import {findUsualVersion} from './version_gate.js';
+import {VersionLedger} from './version_ledger.js';
+
+/** What the driver works with. */
+export interface RolloutDriverOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Returns the fence under which this host may act now; nothing where it may not. */
+  readonly getFence: () => number | undefined;
+  readonly orders: RolloutOrders;
+  readonly store: RolloutStore;
+  readonly ledger: VersionLedger;
+  /** Host and start of this process. */
+  readonly origin: string;
+  readonly hasService: (service: string) => boolean;
+  /** Counts the servers of a service that take work, by version. */
+  readonly countReady: (service: string) => ReadonlyMap<string, number>;
+  /** Returns the table's clock; nothing before it is known. */
+  readonly getTableMs: () => number | undefined;
+  readonly getBound: () => ExposureBound;
+}
+
+const STEP_MS = 250;
+/** Pause between looks for an order while there is none, in milliseconds. */
+const IDLE_MS = 1000;
+/** Time in which a new holder hears every host's counts before it goes on, in ms. */
+const LEARN_MS = 1500;
+
+/**
+ * Leads roll-outs to their end, as holder of the duties: sums what all hosts counted,
+ * decides each step, writes it, and tells the hosts that ask.
+ */
+export class RolloutDriver {
+  private readonly active = new Map<string, ActiveRollout>();
+  /** Orders that are not followed, by number; each is logged once. */
+  private readonly ignored = new Set<number>();
+  private fence: number | undefined;
+
+  constructor(private readonly options: RolloutDriverOptions) {}
+
+  /** Works until aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const isIdle = this.options.orders.list().length === 0;
+      await this.options.clock.sleep(isIdle ? IDLE_MS : STEP_MS, signal);
+      await this.step();
+    }
+  }
+
+  /** Makes the next step of each roll-out, where this host may. */
+  async step(): Promise<void> {
+    const fence = this.options.getFence();
+    if (fence !== this.fence) {
+      // What was known under another fence may have gone on without this host.
+      this.active.clear();
+      this.fence = fence;
+    }
+    if (fence === undefined) {
+      return;
+    }
+    for (const order of this.options.orders.list()) {
+      const active = await this.getActive(order);
+      if (active !== undefined && !isFinal(active.rollout)) {
+        await this.advance(active);
+      }
+    }
+  }
+
+  /**
+   * Answers a host that tells what it counted.
+   * @param question - What it tells.
+   * @param origin - The host, and its start.
+   */
+  answer(question: RolloutQuestionMessage, origin: string): RolloutAnswer {
+    const fence = this.options.getFence();
+    if (fence === undefined) {
+      return {isHolder: false};
+    }
+    const active = this.active.get(question.service);
+    const isKnown = active?.rollout.order === question.order;
+    if (active === undefined || !isKnown || fence !== this.fence) {
+      return {isHolder: true};
+    }
+    active.setCounts(origin, question.counts);
+    return {isHolder: true, word: createWord(active, fence)};
+  }
+
+  private async getActive(
+    order: RolloutOrder,
+  ): Promise<ActiveRollout | undefined> {
+    const known = this.active.get(order.service);
+    if (known?.rollout.order === order.number) {
+      return known;
+    }
+    const {clock} = this.options;
+    const stored = await this.load(order);
+    if (stored === undefined) {
+      return undefined;
+    }
+    const {rollout, version} = stored;
+    const active = new ActiveRollout(rollout, version, clock.monotonicMs());
+    this.active.set(order.service, active);
+    return active;
+  }
+
+  /** Reads how far the roll-out of an order is, or begins it. */
+  private async load(order: RolloutOrder): Promise<StoredRollout | undefined> {
+    const {store, hasService, countReady} = this.options;
+    if (this.ignored.has(order.number)) {
+      return undefined;
+    }
+    if (!hasService(order.service)) {
+      return this.ignore(
+        order,
+        'no such service; name one of the configuration',
+      );
+    }
+    const read = await store.read(order.service);
+    if (read.isErr) {
+      return undefined;
+    }
+    const stored = read.value;
+    if (stored !== undefined && stored.rollout.order >= order.number) {
+      return stored.rollout.order === order.number ? stored : undefined;
+    }
+    const versions = countReady(order.service);
+    if (versions.size === 0) {
+      return undefined;
+    }
+    const from = findFrom(order, stored, versions);
+    if (from === undefined) {
+      return this.ignore(
+        order,
+        'the service runs this version already; order another one',
+      );
+    }
+    return this.begin(order, from, stored?.version ?? 0);
+  }
+
+  private async begin(
+    order: RolloutOrder,
+    from: string,
+    version: number,
+  ): Promise<StoredRollout | undefined> {
+    const {service, to, durationMs, number} = order;
+    const startedMs = this.options.getTableMs();
+    if (startedMs === undefined) {
+      return undefined;
+    }
+    const rollout: Rollout = {
+      service,
+      order: number,
+      from,
+      to,
+      durationMs,
+      startedMs,
+      state: RolloutState.RUNNING,
+    };
+    const written = await this.options.store.write(rollout, version);
+    if (written.isErr) {
+      return undefined;
+    }
+    this.options.log.info('rollout_begun', {
+      service,
+      from,
+      to,
+      duration_ms: durationMs,
+      order: number,
+    });
+    return {rollout, version: written.value};
+  }
+
+  private ignore(order: RolloutOrder, reason: string): undefined {
+    const {service, to, number} = order;
+    this.ignored.add(number);
+    this.options.log.warn('rollout_ignored', {
+      service,
+      to,
+      order: number,
+      reason,
+    });
+    return undefined;
+  }
+
+  private async advance(active: ActiveRollout): Promise<void> {
+    const {clock, ledger, origin, getTableMs} = this.options;
+    const {rollout} = active;
+    const nowMs = getTableMs();
+    active.setCounts(origin, ledger.list(rollout.service));
+    const hasLearnt = clock.monotonicMs() - active.sinceMs >= LEARN_MS;
+    if (nowMs === undefined || (!hasLearnt && active.condemned === undefined)) {
+      return;
+    }
+    const counts = active.sum();
+    const decision = this.decide(active, counts, nowMs);
+    if (decision.share !== active.share || decision.act !== RolloutAct.GO_ON) {
+      this.logStep(active, decision, counts);
+    }
+    await this.act(active, decision, nowMs);
+  }
+
+  private decide(
+    active: ActiveRollout,
+    counts: readonly VersionCounts[],
+    nowMs: number,
+  ): RolloutDecision {
+    const {rollout, condemned} = active;
+    if (condemned !== undefined) {
+      return {act: RolloutAct.ROLL_BACK, share: 0, reason: condemned};
+    }
+    const {clock, countReady, getBound} = this.options;
+    const ready = countReady(rollout.service);
+    return decideRollout({
+      rollout,
+      nowMs,
+      counts,
+      recent: active.sumRecent(clock.monotonicMs(), counts),
+      readyFrom: ready.get(rollout.from) ?? 0,
+      readyTo: ready.get(rollout.to) ?? 0,
+      bound: getBound(),
+    });
+  }
+
+  private async act(
+    active: ActiveRollout,
+    {act, share, reason}: RolloutDecision,
+    nowMs: number,
+  ): Promise<void> {
+    switch (act) {
+      case RolloutAct.GO_ON:
+        active.share = share;
+        return;
+      case RolloutAct.SHIFT:
+        await this.write(active, {shiftedMs: nowMs});
+        return;
+      case RolloutAct.COMPLETE:
+        await this.write(active, {state: RolloutState.COMPLETED});
+        return;
+      case RolloutAct.ROLL_BACK:
+        // Hosts stop at once, whether or not it can be written now.
+        active.share = 0;
+        active.condemned = reason;
+        await this.write(active, {state: RolloutState.ROLLED_BACK});
+        return;
+    }
+  }
+
+  /** Writes a step; what cannot be written now is decided anew. */
+  private async write(
+    active: ActiveRollout,
+    change: Partial<Rollout>,
+  ): Promise<void> {
+    const {store, getFence} = this.options;
+    const next = {...active.rollout, ...change};
+    if (getFence() !== this.fence) {
+      return;
+    }
+    const written = await store.write(next, active.version);
+    if (written.isOk) {
+      active.rollout = next;
+      active.version = written.value;
+      return;
+    }
+    if (written.error.kind !== TableFailureKind.UNREACHED) {
+      await this.readAgain(active);
+    }
+  }
+
+  /** Takes in what stands in the table, after a write whose end is in doubt. */
+  private async readAgain(active: ActiveRollout): Promise<void> {
+    const read = await this.options.store.read(active.rollout.service);
+    const stored = read.unwrapOr(undefined);
+    if (stored?.rollout.order === active.rollout.order) {
+      active.rollout = stored.rollout;
+      active.version = stored.version;
+    }
+  }
+
+  private logStep(
+    {rollout}: ActiveRollout,
+    {act, share, reason}: RolloutDecision,
+    counts: readonly VersionCounts[],
+  ): void {
+    const own = sumVersionCounts(rollout.to, counts);
+    const beside = sumVersionCounts(rollout.from, counts);
+    this.options.log.info('rollout_step', {
+      service: rollout.service,
+      from: rollout.from,
+      to: rollout.to,
+      act,
+      share,
+      reason,
+      sent: own.sent,
+      answers: own.answers,
+      bad: own.bad,
+      sent_beside: beside.sent,
+      answers_beside: beside.answers,
+      bad_beside: beside.bad,
+    });
+  }
+}
+
+/** Returns the version that serves before an order; nothing where that is ordered. */
+function findFrom(
+  {to}: RolloutOrder,
+  stored: StoredRollout | undefined,
+  versions: ReadonlyMap<string, number>,
+): string | undefined {
+  if (stored !== undefined) {
+    const {state, from, to: last} = stored.rollout;
+    const serving = state === RolloutState.COMPLETED ? last : from;
+    return serving === to ? undefined : serving;
+  }
+  const others = new Map([...versions].filter(([version]) => version !== to));
+  return others.size === 0 ? undefined : findUsualVersion(others);
+}
+
+function createWord(
+  {rollout, share}: ActiveRollout,
+  fence: number,
+): RolloutWord {
+  const {service, order, from, to, state} = rollout;
+  return {service, order, from, to, state, share, fence};
+}
--- a/test/peering/words_fixture.ts
+++ b/test/peering/words_fixture.ts
@@ -96,6 +96,7 @@
       hostUsage: this.hostUsage,
       trueTime: new TrueTime(clock, self.host),
       replicas: new Map([[TABLE, this.replica]]),
+      answerRollout: () => ({isHolder: false}),
       isStopping: () => false,
       holdsDuties: () => this.holdsDuties,
       requestPeer: links.requestPeer as never,
--- a/test/platform/server_record_test.ts
+++ b/test/platform/server_record_test.ts
@@ -3,6 +3,7 @@
 import {Fleet, FleetState} from '../../src/fleet/index.js';
 import {Log} from '../../src/log/index.js';
 import {Metrics} from '../../src/metrics/index.js';
+import {RolloutOrders} from '../../src/rollout/index.js';
 import {SeededRandom} from '../../src/random/index.js';
 import {VirtualClock} from '../../src/time/index.js';
 import {
@@ -106,7 +107,13 @@
     });
     const rows = createServerRows();
     const metrics = new Metrics();
-    const readers = {log, metrics, catalog: new CatalogStore(log), fleet};
+    const readers = {
+      log,
+      metrics,
+      catalog: new CatalogStore(log),
+      fleet,
+      orders: new RolloutOrders(),
+    };
     readCatalog(createCatalogRows(), readers);
     readServers(rows, readers);
     const put = (key: string, text: string | undefined) => {
--- a/test/platform/stand_in/stand_in_store.ts
+++ b/test/platform/stand_in/stand_in_store.ts
@@ -71,6 +71,14 @@
     this.set({table, part: '', key, value: text, row_version: ++this.version});
   }
 
+  /** Reads a row as the operator does; nothing where there is none. */
+  get(table: string, key: string): unknown {
+    const row = this.rows.get(`${table}||${key}`);
+    return row?.value === undefined
+      ? undefined
+      : JSON.parse(Buffer.from(row.value, 'base64').toString());
+  }
+
   /** Writes a row whose value is no record. */
   putText(table: string, key: string, text: string): void {
     const value = Buffer.from(text).toString('base64');
--- a/test/platform/stand_in/stand_in_system.ts
+++ b/test/platform/stand_in/stand_in_system.ts
@@ -84,12 +84,17 @@
   }
 
   /** Registers a server as it does itself. */
-  async register(id: string, address: string, state: string): Promise<void> {
+  async register(
+    id: string,
+    address: string,
+    state: string,
+    version = 'v1',
+  ): Promise<void> {
     this.store.put('servers', id, {
       service: 'ledger',
       address,
       zone: 'here',
-      version: 'v1',
+      version,
       slots: 6,
       state,
       cold_remaining_ms: 0,
@@ -156,6 +161,8 @@
 usage_late_s = 10
 retry_budget_ratio = 0.2
 retry_slack = 54
+exposure_share = 0.8
+exposure_slack = 50
 [platform]
 address = "${this.storeAddress}"
 [cloud]
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -24,6 +24,7 @@
 } from '../../src/relay/index.js';
 import {SharedRetryBudget} from '../../src/routing/index.js';
 import {SystemClock} from '../../src/time/index.js';
+import {VersionLedger} from '../../src/rollout/index.js';
 import {UsageLedger} from '../../src/usage/index.js';
 import {createRoute} from './route_fixture.js';
 
@@ -142,6 +143,8 @@
         this.ended.has(address.split(':')[0] ?? ''),
       ),
       senderRuns: new SenderRuns(clock),
+      versionGate: {draw: () => undefined},
+      versionLedger: new VersionLedger(),
     });
     for (const id of ['s1', 's2', 's3']) {
       this.fleet.set(createServer(id), 'test');
--- /dev/null
+++ b/test/rollout/rollout_world.ts
@@ -0,0 +1,329 @@
+import {Result} from 'true-myth';
+import {FleetServer, FleetState} from '../../src/fleet/index.js';
+import {SilentLog} from '../../src/log/index.js';
+import {SeededRandom} from '../../src/random/index.js';
+import {
+  Rollout,
+  RolloutClient,
+  RolloutDriver,
+  RolloutOrders,
+  RolloutState,
+  RolloutStore,
+  RolloutWords,
+  StoredRollout,
+  VersionEnd,
+  VersionGate,
+  VersionLedger,
+} from '../../src/rollout/index.js';
+import {TableFailure, TableFailureKind} from '../../src/table/index.js';
+import {VirtualClock} from '../../src/time/index.js';
+
+export const SERVICE = 'desk';
+export const OLD = 'v1';
+export const NEW = 'v2';
+const ROUTES = ['notice', 'watch'];
+const TICK_MS = 50;
+const CLIENT_TICKS = 8;
+const DRIVER_TICKS = 5;
+/** Requests of each host in a tick. */
+const REQUESTS = 1;
+const BASE_MS = 40;
+const SERVERS = 6;
+
+/** How an answer of the new version is. */
+export interface Behaviour {
+  readonly isBad: boolean;
+  readonly tookMs: number;
+}
+
+/** Says how the new version answers. */
+export type AnswerNew = (order: {
+  readonly nowMs: number;
+  readonly route: string;
+  readonly random: number;
+}) => Behaviour;
+
+/** A request that reached the new version. */
+interface NewRequest {
+  readonly atMs: number;
+  readonly isBad: boolean;
+}
+
+/** Table of roll-outs that may be away, and may lose its answers. */
+export class TestRolloutStore implements RolloutStore {
+  isAway = false;
+  losesAnswers = false;
+  stored: StoredRollout | undefined;
+  /** States that operators could read, in order. */
+  readonly told: RolloutState[] = [];
+
+  async read(): Promise<Result<StoredRollout | undefined, TableFailure>> {
+    return this.isAway
+      ? Result.err({kind: TableFailureKind.UNREACHED, detail: 'away'})
+      : Result.ok(this.stored);
+  }
+
+  async write(
+    rollout: Rollout,
+    version: number,
+  ): Promise<Result<number, TableFailure>> {
+    if (this.isAway) {
+      return Result.err({kind: TableFailureKind.UNREACHED, detail: 'away'});
+    }
+    if ((this.stored?.version ?? 0) !== version) {
+      return Result.err({kind: TableFailureKind.CONFLICT, detail: 'other'});
+    }
+    this.stored = {rollout, version: version + 1};
+    if (this.told.at(-1) !== rollout.state) {
+      this.told.push(rollout.state);
+    }
+    return this.losesAnswers
+      ? Result.err({kind: TableFailureKind.UNANSWERED, detail: 'lost'})
+      : Result.ok(version + 1);
+  }
+}
+
+/** One start of an entry host. */
+interface WorldHost {
+  readonly name: string;
+  readonly origin: string;
+  readonly gate: VersionGate;
+  readonly ledger: VersionLedger;
+  readonly words: RolloutWords;
+  readonly client: RolloutClient;
+  readonly driver: RolloutDriver;
+  /** Whether it is linked with the others and the table. */
+  isCut: boolean;
+  isDown: boolean;
+  /** Fence that it believes to hold. */
+  fence: number | undefined;
+}
+
+/** Entry hosts before servers of two versions, without sockets. */
+export class RolloutWorld {
+  readonly clock = new VirtualClock();
+  readonly store = new TestRolloutStore();
+  readonly newRequests: NewRequest[] = [];
+  readonly hosts: WorldHost[] = [];
+  /** Requests to the service, since the order. */
+  requests = 0;
+  badOfOld = 0;
+  /** Servers of the new version that take work. */
+  newServers = SERVERS;
+  oldServers = SERVERS;
+  oldIsBad: (random: number) => boolean = () => false;
+  private readonly random = new SeededRandom(11);
+  private readonly orders: RolloutOrders[] = [];
+  private fence = 0;
+  private starts = 0;
+  private ticks = 0;
+  private holder: string | undefined;
+
+  constructor(
+    count: number,
+    private readonly answerNew: AnswerNew,
+  ) {
+    for (let index = 0; index < count; index++) {
+      this.start(index);
+    }
+    this.appoint(0);
+  }
+
+  /** Orders the new version. */
+  order(durationMs: number, number = 7): void {
+    for (const orders of this.orders) {
+      orders.set({service: SERVICE, to: NEW, durationMs, number});
+    }
+  }
+
+  /** Has a host hold the duty; the one before may go on believing it. */
+  appoint(index: number, endsFormer = true): void {
+    for (const host of this.hosts) {
+      if (endsFormer) {
+        host.fence = undefined;
+      }
+    }
+    const host = this.getHost(index);
+    host.fence = ++this.fence;
+    this.holder = host.name;
+  }
+
+  /** Starts a host, anew if it ran before. */
+  start(index: number): void {
+    const name = `front-${index}`;
+    const origin = `${name}/${this.starts++}`;
+    const {clock} = this;
+    const log = new SilentLog();
+    const orders = new RolloutOrders();
+    for (const order of this.orders[0]?.list() ?? []) {
+      orders.set(order);
+    }
+    const ledger = new VersionLedger();
+    const words = new RolloutWords(clock, log);
+    const countReady = () => this.countReady();
+    const driver: RolloutDriver = new RolloutDriver({
+      clock,
+      log,
+      getFence: () => host.fence,
+      orders,
+      store: {
+        read: () => this.callStore(host, store => store.read()),
+        write: (rollout, version) =>
+          this.callStore(host, store => store.write(rollout, version)),
+      },
+      ledger,
+      origin,
+      hasService: service => service === SERVICE,
+      countReady,
+      getTableMs: () => clock.monotonicMs(),
+      getBound: () => ({share: 0.1, slack: 50}),
+    });
+    const host: WorldHost = {
+      name,
+      origin,
+      ledger,
+      words,
+      driver,
+      gate: new VersionGate({
+        clock,
+        random: this.random,
+        orders,
+        words,
+        countReady,
+      }),
+      client: new RolloutClient({
+        clock,
+        log,
+        orders,
+        words,
+        ledger,
+        host: name,
+        answerHere: question => driver.answer(question, origin),
+        findHolder: async () => (host.isCut ? undefined : this.holder),
+        requestPeer: async (to, body) => this.ask(host, to, body),
+      }),
+      isCut: false,
+      isDown: false,
+      fence: undefined,
+    };
+    this.hosts[index] = host;
+    this.orders[index] = orders;
+  }
+
+  getHost(index: number): WorldHost {
+    const host = this.hosts[index];
+    if (host === undefined) {
+      throw new Error(`no host ${index}`);
+    }
+    return host;
+  }
+
+  /** Lets time pass, with requests. */
+  async run(ms: number): Promise<void> {
+    const endMs = this.clock.monotonicMs() + ms;
+    while (this.clock.monotonicMs() < endMs) {
+      await this.tick();
+    }
+  }
+
+  /** Returns when the new version gave its n-th bad answer; infinite if never. */
+  getBadMs(n: number): number {
+    const bad = this.newRequests.filter(({isBad}) => isBad);
+    return bad[n - 1]?.atMs ?? Number.POSITIVE_INFINITY;
+  }
+
+  /** Counts the requests that reached the new version after a moment. */
+  countNewAfter(ms: number): number {
+    return this.newRequests.filter(({atMs}) => atMs > ms).length;
+  }
+
+  private async tick(): Promise<void> {
+    this.ticks++;
+    for (const [index, host] of this.hosts.entries()) {
+      if (host.isDown) {
+        continue;
+      }
+      if ((this.ticks + index) % CLIENT_TICKS === 0) {
+        await host.client.step();
+      }
+      if ((this.ticks + index) % DRIVER_TICKS === 0) {
+        await host.driver.step();
+      }
+      for (let request = 0; request < REQUESTS; request++) {
+        this.send(host);
+      }
+    }
+    await this.clock.advance(TICK_MS);
+  }
+
+  private send(host: WorldHost): void {
+    const allows = host.gate.draw(SERVICE, true);
+    const isNew = allows?.(createServer(NEW)) ?? true;
+    const isOld = allows?.(createServer(OLD)) ?? true;
+    if (!isNew && !isOld) {
+      return;
+    }
+    this.requests++;
+    const version = isOld ? OLD : NEW;
+    const route = ROUTES[this.requests % ROUTES.length] ?? '';
+    const run = host.ledger.begin(SERVICE, version, route);
+    const random = this.random.next();
+    const nowMs = this.clock.monotonicMs();
+    const {isBad, tookMs} =
+      version === NEW
+        ? this.answerNew({nowMs, route, random})
+        : {isBad: this.oldIsBad(random), tookMs: BASE_MS};
+    if (version === NEW) {
+      this.newRequests.push({atMs: nowMs, isBad: isBad || tookMs > BASE_MS});
+    }
+    const end = isBad ? VersionEnd.BAD : VersionEnd.GOOD;
+    run.finish(end, tookMs, tookMs);
+  }
+
+  private countReady(): Map<string, number> {
+    const counts = new Map<string, number>();
+    if (this.oldServers > 0) {
+      counts.set(OLD, this.oldServers);
+    }
+    if (this.newServers > 0) {
+      counts.set(NEW, this.newServers);
+    }
+    return counts;
+  }
+
+  private async callStore<T>(
+    host: WorldHost,
+    call: (store: TestRolloutStore) => Promise<Result<T, TableFailure>>,
+  ): Promise<Result<T, TableFailure>> {
+    return host.isCut
+      ? Result.err({kind: TableFailureKind.UNREACHED, detail: 'cut'})
+      : call(this.store);
+  }
+
+  private async ask(
+    from: WorldHost,
+    to: string,
+    body: unknown,
+  ): Promise<Result<unknown, Error>> {
+    const host = this.hosts.find(({name}) => name === to);
+    if (host === undefined || host.isDown || host.isCut || from.isCut) {
+      return Result.err(new Error('not reached'));
+    }
+    return Result.ok(host.driver.answer(body as never, from.origin));
+  }
+}
+
+function createServer(version: string): FleetServer {
+  return {
+    id: version,
+    name: version,
+    startedMs: 0,
+    service: SERVICE,
+    version,
+    address: '10.0.0.1:1',
+    dataCentre: 'dc',
+    slots: 6,
+    state: FleetState.READY,
+    reclaimable: false,
+  };
+}
