Split what a request's attempts tell of it from the way through them; one name made truer

No behaviour changes: RunWatch holds what RelayRun learnt for the quarantine and for roll-outs; RowReplica.isEqual, which also notes completeness, is called confirm.

--- a/src/peering/row_words.ts
+++ b/src/peering/row_words.ts
@@ -167,5 +167,5 @@
 function isBehind(replica: RowReplica, state: ReplicaState): boolean {
   const version = replica.getNewsVersion();
   const mayLack = state.version > version || version === 0;
-  return mayLack && !replica.isEqual(state);
+  return mayLack && !replica.confirm(state);
 }
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -2,9 +2,8 @@
 import {Attempts} from '../attempts/index.js';
 import {Repeat} from '../catalog/index.js';
 import {Problem, problems, Ran} from '../errors/index.js';
-import {FleetServer, FlightEnd} from '../fleet/index.js';
-import {nameServerEnd, WatchedContent} from '../quarantine/index.js';
-import {VersionEnd} from '../rollout/index.js';
+import {FleetServer} from '../fleet/index.js';
+import {WatchedContent} from '../quarantine/index.js';
 import {ScoredServer} from '../routing/index.js';
 import {endWithAny} from '../time/index.js';
 import {AnswerRelay} from './answer_relay.js';
@@ -16,6 +15,7 @@
 import {RelayOptions} from './relay_options.js';
 import {RelayRecord} from './relay_record.js';
 import {RelayRequest} from './relay_request.js';
+import {RunWatch, WatchedResult} from './run_watch.js';
 import {ServerChoice} from './server_choice.js';
 
 /** Time left below which nothing is sent any more, in milliseconds. */
@@ -47,6 +47,7 @@
   private readonly ended: AbortSignal;
   private readonly attempts: Attempts;
   private readonly record: RelayRecord;
+  private readonly watch: RunWatch;
   private readonly answer: AnswerRelay;
   private readonly choice: ServerChoice;
   /** A server's own failure, relayed unless a later attempt does better. */
@@ -80,6 +81,11 @@
     this.ended = endWithAny([left, this.late.signal]);
     this.answer = new AnswerRelay(sink, request.lastEventId);
     this.record = new RelayRecord(options, request);
+    this.watch = new RunWatch(options, {
+      route: request.route.name,
+      content: order.content,
+      record: this.record,
+    });
     this.attempts = new Attempts({
       repeat: request.route.repeat,
       maxRuns: request.route.maxAttempts,
@@ -169,7 +175,7 @@
     if (this.isOver()) {
       return false;
     }
-    const heldMs = this.getHeldMs();
+    const heldMs = this.watch.getHeldMs(this.answer.hasBegun());
     if (heldMs > 0) {
       this.lastDetail = `${this.lastDetail}; kept away from servers`;
       return this.fail(heldMs);
@@ -197,7 +203,9 @@
       return false;
     }
     const predictedMs = decision.chosen.firstTokenMs;
-    const result = await this.watchRun(server, predictedMs, copied);
+    const result = await this.watch.run(server, () =>
+      this.attempt(server, predictedMs, copied),
+    );
     if (result.end === AttemptEnd.DONE) {
       return false;
     }
@@ -209,39 +217,18 @@
     return this.goOn(server, result);
   }
 
-  /** Makes an attempt, and notes what it tells of the request itself. */
-  private async watchRun(
-    server: FleetServer,
-    predictedMs: number,
-    copied: CopiedRun | undefined,
-  ): Promise<AttemptResult> {
-    const {service, version = ''} = server;
-    const {name: route} = this.request.route;
-    const run = this.options.versionLedger.begin(service, version, route);
-    this.content.beginRun();
-    try {
-      const result = await this.attempt(server, predictedMs, copied);
-      const hasEnded = await this.noteEnd(server, result);
-      const {firstMs, wholeMs} = result;
-      run.finish(judgeVersionEnd(result, hasEnded), firstMs, wholeMs);
-      return result;
-    } finally {
-      run.finish(VersionEnd.NEUTRAL);
-      this.content.endRun();
-    }
-  }
-
   private async attempt(
     server: FleetServer,
     predictedMs: number,
     copied: CopiedRun | undefined,
-  ): Promise<AttemptResult> {
+  ): Promise<WatchedResult> {
     const {request, answer, record, ended} = this;
     this.server = server;
     this.lost = new AbortController();
+    const lost = this.lost.signal;
     const attempt = new RelayAttempt(
       this.options,
-      {request, answer, record, ended, lost: this.lost.signal},
+      {request, answer, record, ended, lost},
       {
         server,
         predictedMs,
@@ -254,53 +241,7 @@
     );
     const result = await attempt.execute();
     this.server = undefined;
-    return result;
-  }
-
-  /**
-   * Notes what the end of an attempt tells of the request itself; returns whether its
-   * server has ended.
-   */
-  private async noteEnd(
-    server: FleetServer,
-    {end, brokenOffMs}: AttemptResult,
-  ): Promise<boolean> {
-    // A server may fail a request that it has not begun to run.
-    if (end === AttemptEnd.DONE) {
-      this.content.addAnswer();
-    }
-    if (brokenOffMs === undefined) {
-      return false;
-    }
-    const hasEnded = await this.noteLoss(server);
-    this.record.addLoss({
-      content: this.content.getName(),
-      server: server.id,
-      ranMs: brokenOffMs,
-      hasEnded,
-    });
-    return hasEnded;
-  }
-
-  /** Notes that a server broke the request off; returns whether it has ended. */
-  private async noteLoss({id, name, address}: FleetServer): Promise<boolean> {
-    if (this.lost.signal.aborted) {
-      this.content.addEnd(nameServerEnd(address, id));
-      return true;
-    }
-    const wasLeaving = this.options.fleet.isLeaving(id);
-    return this.content.addLoss({name, start: id, address, wasLeaving});
-  }
-
-  /**
-   * Returns the time for which the request is kept away from servers; a stream that
-   * has begun is not broken off for what else its sender sends.
-   */
-  private getHeldMs(): number {
-    const senderHeldMs = this.answer.hasBegun()
-      ? 0
-      : this.content.getSenderHeldMs();
-    return Math.max(this.content.getHeldMs(), senderHeldMs);
+    return {...result, serverIsLost: lost.aborted};
   }
 
   /** Settles an attempt without an answer; returns whether another follows. */
@@ -401,16 +342,3 @@
     return this.request.deadlineMs - this.options.clock.monotonicMs();
   }
 }
-
-/** Judges what an attempt tells of the version that ran it. */
-function judgeVersionEnd(
-  {judged}: AttemptResult,
-  hasEnded: boolean,
-): VersionEnd {
-  if (judged === FlightEnd.SUCCEEDED) {
-    return VersionEnd.GOOD;
-  }
-  // What ended the server, or who took it away, is another question.
-  const isNeutral = judged === FlightEnd.NEUTRAL || hasEnded;
-  return isNeutral ? VersionEnd.NEUTRAL : VersionEnd.BAD;
-}
--- a/src/replica/row_replica.ts
+++ b/src/replica/row_replica.ts
@@ -207,14 +207,14 @@
       this.completeVersion = Math.max(this.completeVersion, state.version);
       this.changedVersion = Math.max(this.changedVersion, state.version);
     }
-    return goesOn || this.isEqual(state);
+    return goesOn || this.confirm(state);
   }
 
   /**
-   * Tells whether this replica holds what a peer's does: then it is as complete,
-   * though it may not know what came and went between.
+   * Tells whether this replica holds what a peer's does, and notes that it is as
+   * complete then, though it may not know what came and went between.
    */
-  isEqual({version, digest}: ReplicaState): boolean {
+  confirm({version, digest}: ReplicaState): boolean {
     if (this.digest.get() !== digest) {
       return false;
     }
