Take no row from a peer that was gone when the table was read

Cause: a host that starts reads the table, but holds nothing of rows that were removed before. A peer that was cut off meanwhile still had such a row; the host asked it, being sure of nothing yet, and took the row over, as did all it tells. In the programs a whole reading every 15 s ends it, which is longer than the bound.

Change: a replica knows the version at which it read the table, and a row from before that it does not hold is taken for removed.

--- a/src/replica/row_replica.ts
+++ b/src/replica/row_replica.ts
@@ -61,6 +61,8 @@
   private readonly doubted = new Map<string, number>();
   /** Version up to which every change in substance is merged. */
   private completeVersion = 0;
+  /** Version at which the whole table was read here last. */
+  private readVersion = 0;
   /** Version after which every removal is remembered. */
   private rememberedVersion = 0;
   /** Highest version at which anything changed in substance. */
@@ -157,7 +159,8 @@
    */
   add(row: VersionedRow, source: string): void {
     const held = this.rows.get(row.key);
-    if (held !== undefined && held.row.version >= row.version) {
+    const knownVersion = held?.row.version ?? this.getAbsentVersion();
+    if (row.version <= knownVersion) {
       return;
     }
     this.doubted.delete(row.key);
@@ -174,6 +177,24 @@
     }
   }
 
+  /**
+   * Merges the whole table as it was read at one version, without taking what it lacks
+   * for removed here; what others tell of rows from before that it lacks counts no more.
+   * @param rows - All rows.
+   * @param version - Version of the table they were read at.
+   * @param source - Where from, for the log.
+   */
+  addReading(
+    rows: readonly VersionedRow[],
+    version: number,
+    source: string,
+  ): void {
+    for (const row of rows) {
+      this.add(row, source);
+    }
+    this.readVersion = Math.max(this.readVersion, version);
+  }
+
   /**
    * Merges what the table told of its changes.
    * @param changes - The changes.
@@ -260,6 +281,11 @@
     this.rememberedVersion = version;
   }
 
+  /** Returns the version up to which a row that is not held was removed again. */
+  private getAbsentVersion(): number {
+    return Math.max(this.completeVersion, this.readVersion);
+  }
+
   private readSubstance({text}: VersionedRow): string | undefined {
     return text === undefined ? undefined : this.options.getSubstance(text);
   }
--- a/test/replica/row_replica_test.ts
+++ b/test/replica/row_replica_test.ts
@@ -39,6 +39,19 @@
     });
   });
 
+  describe('addReading', () => {
+    it('takes no row from a peer that was gone when the table was read', () => {
+      const {replica} = create();
+      const b = {key: 'b', version: 2, text: 'y'};
+      replica.addReading([b], 7, 'store');
+      replica.add({key: 'a', version: 5, text: 'left'}, 'peer');
+      replica.add({key: 'c', version: 9, text: 'new'}, 'peer');
+      expect(replica.getText('a')).to.equal(undefined);
+      expect(replica.getText('c')).to.equal('new');
+      expect(replica.getNewsVersion()).to.equal(0);
+    });
+  });
+
   describe('addSnapshot', () => {
     it('removes what the table no longer has', () => {
       const {replica, heard} = create();
