--- a/src/quarantine/ended_servers.ts
+++ b/src/quarantine/ended_servers.ts
@@ -55,8 +55,17 @@
     return ended;
   }
 
+  /**
+   * Tells whether servers end together most of which did not run what ran on some: then
+   * they end of another cause.
+   * @param own - Servers among them that did run it.
+   */
+  endsForAnotherCause(own: number): boolean {
+    return this.countInWave() - own > own;
+  }
+
   /** Counts the servers that were found to have ended within `WAVE_MS`. */
-  countInWave(): number {
+  private countInWave(): number {
     const oldestMs = this.clock.monotonicMs() - WAVE_MS;
     for (const [address, endedMs] of this.lateEndsMs) {
       if (endedMs <= oldestMs) {
--- a/src/quarantine/watched_content.ts
+++ b/src/quarantine/watched_content.ts
@@ -97,10 +97,8 @@
   addEnd(end: string): void {
     const {quarantine, endedServers} = this.options;
     const content = this.getName();
-    // Servers that end together, most of which did not run this, end of another cause.
     const own = quarantine.countEndsWithin(content, WAVE_MS) + 1;
-    const others = endedServers.countInWave() - own;
-    if (others <= own) {
+    if (!endedServers.endsForAnotherCause(own)) {
       quarantine.addEnd(content, end, this.level);
     }
     this.sender?.addEnd(content);
--- a/src/quarantine/watched_sender.ts
+++ b/src/quarantine/watched_sender.ts
@@ -69,8 +69,8 @@
     const {quarantine, endedServers, senderRuns} = this.options;
     senderRuns.addLoss(this.sender);
     const own = quarantine.countEndsWithin(this.getName(), WAVE_MS) + 1;
-    const others = endedServers.countInWave() - own;
-    if (others <= own && senderRuns.standsOut(this.sender)) {
+    const isCause = !endedServers.endsForAnotherCause(own);
+    if (isCause && senderRuns.standsOut(this.sender)) {
       quarantine.addEnd(this.getName(), content, this.level);
     }
   }
--- a/src/time/end_with_any.ts
+++ b/src/time/end_with_any.ts
@@ -1,7 +1,7 @@
 /**
  * Makes a signal that is aborted with the first of several, for as long as these are
- * short-lived themselves. It is several times cheaper than `AbortSignal.any`, which
- * keeps its sources from holding on to it.
+ * short-lived themselves: they hold on to it, where `AbortSignal.any` spends a request's
+ * processor time on keeping them from it.
  * @param signals - What it ends with.
  */
 export function endWithAny(signals: readonly AbortSignal[]): AbortSignal {
