Log the limits that servers name

What the logs lacked to tell the hypotheses of the passed limit apart: that an answer named a limit, when a host had it, and what the limit of a chosen server was. A line server_limit where it is named, changed or ended; server_limit in the lines of routing; a gauge. Bad values are logged once for a server and change nothing. Nothing is decided by it yet.

The reading of the header stands in platform/, with tests of bad values.

--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -1,4 +1,5 @@
 import {FleetServer} from '../fleet/index.js';
+import {StatedLimit} from '../limits/index.js';
 import {RawHeader, RelayRequest} from './relay_request.js';
 
 /** One sending of a request to one server. */
@@ -36,6 +37,8 @@
   readonly kind: typeof ExchangeKind.ANSWERED;
   readonly status: number;
   readonly headers: readonly RawHeader[];
+  /** What it states of the server's limit; absent where that is not read. */
+  readonly limit?: StatedLimit;
   /** Throws when the answer breaks off; ends only when it is whole. */
   readonly body: AsyncIterable<Uint8Array>;
 }
@@ -51,6 +54,8 @@
   readonly unsent?: boolean;
   /** Whether the server answered what cannot be used, so that it is there. */
   readonly spoiled?: boolean;
+  /** What the rejection states of the server's limit; absent without an answer. */
+  readonly limit?: StatedLimit;
 }
 
 /** How a sending went. */
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -130,6 +130,9 @@
       },
       this.ending,
     );
+    if (result.limit !== undefined) {
+      this.options.limits.addAnswer(server.id, result.limit);
+    }
     const attempted =
       result.kind === ExchangeKind.ANSWERED
         ? await this.receive(result)
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -1,5 +1,6 @@
 import {CatalogStore} from '../catalog/index.js';
 import {Fleet} from '../fleet/index.js';
+import {ServerLimits} from '../limits/index.js';
 import {Log} from '../log/index.js';
 import {Metrics} from '../metrics/index.js';
 import {EndedServers, Quarantine, SenderRuns} from '../quarantine/index.js';
@@ -21,6 +22,7 @@
   readonly catalog: CatalogStore;
   readonly fleet: Fleet;
   readonly quota: Quota;
+  readonly limits: ServerLimits;
   readonly quarantine: Quarantine;
   readonly budget: SharedRetryBudget;
   readonly ledger: UsageLedger;
--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -47,6 +47,7 @@
       catalog: this.options.catalog.getVersion(),
       attempt,
       server: chosen?.server,
+      server_limit: this.getLimit(chosen?.server),
       target_ms: request.route.targetMs,
       predicted_ms: chosen?.firstTokenMs.toFixed(0),
       queue_ms: chosen?.queueMs.toFixed(0),
@@ -57,6 +58,13 @@
     });
   }
 
+  /** Returns the limit that the chosen server names, in requests a second. */
+  private getLimit(server: string | undefined): number | undefined {
+    return server === undefined
+      ? undefined
+      : this.options.limits.getLimit(server);
+  }
+
   /** Writes that an attempt brought no answer. */
   addFailure(
     server: string,
--- a/src/relay_host/bind_knowledge.ts
+++ b/src/relay_host/bind_knowledge.ts
@@ -2,6 +2,7 @@
 import {CatalogStore} from '../catalog/index.js';
 import {bind} from '../container/index.js';
 import {Fleet} from '../fleet/index.js';
+import {ServerLimits} from '../limits/index.js';
 import {Metrics} from '../metrics/index.js';
 import {HostReports, KnownHosts, ReadAge} from '../peering/index.js';
 import {Quarantine} from '../quarantine/index.js';
@@ -42,6 +43,15 @@
         metrics: context.get(Metrics),
       }),
   );
+  bind(
+    container,
+    ServerLimits,
+    context =>
+      new ServerLimits({
+        log: context.get(LOG),
+        metrics: context.get(Metrics),
+      }),
+  );
   bind(container, Quota, context => {
     const reports = context.get(HostReports);
     const known = context.get(KnownHosts);
--- a/src/relay_host/bind_relay_host.ts
+++ b/src/relay_host/bind_relay_host.ts
@@ -3,6 +3,7 @@
 import {CatalogStore} from '../catalog/index.js';
 import {bind} from '../container/index.js';
 import {Fleet} from '../fleet/index.js';
+import {ServerLimits} from '../limits/index.js';
 import {Metrics} from '../metrics/index.js';
 import {EndedServers, Quarantine, SenderRuns} from '../quarantine/index.js';
 import {Quota} from '../quota/index.js';
@@ -41,6 +42,7 @@
         catalog: context.get(CatalogStore),
         fleet: context.get(Fleet),
         quota: context.get(Quota),
+        limits: context.get(ServerLimits),
         quarantine: context.get(Quarantine),
         budget: context.get(SharedRetryBudget),
         ledger: context.get(UsageLedger),
--- /dev/null
+++ b/test/platform/server_limit_test.ts
@@ -0,0 +1,48 @@
+import {expect} from 'chai';
+import {readServerLimit} from '../../platform/server_limit.js';
+
+describe('the limit that a server names', () => {
+  const read = (...values: readonly string[]) =>
+    readServerLimit(values).map(limit => limit.unwrapOr(undefined));
+
+  it('is a decimal number of requests a second', () => {
+    for (const [text, limit] of [
+      ['2.6', 2.6],
+      ['40', 40],
+      [' 3 ', 3],
+      ['0', 0],
+      ['0.000000001', 1e-9],
+      ['1000000000', 1e9],
+    ] as const) {
+      expect(read(text).unwrapOr(undefined)).to.equal(limit);
+    }
+  });
+
+  it('is absent where no answer names it', () => {
+    expect(read().isOk).to.equal(true);
+    expect(read().unwrapOr(1)).to.equal(undefined);
+  });
+
+  it('is the lowest where an answer names several', () => {
+    expect(read('4', '2.5').unwrapOr(undefined)).to.equal(2.5);
+  });
+
+  it('is refused where it cannot be read, with what was said', () => {
+    const long = '1'.repeat(10_240);
+    for (const text of [
+      '',
+      'many',
+      '-1',
+      'Infinity',
+      'NaN',
+      '1e9',
+      '1,5',
+      long,
+    ]) {
+      const fault = read(text).match({Ok: () => '', Err: text => text});
+      expect(fault).to.contain('decimal number').and.contain(text.slice(0, 20));
+      expect(fault.length).to.be.below(150);
+    }
+    expect(read('2', 'x').isErr).to.equal(true);
+  });
+});
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -2,6 +2,7 @@
 import {Catalog, CatalogStore, Route} from '../../src/catalog/index.js';
 import {Problem} from '../../src/errors/index.js';
 import {Fleet, FleetServer, FleetState} from '../../src/fleet/index.js';
+import {ServerLimits} from '../../src/limits/index.js';
 import {SilentLog} from '../../src/log/index.js';
 import {Metrics} from '../../src/metrics/index.js';
 import {
@@ -123,6 +124,7 @@
         countHeard: () => 1,
         getBound: () => ({windowMs: 8000, overage: 0, slack: 0}),
       }),
+      limits: new ServerLimits({log, metrics}),
       quarantine: this.quarantine,
       budget: new SharedRetryBudget(clock, () => ({
         ratio: 0,
