A failing test: a server is sent more than the limit that it names

Six hosts of the real parts before fourteen servers of the stand-ins, 120 requests a second; one server names 2.6 requests a second. From three seconds after, it gets 36 requests in the worst four seconds, 20.6 are allowed.

--- /dev/null
+++ b/test/platform/limited_server_test.ts
@@ -0,0 +1,132 @@
+import {expect} from 'chai';
+import {answerWith, Script, StandInServer} from './stand_in/stand_in_server.js';
+import {RunningHost, StandInSystem} from './stand_in/stand_in_system.js';
+
+/** Requests a second that each limited server takes from all hosts together. */
+const LIMIT = 2.6;
+/** Time in which all hosts have to know a limit, in milliseconds. */
+const CONTACT_MS = 3000;
+/** Span in which what a server gets is counted, in milliseconds. */
+const WINDOW_MS = 4000;
+/** Requests in such a span that a limit allows. */
+const ALLOWED = 1.5 * LIMIT * (WINDOW_MS / 1000) + 5;
+const SERVERS = 14;
+const HOSTS = [
+  'front-1',
+  'front-2',
+  'front-3',
+  'front-4',
+  'front-5',
+  'front-6',
+];
+/** Requests a second of all callers together. */
+const RATE = 120;
+
+/** A limit that servers name, and what they got. */
+class LimitedServers {
+  /** When each server got each of its requests, in milliseconds. */
+  readonly arrivalsMs: number[][] = [];
+  private readonly limited = new Set<number>();
+
+  /** Has a server name a limit from now on, or none. */
+  setLimited(index: number, isLimited: boolean): void {
+    if (isLimited) {
+      this.limited.add(index);
+    } else {
+      this.limited.delete(index);
+    }
+  }
+
+  /** Returns how a server answers. */
+  createScript(index: number): Script {
+    const arrivalsMs: number[] = [];
+    this.arrivalsMs[index] = arrivalsMs;
+    const plain = answerWith('whole');
+    return (socket, request) => {
+      arrivalsMs.push(performance.now());
+      if (!this.limited.has(index)) {
+        plain(socket, request);
+        return;
+      }
+      socket.write(
+        [
+          'HTTP/1.1 200 X',
+          `Request-Id: ${request.headers.get('request-id')}`,
+          'Server-Signature: sig',
+          `Server-Limit: ${LIMIT}`,
+          'Content-Length: 5',
+          'Keep-Alive: timeout=5',
+          '',
+          'whole',
+        ].join('\r\n'),
+      );
+    };
+  }
+
+  /** Returns the most that a server got in some span after a moment. */
+  countMost(index: number, fromMs: number): number {
+    const arrivals = (this.arrivalsMs[index] ?? []).filter(ms => ms >= fromMs);
+    let most = 0;
+    for (const [first, startMs] of arrivals.entries()) {
+      const later = arrivals.slice(first);
+      const count = later.filter(ms => ms < startMs + WINDOW_MS).length;
+      most = Math.max(most, count);
+    }
+    return most;
+  }
+}
+
+describe('a server that names a limit', () => {
+  let system: StandInSystem;
+  let hosts: RunningHost[];
+  let limits: LimitedServers;
+
+  beforeEach(async () => {
+    system = new StandInSystem();
+    limits = new LimitedServers();
+    while (system.servers.length < SERVERS) {
+      system.servers.push(new StandInServer(answerWith('whole')));
+    }
+    for (const [index, server] of system.servers.entries()) {
+      server.script = limits.createScript(index);
+    }
+    await system.start();
+    hosts = [];
+    for (const name of HOSTS) {
+      hosts.push(await system.startHost(name));
+    }
+    for (const host of hosts) {
+      await system.waitFor(() => system.isReady(host));
+    }
+  });
+
+  afterEach(() => system.stop());
+
+  /** Has callers send at the usual rate, each host in its turn. */
+  async function sendFor(spanMs: number): Promise<void> {
+    const startMs = performance.now();
+    const calls: Promise<unknown>[] = [];
+    for (let sent = 0; ; sent++) {
+      const dueMs = startMs + (sent * 1000) / RATE;
+      if (dueMs >= startMs + spanMs) {
+        break;
+      }
+      const host = hosts[sent % hosts.length] as RunningHost;
+      await new Promise(resolve =>
+        setTimeout(resolve, dueMs - performance.now()),
+      );
+      calls.push(system.call(host, '/a/x', {}, 'body').catch(() => undefined));
+    }
+    await Promise.all(calls);
+  }
+
+  // Guards against a server being sent several times what it said it takes of all
+  // hosts together.
+  it('gets no more than that of all hosts together', async () => {
+    limits.setLimited(0, true);
+    const namedMs = performance.now();
+    await sendFor(CONTACT_MS + 2 * WINDOW_MS);
+    const most = limits.countMost(0, namedMs + CONTACT_MS);
+    expect(most).to.be.at.most(ALLOWED);
+  }).timeout(60_000);
+});
