Share the limit that a server names over all hosts

Cause: nothing read what the answers named; each host routed by what it knows of a server's load alone. Class: a bound over all hosts that reaches some of them, in passing, and that each would keep on its own.

Hosts tell each other what answers state, with a revision, at once; a limit is shared by permits that are numbered by true time and go to the hosts in turn. So the sum is kept at any number of hosts without a message, none begins with a permit of its own, and one that is cut off takes no more than before. Every sending takes one. What finds none goes to other servers; where all of a service are limited it is refused at once, unsent, with a time to come back, less urgent requests first. One request a second hears whether the limit holds; when it ends, the rate doubles until it binds no more. Servers that stay limited are replaced by orders.

Why not the customers' quota: its shares are buckets, each of which lets a whole request through, so that at 2.6 a second eight hosts have used up what is allowed at once, and 350 hosts forty times that.

--- a/src/buying/need_meter.ts
+++ b/src/buying/need_meter.ts
@@ -92,7 +92,8 @@
     const kept = first * KEPT_SHARE;
     return {
       kept,
-      needed: Math.max(kept, most / COMFORT_SHARE),
+      // What a limit keeps from servers is not seen as work.
+      needed: Math.max(kept, most / COMFORT_SHARE) + work.limited,
       least: getMost(recent, nowMs - LEAST_MEMORY_MS) / LEAST_SHARE,
     };
   }
--- a/src/buying/service_work.ts
+++ b/src/buying/service_work.ts
@@ -4,4 +4,6 @@
   readonly prefillPerSecond: number;
   /** Requests in flight. */
   readonly running: number;
+  /** Servers that have limited what they take for so long that others stand in for them. */
+  readonly limited: number;
 }
--- a/src/daemon/heartbeats.ts
+++ b/src/daemon/heartbeats.ts
@@ -11,11 +11,13 @@
   LeavingHosts,
   Membership,
 } from '../membership/index.js';
+import {ChangeWords} from '../changes/index.js';
 import {PeerIdentity} from '../peer/index.js';
 import {
   Quarantine,
   suspectNewsSchema,
-  SuspectWords,
+  createSuspectWords,
+  SuspectPage,
 } from '../quarantine/index.js';
 import {ServerDirectory} from '../routing/index.js';
 import {Clock} from '../time/index.js';
@@ -67,10 +69,10 @@
   private lookedMs = Number.NEGATIVE_INFINITY;
   private readonly facts = new Map<string, EngineFacts>();
 
-  private readonly suspects: SuspectWords;
+  private readonly suspects: ChangeWords<SuspectPage>;
 
   constructor(private readonly options: HeartbeatsOptions) {
-    this.suspects = new SuspectWords(options.quarantine);
+    this.suspects = createSuspectWords(options.quarantine);
   }
 
   /**
--- a/src/errors/problem.ts
+++ b/src/errors/problem.ts
@@ -34,6 +34,7 @@
   REQUEST_UNKNOWN: 'request-unknown',
   ROUTE_UNKNOWN: 'route-unknown',
   SERVER_FAILED: 'server-failed',
+  SERVICE_LIMITED: 'service-limited',
   STORE_UNAVAILABLE: 'store-unavailable',
   UNAUTHENTICATED: 'unauthenticated',
 } as const;
--- a/src/errors/problems.ts
+++ b/src/errors/problems.ts
@@ -268,6 +268,18 @@
   retryAfterSeconds,
 });
 
+export const serviceLimited = (
+  service: string,
+  retryAfterSeconds: number,
+): Problem => ({
+  kind: ProblemKind.SERVICE_LIMITED,
+  status: 503,
+  detail: `Every server of "${service}" limits the requests that it takes, and others have used the limits up.`,
+  remedy: 'Ask again after the given time, or have servers added.',
+  ran: Ran.NO,
+  retryAfterSeconds,
+});
+
 export const serverLost = (detail: string): Problem => ({
   kind: ProblemKind.SERVER_FAILED,
   status: 502,
--- a/src/explain/judge_request.ts
+++ b/src/explain/judge_request.ts
@@ -21,6 +21,7 @@
   ProblemKind.NO_ROOM,
   ProblemKind.DEADLINE_UNREACHABLE,
   ProblemKind.QUARANTINED,
+  ProblemKind.SERVICE_LIMITED,
 ]);
 
 /**
@@ -71,6 +72,9 @@
     return 'moved off a server that left';
   }
   const route = lines.find(({event}) => event === 'route');
+  if (route?.members.has('withheld') === true) {
+    return 'sent past servers whose limits were used up';
+  }
   const predictedMs = Number(route?.members.get('predicted_ms') ?? 0);
   const targetMs = Number(route?.members.get('target_ms') ?? Infinity);
   return predictedMs > targetMs
--- a/src/fleet/knowledge_question.ts
+++ b/src/fleet/knowledge_question.ts
@@ -8,7 +8,7 @@
   /** Rank of the request: what is less urgent is not ahead of it. */
   readonly urgency?: number;
   /** Tells which servers may get the request at all; left out, all may. */
-  readonly allows?: (server: FleetServer) => boolean;
+  readonly allows?: ((server: FleetServer) => boolean) | undefined;
   /** Servers that must not get the request again. */
   readonly excluded?: ReadonlySet<string>;
 }
--- a/src/peering/host_report.ts
+++ b/src/peering/host_report.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {limitNewsSchema} from '../limits/index.js';
 import {suspectNewsSchema} from '../quarantine/index.js';
 import {hostAddressSchema} from './host_address.js';
 import {newsSchema} from './row_words.js';
@@ -67,6 +68,8 @@
   readAgeMs: count.optional(),
   /** Requests that end servers; left out while there is none. */
   suspects: suspectNewsSchema.optional(),
+  /** Limits that servers name; left out while there is none. */
+  limits: limitNewsSchema.optional(),
 });
 
 /** Reply to a heartbeat; hosts of the release before send an empty one. */
@@ -88,6 +91,8 @@
   usualOffsetMs: z.number().optional(),
   /** Requests that end servers; left out while there is none. */
   suspects: suspectNewsSchema.optional(),
+  /** Limits that servers name; left out while there is none. */
+  limits: limitNewsSchema.optional(),
 });
 
 /** What a host tells its peers with each heartbeat. */
@@ -97,6 +102,7 @@
   hostsVersion: true,
   membersVersion: true,
   suspects: true,
+  limits: true,
 });
 
 /** What of a reply the next heartbeat depends on. */
--- a/src/peering/known_hosts.ts
+++ b/src/peering/known_hosts.ts
@@ -1,4 +1,5 @@
 import {Log} from '../log/index.js';
+import {Turn} from '../limits/index.js';
 import {rankByRendezvous} from '../random/index.js';
 import {Clock} from '../time/index.js';
 import {HostAddress} from './host_address.js';
@@ -71,6 +72,8 @@
 const RANK_MS = 200;
 /** Pause between looks at who is there, of many, in milliseconds. */
 const REFRESH_MS = 100;
+/** Age up to which this host's turn is not worked out anew, in milliseconds. */
+const TURN_MS = 100;
 /** Hosts with this part of the largest capacity count as large, too. */
 const LARGE_SHARE = 0.8;
 
@@ -80,6 +83,8 @@
   private readonly members = new Map<string, ToldMembers>();
   private readonly avoided = new Map<string, Avoided>();
   private readonly ranks = new Map<string, Ranked>();
+  private turn: Turn | undefined;
+  private turnMs = Number.NEGATIVE_INFINITY;
   private refreshedMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: KnownHostsOptions) {}
@@ -221,6 +226,16 @@
     return this.hosts.size + 1;
   }
 
+  /** Returns which of the hosts that may be serving this one is, by their names. */
+  getTurn(): Turn {
+    const nowMs = this.options.clock.monotonicMs();
+    if (this.turn === undefined || nowMs - this.turnMs >= TURN_MS) {
+      this.turn = this.findTurn();
+      this.turnMs = nowMs;
+    }
+    return this.turn;
+  }
+
   /** Returns how many hosts are there, this one included. */
   countAlive(): number {
     return this.listAlive().length + 1;
@@ -315,6 +330,15 @@
     ];
   }
 
+  private findTurn(): Turn {
+    this.refresh();
+    let place = 0;
+    for (const host of this.hosts.keys()) {
+      place += host < this.options.self.host ? 1 : 0;
+    }
+    return {hosts: this.hosts.size + 1, place};
+  }
+
   private isMember(host: string, wanted: MemberScope): boolean {
     for (const {scope, hosts, toldMs} of this.members.values()) {
       if (scope === wanted && !this.isOld(toldMs) && hosts.has(host)) {
--- a/src/peering/peer_words.ts
+++ b/src/peering/peer_words.ts
@@ -1,6 +1,8 @@
 import {z} from 'zod';
+import {ChangeWords} from '../changes/index.js';
+import {createLimitWords, LimitPage} from '../limits/index.js';
 import {PeerIdentity} from '../peer/index.js';
-import {SuspectWords} from '../quarantine/index.js';
+import {createSuspectWords, SuspectPage} from '../quarantine/index.js';
 import {rolloutQuestionSchema} from '../rollout/index.js';
 import {HeardWords} from './heard_words.js';
 import {
@@ -45,7 +47,8 @@
   private readonly usage: UsageWords;
   private readonly reports: ReportWords;
   private readonly heard: HeardWords;
-  private readonly suspects: SuspectWords;
+  private readonly suspects: ChangeWords<SuspectPage>;
+  private readonly limits: ChangeWords<LimitPage>;
   private readonly pauses: PauseWatch;
   /** Hosts that want word of all, which get rows at once. */
   private readonly wanting = new Set<string>();
@@ -54,7 +57,8 @@
     const {clock, self, incarnation} = options;
     this.pauses = new PauseWatch(clock);
     this.heard = new HeardWords(options);
-    this.suspects = new SuspectWords(options.quarantine);
+    this.suspects = createSuspectWords(options.quarantine);
+    this.limits = createLimitWords(options.limits);
     this.summaries = new SummaryWords(options);
     this.rows = new RowWords({
       ...options,
@@ -85,7 +89,11 @@
     const report = this.createReport(peer, reply);
     return {
       kind: 'heartbeat',
-      report: {...report, ...optional('suspects', suspects)},
+      report: {
+        ...report,
+        ...optional('suspects', suspects),
+        ...optional('limits', this.limits.create(peer, reply?.limits)),
+      },
     };
   }
 
@@ -116,6 +124,7 @@
     this.heard.addCentre(peer, parsed.data.centre);
     this.rows.compare(peer.host, news ?? {});
     this.suspects.receive(peer, parsed.data.suspects);
+    this.limits.receive(peer, parsed.data.limits);
   }
 
   /**
@@ -183,12 +192,14 @@
     return {
       ...this.reports.createReply(report, from),
       ...optional('suspects', this.suspects.create(from, report.suspects)),
+      ...optional('limits', this.limits.create(from, report.limits)),
     };
   }
 
   private receive(report: HostReport, from: PeerIdentity): void {
     this.heard.addReport(report, from);
     this.suspects.receive(from, report.suspects);
+    this.limits.receive(from, report.limits);
     if (report.wantsAll === true) {
       this.wanting.add(from.host);
     } else {
--- a/src/peering/peer_words_options.ts
+++ b/src/peering/peer_words_options.ts
@@ -1,4 +1,5 @@
 import {Fleet} from '../fleet/index.js';
+import {ServerLimits} from '../limits/index.js';
 import {Log} from '../log/index.js';
 import {Metrics} from '../metrics/index.js';
 import {Peers} from '../peer/index.js';
@@ -26,6 +27,7 @@
   readonly readAge: ReadAge;
   readonly fleet: Fleet;
   readonly quota: Quota;
+  readonly limits: ServerLimits;
   readonly quarantine: Quarantine;
   readonly ledger: UsageLedger;
   readonly hostUsage: HostUsage;
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -7,7 +7,7 @@
 export type {QuarantineOptions, SuspectPage} from './quarantine.js';
 export {QuarantineRows} from './quarantine_rows.js';
 export type {QuarantineRowsOptions} from './quarantine_rows.js';
-export {SuspectWords} from './suspect_words.js';
+export {createSuspectWords} from './suspect_words.js';
 export {suspectNewsSchema} from './suspect.js';
 export type {SuspectNews, ToldEnd, ToldSuspect} from './suspect.js';
 export {nameServerEnd} from './server_end_name.js';
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -1,3 +1,4 @@
+import {listChangedSince} from '../changes/index.js';
 import {Log} from '../log/index.js';
 import {Metrics} from '../metrics/index.js';
 import {Clock} from '../time/index.js';
@@ -15,7 +16,7 @@
 /** What is told of suspects, and up to which version. */
 export interface SuspectPage {
   readonly version: number;
-  readonly suspects: readonly ToldSuspect[];
+  readonly suspects: ToldSuspect[];
 }
 
 /** Time after its last change at which a suspect is forgotten, in milliseconds. */
@@ -136,23 +137,15 @@
 
   /** Tells what has changed since a version, the oldest changes first. */
   listSince(version: number): SuspectPage {
-    if (version === this.version) {
-      // So it is with nearly every heartbeat.
-      return {version, suspects: []};
-    }
-    const suspects: ToldSuspect[] = [];
-    let last = this.version;
-    for (const [content, suspect] of this.suspects) {
-      if (suspect.version <= version) {
-        continue;
-      }
-      if (suspects.length >= MAX_TOLD) {
-        return {version: last, suspects};
-      }
-      suspects.push(this.describe(content, suspect));
-      last = suspect.version;
-    }
-    return {version: this.version, suspects};
+    const page = listChangedSince(this.suspects, {
+      since: version,
+      latest: this.version,
+      most: MAX_TOLD,
+    });
+    return {
+      version: page.version,
+      suspects: page.changed.map(entry => this.describe(...entry)),
+    };
   }
 
   /** Lists what this host saw itself, or what is kept away. */
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -131,7 +131,7 @@
       this.ending,
     );
     if (result.limit !== undefined) {
-      this.options.limits.addAnswer(server.id, result.limit);
+      this.options.limits.addAnswer(server.id, result.limit, this.sentMs);
     }
     const attempted =
       result.kind === ExchangeKind.ANSWERED
--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -1,6 +1,6 @@
-import {RoutingDecision} from '../routing/index.js';
 import {RelayOptions} from './relay_options.js';
 import {RelayRequest} from './relay_request.js';
+import {LimitedDecision} from './server_choice.js';
 
 /** How a request ended, for its last log line. */
 export interface RelayEnd {
@@ -21,6 +21,9 @@
   readonly hasEnded: boolean;
 }
 
+/** Servers of one kind that a line names. */
+const MAX_NAMED = 3;
+
 /** What is logged, counted and billed of one request. */
 export class RelayRecord {
   /** Time from the request's arrival to the first byte of its answer. */
@@ -33,12 +36,12 @@
 
   /** Writes where the request goes, and why. */
   addDecision(
-    decision: RoutingDecision,
+    decision: LimitedDecision,
     attempt: number,
     resumeAfter: string | undefined,
   ): void {
     const {request} = this;
-    const {chosen, runnersUp, reason} = decision;
+    const {chosen, runnersUp, reason, withheld} = decision;
     const remainingMs = request.deadlineMs - this.options.clock.monotonicMs();
     this.options.log.info('route', {
       request: request.id,
@@ -48,6 +51,7 @@
       attempt,
       server: chosen?.server,
       server_limit: this.getLimit(chosen?.server),
+      withheld: withheld.slice(0, MAX_NAMED).join(',') || undefined,
       target_ms: request.route.targetMs,
       predicted_ms: chosen?.firstTokenMs.toFixed(0),
       queue_ms: chosen?.queueMs.toFixed(0),
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -16,7 +16,7 @@
 import {RelayRecord} from './relay_record.js';
 import {RelayRequest} from './relay_request.js';
 import {RunWatch, WatchedResult} from './run_watch.js';
-import {ServerChoice} from './server_choice.js';
+import {LimitedDecision, ServerChoice} from './server_choice.js';
 
 /** Time left below which nothing is sent any more, in milliseconds. */
 const MIN_REMAINING_MS = 5;
@@ -26,6 +26,8 @@
 const MS_PER_SECOND = 1000;
 /** Made once: an error made for each request costs a trace of the stack. */
 const TOO_LATE = new Error('deadline passed');
+/** Part of a wait by which callers who come back are spread. */
+const RETURN_SPREAD = 0.3;
 /** Time to come back after a refusal for want of room, in seconds. */
 const FULL_RETRY_S = 0.25;
 
@@ -99,6 +101,7 @@
   /** Serves the request to its end. */
   async execute(): Promise<void> {
     this.options.budget.addRequest(this.service);
+    this.options.limits.addRequest(this.service, rankUrgency(this.request));
     const timer = setTimeout(
       () => this.late.abort(TOO_LATE),
       this.getRemainingMs(),
@@ -167,7 +170,11 @@
 
   private chooseDestination(from: FleetServer): FleetServer | undefined {
     this.attempts.exclude(from.id);
-    return this.choice.getServer(this.choice.chooseBeside(from));
+    const destination = this.choice.getServer(this.choice.chooseBeside(from));
+    if (destination !== undefined) {
+      this.options.limits.take(destination.id);
+    }
+    return destination;
   }
 
   /** Makes one attempt; returns whether another is to follow. */
@@ -178,7 +185,8 @@
     const heldMs = this.watch.getHeldMs(this.answer.hasBegun());
     if (heldMs > 0) {
       this.lastDetail = `${this.lastDetail}; kept away from servers`;
-      return this.fail(heldMs);
+      const seconds = heldMs / MS_PER_SECOND;
+      return this.fail(problems.quarantined(this.content.getName(), seconds));
     }
     if (!this.attempts.begin()) {
       this.lastDetail = `${this.lastDetail}; retry budget spent`;
@@ -193,8 +201,7 @@
     );
     const server = copied?.server ?? this.choice.getServer(decision);
     if (server === undefined || decision.chosen === undefined) {
-      this.lastDetail ||= 'no server';
-      return this.fail();
+      return this.failWithoutServer(decision);
     }
     const unreachable = this.refuseLateStart(decision.chosen);
     if (unreachable !== undefined) {
@@ -202,6 +209,9 @@
       this.sink.refuse(unreachable);
       return false;
     }
+    if (copied === undefined) {
+      this.options.limits.take(server.id);
+    }
     const predictedMs = decision.chosen.firstTokenMs;
     const result = await this.watch.run(server, () =>
       this.attempt(server, predictedMs, copied),
@@ -290,9 +300,9 @@
 
   /**
    * Ends the request with the best answer that there is; returns `false`.
-   * @param heldMs - Time for which it is kept away from servers.
+   * @param refusal - Why it is sent to no server, where that is known to be for a while.
    */
-  private fail(heldMs = 0): false {
+  private fail(refusal?: Problem): false {
     if (this.answer.hasBegun()) {
       this.outcome = 'broken-off';
       this.sink.breakOff();
@@ -304,12 +314,27 @@
       void this.sink.write(this.kept.body).then(() => this.sink.end());
       return false;
     }
-    const problem = this.createProblem(heldMs);
+    const problem = this.createProblem(refusal);
     this.outcome = problem.kind;
     this.sink.refuse(problem);
     return false;
   }
 
+  /** Ends a request that there is no server for, or only such whose limits are used up. */
+  private failWithoutServer({withheld}: LimitedDecision): false {
+    const {limits, random} = this.options;
+    if (withheld.length === 0) {
+      this.lastDetail ||= 'no server';
+      return this.fail();
+    }
+    this.lastDetail = `${this.lastDetail}; limits of servers used up`;
+    const returnMs = limits.addRefused(this.service, withheld);
+    const spreadMs = returnMs * (1 + RETURN_SPREAD * random.next());
+    return this.fail(
+      problems.serviceLimited(this.service, spreadMs / MS_PER_SECOND),
+    );
+  }
+
   /**
    * Refuses a stream at its first attempt where it could not begin in time: sent,
    * it would be given up by its caller, and would keep others waiting.
@@ -324,18 +349,14 @@
     return decideByWait(waitMs, request.route.targetMs, options.random);
   }
 
-  private createProblem(heldMs: number): Problem {
+  private createProblem(refusal: Problem | undefined): Problem {
     if (this.attempts.mayHaveRun()) {
       return this.late.signal.aborted
         ? problems.deadlinePassed(Ran.UNKNOWN)
         : problems.serverLost(this.lastDetail);
     }
-    if (heldMs > 0) {
-      const seconds = heldMs / MS_PER_SECOND;
-      return problems.quarantined(this.content.getName(), seconds);
-    }
     const spread = FULL_RETRY_S * (1 + this.options.random.next());
-    return problems.noRoom(this.service, spread);
+    return refusal ?? problems.noRoom(this.service, spread);
   }
 
   private getRemainingMs(): number {
--- a/src/relay_host/bind_duties.ts
+++ b/src/relay_host/bind_duties.ts
@@ -4,6 +4,7 @@
 import {bind} from '../container/index.js';
 import {Fleet} from '../fleet/index.js';
 import {Duty, Lease} from '../lease/index.js';
+import {ServerLimits} from '../limits/index.js';
 import {HostReports, KnownHosts, PeerWords} from '../peering/index.js';
 import {
   HostUsage,
@@ -25,6 +26,11 @@
 
 /** Pause between looks at a lease that another host holds, as a share of it. */
 const WATCH_SHARE = 0.7;
+/**
+ * Time for which a server has limited what it takes before another is ordered, in
+ * milliseconds: a shorter need is over before that one serves.
+ */
+const LASTING_MS = 5000;
 /** Renewals per duration of a lease. */
 const RENEWALS = 3;
 
@@ -98,23 +104,36 @@
   bind(container, Buyer, context => {
     const fleet = context.get(Fleet);
     const reports = context.get(HostReports);
+    const limits = context.get(ServerLimits);
     return new Buyer({
       clock: context.get(CLOCK),
       log: context.get(LOG),
       duty: context.get(Duty),
       catalog: context.get(CatalogStore),
       fleet,
-      getWork: service => getWork(service, fleet, reports),
+      getWork: service => ({
+        ...getWork(service, fleet, reports),
+        limited: countLimited(service, fleet, limits),
+      }),
       order: context.get(ORDER_SERVERS),
     });
   });
 }
 
+function countLimited(
+  service: string,
+  fleet: Fleet,
+  limits: ServerLimits,
+): number {
+  const servers = fleet.listServers(service).map(({id}) => id);
+  return limits.countLimitedFor(servers, LASTING_MS);
+}
+
 function getWork(
   service: string,
   fleet: Fleet,
   reports: HostReports,
-): ServiceWork {
+): Omit<ServiceWork, 'limited'> {
   const picks = (server: string) => fleet.get(server)?.service === service;
   let running = reports.sumRunning(picks);
   for (const load of fleet.listOwnLoads()) {
--- a/src/relay_host/bind_knowledge.ts
+++ b/src/relay_host/bind_knowledge.ts
@@ -9,6 +9,7 @@
 import {Quota} from '../quota/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
 import {HostState} from './host_state.js';
+import {TrueTime} from '../usage/index.js';
 import {CLOCK, GET_SETTINGS, LOG, RANDOM, SELF} from './identifiers.js';
 import {REPLICA} from './replica_names.js';
 
@@ -48,8 +49,12 @@
     ServerLimits,
     context =>
       new ServerLimits({
+        clock: context.get(CLOCK),
         log: context.get(LOG),
         metrics: context.get(Metrics),
+        getTrueMs: () => container.get(TrueTime).getMs(),
+        getTurn: () => container.get(KnownHosts).getTurn(),
+        isKnownServer: server => container.get(Fleet).get(server) !== undefined,
       }),
   );
   bind(container, Quota, context => {
--- a/src/relay_host/bind_peering.ts
+++ b/src/relay_host/bind_peering.ts
@@ -2,6 +2,7 @@
 import {bind} from '../container/index.js';
 import {Fleet} from '../fleet/index.js';
 import {Duty} from '../lease/index.js';
+import {ServerLimits} from '../limits/index.js';
 import {Peers} from '../peer/index.js';
 import {Metrics} from '../metrics/index.js';
 import {
@@ -41,6 +42,7 @@
     const state = context.get(HostState);
     // The request comes again at once, and at any host.
     context.get(Quarantine).addListener(() => container.get(Peers).hurry());
+    context.get(ServerLimits).addListener(() => container.get(Peers).hurry());
     return new PeerWords({
       self: context.get(SELF),
       incarnation: context.get(INCARNATION),
@@ -52,6 +54,7 @@
       readAge: context.get(ReadAge),
       fleet: context.get(Fleet),
       quota: context.get(Quota),
+      limits: context.get(ServerLimits),
       quarantine: context.get(Quarantine),
       ledger: context.get(UsageLedger),
       hostUsage: context.get(HostUsage),
--- a/test/buying/buyer_test.ts
+++ b/test/buying/buyer_test.ts
@@ -27,7 +27,7 @@
   beforeEach(() => {
     clock = new VirtualClock();
     orders = [];
-    work = {prefillPerSecond: 0, running: 0};
+    work = {prefillPerSecond: 0, running: 0, limited: 0};
     stopped = new AbortController();
     fleet = new Fleet({
       clock,
@@ -157,12 +157,26 @@
     expect(ordered.reduce((sum, count) => sum + count, 0)).to.equal(7);
   });
 
+  it('orders a server in place of each that limits what it takes', async () => {
+    for (const dataCentre of CENTRES) {
+      addServers(dataCentre, 2, true);
+    }
+    work = {prefillPerSecond: 10_000, running: 1, limited: 0};
+    start();
+    await clock.advance(12_000);
+    orders.splice(0);
+    work = {prefillPerSecond: 10_000, running: 1, limited: 3};
+    await clock.advance(2000);
+    const ordered = orders.filter(({reclaimable}) => reclaimable);
+    expect(ordered.map(({count}) => count)).to.deep.equal([3, 3, 3]);
+  });
+
   describe('a holder that was killed under load and starts again', () => {
     it('gives no server back before it knows the work', async () => {
       for (const dataCentre of CENTRES) {
         addServers(dataCentre, 1, true);
       }
-      work = {prefillPerSecond: 10_000, running: 1};
+      work = {prefillPerSecond: 10_000, running: 1, limited: 0};
       start();
       await clock.advance(6500);
       // The other servers become known late, and so does the work.
@@ -170,7 +184,7 @@
         addServers(dataCentre, 4, true);
       }
       await clock.advance(1000);
-      work = {prefillPerSecond: 400_000, running: 9};
+      work = {prefillPerSecond: 400_000, running: 9, limited: 0};
       await clock.advance(5000);
       for (const {count} of orders) {
         expect(count).to.be.at.least(3);
--- a/test/peering/words_fixture.ts
+++ b/test/peering/words_fixture.ts
@@ -1,4 +1,5 @@
 import {Fleet, FleetServer, FleetState} from '../../src/fleet/index.js';
+import {ServerLimits} from '../../src/limits/index.js';
 import {SilentLog} from '../../src/log/index.js';
 import {Metrics} from '../../src/metrics/index.js';
 import {
@@ -38,6 +39,7 @@
   readonly metrics = new Metrics();
   readonly replica = new RowReplica({getSubstance: text => text});
   readonly quarantine: Quarantine;
+  readonly limits: ServerLimits;
   readonly words: PeerWords;
   holdsDuties = false;
 
@@ -80,6 +82,14 @@
     this.ledger = new UsageLedger(WINDOW_MS, () => clock.monotonicMs());
     const {metrics} = this;
     this.quarantine = new Quarantine({clock, log, metrics});
+    this.limits = new ServerLimits({
+      clock,
+      log,
+      metrics,
+      getTrueMs: () => clock.now().getTime(),
+      getTurn: () => this.known.getTurn(),
+      isKnownServer: () => true,
+    });
     this.words = new PeerWords({
       self,
       incarnation,
@@ -91,6 +101,7 @@
       readAge: this.readAge,
       fleet: this.fleet,
       quota: this.quota,
+      limits: this.limits,
       quarantine: this.quarantine,
       ledger: this.ledger,
       hostUsage: this.hostUsage,
--- a/test/platform/server_limit_test.ts
+++ b/test/platform/server_limit_test.ts
@@ -39,7 +39,8 @@
       '1,5',
       long,
     ]) {
-      const fault = read(text).match({Ok: () => '', Err: text => text});
+      const result = read(text);
+      const fault = result.isErr ? result.error : '';
       expect(fault).to.contain('decimal number').and.contain(text.slice(0, 20));
       expect(fault.length).to.be.below(150);
     }
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -87,6 +87,7 @@
   readonly clock = new SystemClock();
   readonly fleet: Fleet;
   readonly quarantine: Quarantine;
+  readonly limits: ServerLimits;
   readonly relay: Relay;
   readonly sent: ExchangeOrder[] = [];
   readonly copies: CopyOrder[] = [];
@@ -109,6 +110,14 @@
     catalog.offer(createCatalog(), 'test');
     const metrics = new Metrics();
     this.quarantine = new Quarantine({clock, log, metrics});
+    this.limits = new ServerLimits({
+      clock,
+      log,
+      metrics,
+      getTrueMs: () => clock.now().getTime(),
+      getTurn: () => ({hosts: 1, place: 0}),
+      isKnownServer: server => this.fleet.get(server) !== undefined,
+    });
     this.relay = new Relay({
       clock,
       log,
@@ -124,7 +133,7 @@
         countHeard: () => 1,
         getBound: () => ({windowMs: 8000, overage: 0, slack: 0}),
       }),
-      limits: new ServerLimits({log, metrics}),
+      limits: this.limits,
       quarantine: this.quarantine,
       budget: new SharedRetryBudget(clock, () => ({
         ratio: 0,
