--- a/src/limits/server_limits.ts
+++ b/src/limits/server_limits.ts
@@ -273,6 +273,8 @@
     if (this.tracked.size > MAX_TRACKED && oldest !== undefined) {
       this.tracked.delete(oldest);
     }
+    // Permits are issued from now on, whether there is a request or not.
+    this.getPlanned(server);
     if (before === perSecond) {
       return;
     }
--- a/test/platform/limited_server_test.ts
+++ b/test/platform/limited_server_test.ts
@@ -1,6 +1,10 @@
 import {expect} from 'chai';
 import {answerWith, Script, StandInServer} from './stand_in/stand_in_server.js';
-import {RunningHost, StandInSystem} from './stand_in/stand_in_system.js';
+import {
+  CallerView,
+  RunningHost,
+  StandInSystem,
+} from './stand_in/stand_in_system.js';
 
 /** Requests a second that each limited server takes from all hosts together. */
 const LIMIT = 2.6;
@@ -21,6 +25,14 @@
 ];
 /** Requests a second of all callers together. */
 const RATE = 120;
+/** Part of what limited servers take that has to be used. */
+const USED_SHARE = 0.8;
+/** Time in which a server has its full share again, in milliseconds. */
+const BACK_MS = 2000;
+/** Time in which a request that cannot be served is refused, in milliseconds. */
+const REFUSED_MS = 50;
+/** Part of the refusals that may come later: the machine may be busy. */
+const LATE_SHARE = 0.05;
 
 /** A limit that servers name, and what they got. */
 class LimitedServers {
@@ -63,6 +75,12 @@
     };
   }
 
+  /** Returns how many requests a server got from a moment up to another. */
+  countBetween(index: number, fromMs: number, toMs: number): number {
+    const arrivals = this.arrivalsMs[index] ?? [];
+    return arrivals.filter(ms => ms >= fromMs && ms < toMs).length;
+  }
+
   /** Returns the most that a server got in some span after a moment. */
   countMost(index: number, fromMs: number): number {
     const arrivals = (this.arrivalsMs[index] ?? []).filter(ms => ms >= fromMs);
@@ -76,6 +94,11 @@
   }
 }
 
+/** An answer as a caller got it, and how long it took. */
+interface TimedView extends CallerView {
+  readonly tookMs: number;
+}
+
 describe('a server that names a limit', () => {
   let system: StandInSystem;
   let hosts: RunningHost[];
@@ -103,9 +126,9 @@
   afterEach(() => system.stop());
 
   /** Has callers send at the usual rate, each host in its turn. */
-  async function sendFor(spanMs: number): Promise<void> {
+  async function sendFor(spanMs: number): Promise<TimedView[]> {
     const startMs = performance.now();
-    const calls: Promise<unknown>[] = [];
+    const calls: Promise<TimedView | undefined>[] = [];
     for (let sent = 0; ; sent++) {
       const dueMs = startMs + (sent * 1000) / RATE;
       if (dueMs >= startMs + spanMs) {
@@ -115,9 +138,20 @@
       await new Promise(resolve =>
         setTimeout(resolve, dueMs - performance.now()),
       );
-      calls.push(system.call(host, '/a/x', {}, 'body').catch(() => undefined));
+      calls.push(send(host));
+    }
+    const views = await Promise.all(calls);
+    return views.filter(view => view !== undefined);
+  }
+
+  async function send(host: RunningHost): Promise<TimedView | undefined> {
+    const sentMs = performance.now();
+    try {
+      const view = await system.call(host, '/a/x', {}, 'body');
+      return {...view, tookMs: performance.now() - sentMs};
+    } catch {
+      return undefined;
     }
-    await Promise.all(calls);
   }
 
   // Guards against a server being sent several times what it said it takes of all
@@ -129,4 +163,44 @@
     const most = limits.countMost(0, namedMs + CONTACT_MS);
     expect(most).to.be.at.most(ALLOWED);
   }).timeout(60_000);
+
+  it('has its full share again once it names none', async () => {
+    limits.setLimited(0, true);
+    await sendFor(CONTACT_MS);
+    limits.setLimited(0, false);
+    await sendFor(BACK_MS);
+    const backMs = performance.now();
+    await sendFor(WINDOW_MS);
+    const own = limits.countBetween(0, backMs, Infinity);
+    let others = 0;
+    for (let index = 1; index < SERVERS; index++) {
+      others += limits.countBetween(index, backMs, Infinity);
+    }
+    expect(own).to.be.above(others / (SERVERS - 1) / 2);
+  }).timeout(60_000);
+
+  it('and all others do, too: that is used, and the rest refused at once', async () => {
+    for (let index = 0; index < SERVERS; index++) {
+      limits.setLimited(index, true);
+    }
+    await sendFor(CONTACT_MS);
+    const fromMs = performance.now();
+    const views = await sendFor(2 * WINDOW_MS);
+    const spanMs = performance.now() - fromMs;
+    let used = 0;
+    for (let index = 0; index < SERVERS; index++) {
+      expect(limits.countMost(index, fromMs)).to.be.at.most(ALLOWED);
+      used += limits.countBetween(index, fromMs, Infinity);
+    }
+    const least = (USED_SHARE * SERVERS * LIMIT * spanMs) / 1000;
+    expect(used).to.be.at.least(least);
+    const refused = views.filter(({status}) => status === 503);
+    expect(refused.length).to.be.above(views.length / 2);
+    for (const {body, headers} of refused) {
+      expect(body).to.contain('"service-limited"').and.contain('"no"');
+      expect(Number(headers['retry-after'])).to.be.above(0);
+    }
+    const late = refused.filter(({tookMs}) => tookMs > REFUSED_MS);
+    expect(late.length).to.be.at.most(LATE_SHARE * refused.length);
+  }).timeout(60_000);
 });
--- a/test/platform/server_exchange_test.ts
+++ b/test/platform/server_exchange_test.ts
@@ -89,6 +89,61 @@
     });
   });
 
+  describe('the limit that its server names', () => {
+    const LIMIT = 'Server-Limit: 2.5';
+
+    /** Returns what is read of an answer's limit; nothing where it is not read. */
+    async function readLimit(
+      status: number,
+      headers: readonly string[],
+      change: (head: string) => string = head => head,
+    ): Promise<number | string | undefined> {
+      server.script = (socket, request) =>
+        void socket.write(
+          change(
+            formatHead(request, status, ['Content-Length: 0', ...headers]),
+          ),
+        );
+      const {limit} = await send();
+      return limit === undefined
+        ? 'not read'
+        : limit.mapOr<number | string | undefined>('unusable', stated =>
+            stated.unwrapOr(undefined),
+          );
+    }
+
+    it('is read of answers, failures and rejections', async () => {
+      for (const status of [200, 404, 500, 503]) {
+        expect(await readLimit(status, [LIMIT])).to.equal(2.5);
+      }
+      const rejected = ['Not-Executed: 1', LIMIT];
+      expect(await readLimit(503, rejected)).to.equal(2.5);
+    });
+
+    it('is none where an answer that is no failure names none', async () => {
+      expect(await readLimit(200, [])).to.equal(undefined);
+      expect(await readLimit(500, [])).to.equal('not read');
+      expect(await readLimit(503, ['Not-Executed: 1'])).to.equal('not read');
+    });
+
+    it('is the lowest of several, and nothing where one cannot be read', async () => {
+      expect(await readLimit(200, [LIMIT, 'Server-Limit: 1'])).to.equal(1);
+      expect(await readLimit(200, [LIMIT, 'Server-Limit: x'])).to.equal(
+        'unusable',
+      );
+      expect(
+        await readLimit(200, [`Server-Limit: ${'1'.repeat(10_240)}`]),
+      ).to.equal('unusable');
+    });
+
+    it('is not read of what another server or request was answered', async () => {
+      expect(await readLimit(421, [LIMIT])).to.equal('not read');
+      const change = (head: string) =>
+        head.replace(/Request-Id: \S+/, 'Request-Id: other');
+      expect(await readLimit(200, [LIMIT], change)).to.equal('not read');
+    });
+  });
+
   describe('an answer', () => {
     const cases: Record<string, [Script, string]> = {
       'of another request': [
