The soak has servers name limits, and checks the sum

The check counts what they get in any four seconds, but for hosts that were just started or frozen; a broken history is kept that it must find.

--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -1,5 +1,6 @@
 import {
   findChangedCounts,
+  findExcessAtLimits,
   findExcessRetries,
   findExcessUnits,
   findLowerFences,
@@ -61,6 +62,7 @@
   {name: 'leaving servers get nothing', timely: true, find: findLateWork},
   {name: 'planned stops lose nothing', timely: true, find: findLosses},
   {name: 'requests that end servers', timely: true, find: findEnding},
+  {name: 'limits of servers', timely: true, find: findExcessAtLimits},
   {name: 'recovery', timely: true, find: findNoRecovery},
 ];
 
--- a/test/soak/checks_test.ts
+++ b/test/soak/checks_test.ts
@@ -201,6 +201,22 @@
       }
     },
   ],
+  [
+    'limits of servers',
+    history => {
+      history.limits.push({
+        server: SERVER,
+        perSecond: 1,
+        fromMs: 7000,
+        toMs: 20_000,
+      });
+      for (let count = 0; count < 12; count++) {
+        const id = `l${count}`;
+        history.sendings.push(createSending({id}));
+        history.arrivals.push(createArrival({id, atMs: 11_000 + count}));
+      }
+    },
+  ],
   [
     'recovery',
     ({recovery}) => {
--- a/test/soak/find_excess.ts
+++ b/test/soak/find_excess.ts
@@ -1,6 +1,9 @@
 /** What bounds over all hosts do not allow. */
 import {History} from './history.js';
-import {groupRuns, isStruck} from './history_questions.js';
+import {groupRuns, isStruck, overlaps, touches} from './history_questions.js';
+import {FaultKind} from './schedule.js';
+
+const MS_PER_SECOND = 1000;
 
 /** Yields the start of each span that ends with one of some times. */
 function* listWindows(
@@ -69,6 +72,59 @@
   }
 }
 
+/** Span in which what a limited server gets is counted, in milliseconds. */
+const LIMIT_WINDOW_MS = 4000;
+/** Part of a limit that is allowed, and requests besides. */
+const LIMIT_SHARE = 1.5;
+const LIMIT_SLACK = 5;
+
+/** Faults after which a host may not know of a limit. */
+const FORGETTING: ReadonlySet<string> = new Set([
+  FaultKind.ALL_KILLED,
+  FaultKind.HOST_KILL,
+  FaultKind.HOST_STOP,
+  FaultKind.HOST_FREEZE,
+]);
+
+/** Requests of a host that has just started, or was frozen, are left out. */
+export function* findExcessAtLimits(history: History): Iterable<string> {
+  const {contactMs} = history.bounds;
+  const hosts = new Map(history.sendings.map(({id, host}) => [id, host]));
+  for (const {server, perSecond, fromMs, toMs} of history.limits) {
+    const timesMs = history.arrivals
+      .filter(
+        ({id, server: at, atMs}) =>
+          at === server &&
+          atMs >= fromMs + contactMs &&
+          atMs <= toMs &&
+          !mayHaveForgotten(history, hosts.get(id) ?? '', atMs),
+      )
+      .map(({atMs}) => atMs);
+    const allowed =
+      (LIMIT_SHARE * perSecond * LIMIT_WINDOW_MS) / MS_PER_SECOND + LIMIT_SLACK;
+    for (const [startMs, endMs] of listWindows(timesMs, LIMIT_WINDOW_MS)) {
+      const count = timesMs.filter(ms => ms > startMs && ms <= endMs).length;
+      if (count > allowed) {
+        yield `${server} got ${count} requests in 4 s until ${endMs} ms`;
+        break;
+      }
+    }
+  }
+}
+
+function mayHaveForgotten(
+  history: History,
+  host: string,
+  atMs: number,
+): boolean {
+  return history.faults.some(
+    fault =>
+      FORGETTING.has(fault.kind) &&
+      touches(fault, host) &&
+      overlaps(fault, atMs - history.bounds.contactMs, atMs),
+  );
+}
+
 export function* findLowerFences(history: History): Iterable<string> {
   const holders = new Map<number, string>();
   let highest = 0;
--- a/test/soak/history.ts
+++ b/test/soak/history.ts
@@ -57,6 +57,15 @@
   readonly atMs: number;
 }
 
+/** A limit while a server named it. */
+export interface NamedLimit {
+  readonly server: string;
+  /** Requests a second from all hosts together. */
+  readonly perSecond: number;
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
 /** A configuration that the store took. */
 export interface Change {
   readonly version: number;
@@ -109,6 +118,7 @@
   readonly sendings: Sending[];
   readonly arrivals: Arrival[];
   readonly leavings: Leaving[];
+  readonly limits: NamedLimit[];
   readonly changes: Change[];
   readonly duties: DutyCall[];
   readonly faults: FaultSpan[];
@@ -131,6 +141,7 @@
     sendings: [],
     arrivals: [],
     leavings: [],
+    limits: [],
     changes: [],
     duties: [],
     faults: [],
--- a/test/soak/injector.ts
+++ b/test/soak/injector.ts
@@ -1,7 +1,7 @@
 import {Callers} from './callers.js';
 import {FaultSpan, History} from './history.js';
 import {Fault, FaultKind} from './schedule.js';
-import {SoakServer} from './soak_server.js';
+import {LIMIT, SoakServer} from './soak_server.js';
 import {SoakSystem, wait} from './soak_system.js';
 
 /** Delay on a slow link, in milliseconds. */
@@ -120,6 +120,8 @@
         return this.hold(fault, name, on => (faults.fails = on));
       case FaultKind.SERVER_SHEDS:
         return this.hold(fault, name, on => (faults.sheds = on));
+      case FaultKind.SERVER_LIMITS:
+        return this.limit(fault, server);
       case FaultKind.SERVER_LINK_RESET:
         return this.during(fault, name, async () => link.reset());
       case FaultKind.SERVER_LINK_ONE_WAY:
@@ -135,6 +137,18 @@
     }
   }
 
+  /** Has a server name a limit, and notes for how long it did. */
+  private async limit(fault: Fault, server: SoakServer): Promise<void> {
+    const fromMs = this.system.getNowMs();
+    await this.hold(fault, server.name, on => (server.faults.limits = on));
+    this.history.limits.push({
+      server: server.start,
+      perSecond: LIMIT,
+      fromMs,
+      toMs: this.system.getNowMs(),
+    });
+  }
+
   private async during(
     {kind}: Fault,
     target: string,
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -30,9 +30,15 @@
   CALLERS_PRESS: 'callers-press',
   CALLERS_LEAVE: 'callers-leave',
   ENDING_REQUEST: 'ending-request',
+  SERVER_LIMITS: 'server-limits',
 } as const;
 export type FaultKind = (typeof FaultKind)[keyof typeof FaultKind];
 
+/** Kinds that are drawn by themselves, so that older seeds keep their other faults. */
+const DRAWN_APART: readonly FaultKind[] = [FaultKind.SERVER_LIMITS];
+/** Moves the seed by which those are drawn. */
+const APART = 0x5eed;
+
 /** One fault of a schedule. */
 export interface Fault {
   readonly kind: FaultKind;
@@ -59,6 +65,13 @@
 const PAUSE_MS = 1200;
 const SHORTEST_MS = 300;
 const LONGEST_MS = 3000;
+/** Share of schedules in which a server limits what it takes. */
+const LIMITED_SHARE = 0.5;
+/** Span of such a limit, in milliseconds: it binds some seconds after it is named. */
+const SHORTEST_LIMIT_MS = 7500;
+const LONGEST_LIMIT_MS = 10_000;
+/** Servers that name limits together, at most. */
+const MOST_LIMITED = 3;
 /** Share of faults that come as a series of the same kind. */
 const SERIES_SHARE = 0.2;
 const SERIES = 3;
@@ -87,12 +100,15 @@
     }
     atMs += Math.round(PAUSE_MS * (0.3 + 1.4 * random.next()));
   }
+  faults.push(...drawLimits(new SeededRandom(seed + APART)));
   faults.sort((a, b) => a.atMs - b.atMs);
   return {seed, hosts, servers: 2 * hosts, lengthMs, faults};
 }
 
 function drawFault(random: Random, atMs: number): Fault {
-  const kinds = Object.values(FaultKind);
+  const kinds = Object.values(FaultKind).filter(
+    kind => !DRAWN_APART.includes(kind),
+  );
   const kind = kinds[Math.floor(random.next() * kinds.length)];
   const spanMs = LONGEST_MS - SHORTEST_MS;
   return {
@@ -102,3 +118,20 @@
     target: Math.floor(random.next() * 64),
   };
 }
+
+function drawLimits(random: Random): Fault[] {
+  if (random.next() >= LIMITED_SHARE) {
+    return [];
+  }
+  const count = 1 + Math.floor(random.next() * MOST_LIMITED);
+  const atMs = Math.round(CALM_MS * random.next());
+  const spanMs = LONGEST_LIMIT_MS - SHORTEST_LIMIT_MS;
+  const forMs = Math.round(SHORTEST_LIMIT_MS + spanMs * random.next());
+  const first = Math.floor(random.next() * 64);
+  return Array.from({length: count}, (_value, index) => ({
+    kind: FaultKind.SERVER_LIMITS,
+    atMs,
+    forMs,
+    target: first + index,
+  }));
+}
--- a/test/soak/soak_server.ts
+++ b/test/soak/soak_server.ts
@@ -19,6 +19,8 @@
   fails: boolean;
   /** Says that it has no room. */
   sheds: boolean;
+  /** Names a limit in its answers. */
+  limits: boolean;
 }
 
 /** What a server needs to know of its run. */
@@ -29,6 +31,8 @@
   readonly onEnd: (server: SoakServer) => void;
 }
 
+/** Requests a second that a server which limits them takes. */
+export const LIMIT = 1;
 const EVENTS = 8;
 const EVENT_MS = 15;
 const WORK_MS = 15;
@@ -44,6 +48,7 @@
     spoils: false,
     fails: false,
     sheds: false,
+    limits: false,
   };
   readonly link: Link;
   private readonly server: StandInServer;
@@ -110,7 +115,11 @@
     this.options.history.arrivals.push(arrival);
     this.served++;
     if (this.faults.sheds) {
-      const more = ['Not-Executed: 1', 'Content-Length: 0'];
+      const more = [
+        'Not-Executed: 1',
+        'Content-Length: 0',
+        ...this.listLimit(),
+      ];
       socket.write(formatHead(request, 503, more));
       return;
     }
@@ -142,7 +151,10 @@
     const status = fails ? 500 : 200;
     const body = `${arrival.id} by ${this.start}`;
     const whole =
-      formatHead(request, status, [`Content-Length: ${body.length}`]) + body;
+      formatHead(request, status, [
+        `Content-Length: ${body.length}`,
+        ...this.listLimit(),
+      ]) + body;
     if (spoils && this.served % 2 === 0) {
       socket.write(whole.slice(0, -5), () => socket.resetAndDestroy());
       return;
@@ -155,6 +167,10 @@
     socket.write(whole);
   }
 
+  private listLimit(): string[] {
+    return this.faults.limits ? [`Server-Limit: ${LIMIT}`] : [];
+  }
+
   private stream(
     socket: Socket,
     request: SeenRequest,
@@ -164,6 +180,7 @@
       formatHead(request, 200, [
         'Content-Type: text/event-stream',
         'Transfer-Encoding: chunked',
+        ...this.listLimit(),
       ]),
     );
     let event = after;
