Tell versions apart in metrics, lines of route and explain

Runs are counted by service, version and how they ended (version_runs); a line of route names the version of the chosen server, and sedgefall explain groups by the one that a request was sent to last. A request that limits kept from servers is told apart. What went wrong is no longer listed with a separator in front.

Short of a metric a version for its latency: the ledger of a roll-out has it, others do not. Run: tests of relay and explain.

--- a/src/cli/explain_logs.ts
+++ b/src/cli/explain_logs.ts
@@ -89,8 +89,9 @@
     );
   }
   const paragraphs = found.map(history => {
-    const {outcome, cause, host} = judgeRequest(history);
-    const head = `${host}: ${outcome}${cause === '' ? '' : `: ${cause}`}`;
+    const {outcome, cause, host, version} = judgeRequest(history);
+    const why = cause === '' ? '' : `: ${cause}`;
+    const head = `${host}: ${outcome}${why} (version ${version})`;
     return [head, ...history.lines.map(({text}) => `  ${text}`)].join('\n');
   });
   return paragraphs.join('\n');
@@ -137,6 +138,8 @@
       return ({route}) => route;
     case LossGroup.CUSTOMER:
       return ({customer}) => customer;
+    case LossGroup.VERSION:
+      return ({version}) => version;
     case LossGroup.DATA_CENTRE:
       return ({host}) => histories.getDataCentre(host);
     case LossGroup.WINDOW:
--- a/src/explain/count_losses.ts
+++ b/src/explain/count_losses.ts
@@ -5,6 +5,7 @@
   CAUSE: 'cause',
   ROUTE: 'route',
   CUSTOMER: 'customer',
+  VERSION: 'version',
   DATA_CENTRE: 'data_centre',
   WINDOW: 'window',
 } as const;
--- a/src/explain/judge_request.ts
+++ b/src/explain/judge_request.ts
@@ -10,6 +10,8 @@
   readonly atMs: number;
   readonly route: string;
   readonly customer: string;
+  /** Version of the server that it was sent to last; `none` where it was not sent. */
+  readonly version: string;
   readonly outcome: 'served' | 'late' | 'refused' | 'failed' | 'unfinished';
   /** Empty where it was served in time. */
   readonly cause: string;
@@ -36,6 +38,7 @@
     atMs: lines[0]?.atMs ?? 0,
     route: findMember(lines, 'route'),
     customer: findMember(lines, 'customer'),
+    version: findMember([...lines].reverse(), 'version'),
   };
   const refusal = lines.find(({event}) => event === 'refused');
   if (refusal !== undefined) {
@@ -72,14 +75,14 @@
     return 'moved off a server that left';
   }
   const route = lines.find(({event}) => event === 'route');
-  if (route?.members.has('withheld') === true) {
-    return 'sent past servers whose limits were used up';
-  }
   const predictedMs = Number(route?.members.get('predicted_ms') ?? 0);
   const targetMs = Number(route?.members.get('target_ms') ?? Infinity);
-  return predictedMs > targetMs
-    ? 'late by its prediction: servers busy'
-    : 'slower than predicted';
+  if (predictedMs <= targetMs) {
+    return 'slower than predicted';
+  }
+  return route?.members.has('withheld') === true
+    ? 'late by its prediction: limits of other servers used up'
+    : 'late by its prediction: servers busy';
 }
 
 function findMember(lines: readonly LogLine[], key: string): string {
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -20,6 +20,10 @@
     options.fleet.addListener(server => this.leave(server));
     metrics.addCounter('relocated', 'Streams moved off leaving servers');
     metrics.addCounter('relayed', 'Relayed requests by route and outcome');
+    metrics.addCounter(
+      'version_runs',
+      'Runs by version of their server and end',
+    );
     metrics.addCounter('runs_lost', 'Runs that their server broke off');
     metrics.addHistogram('relay_first_byte', 'Time to the first byte');
     metrics.addHistogram('relay_whole', 'Time to the end of an answer');
--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -50,6 +50,7 @@
       catalog: this.options.catalog.getVersion(),
       attempt,
       server: chosen?.server,
+      version: this.getVersion(chosen?.server),
       server_limit: this.getLimit(chosen?.server),
       withheld: withheld.slice(0, MAX_NAMED).join(',') || undefined,
       target_ms: request.route.targetMs,
@@ -62,6 +63,13 @@
     });
   }
 
+  /** Returns the version of the chosen server. */
+  private getVersion(server: string | undefined): string | undefined {
+    return server === undefined
+      ? undefined
+      : this.options.fleet.get(server)?.version;
+  }
+
   /** Returns the limit that the chosen server names, in requests a second. */
   private getLimit(server: string | undefined): number | undefined {
     return server === undefined
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -184,12 +184,12 @@
     }
     const heldMs = this.watch.getHeldMs(this.answer.hasBegun());
     if (heldMs > 0) {
-      this.lastDetail = `${this.lastDetail}; kept away from servers`;
+      this.addDetail('kept away from servers');
       const seconds = heldMs / MS_PER_SECOND;
       return this.fail(problems.quarantined(this.content.getName(), seconds));
     }
     if (!this.attempts.begin()) {
-      this.lastDetail = `${this.lastDetail}; retry budget spent`;
+      this.addDetail('retry budget spent');
       return this.fail();
     }
     const {copied} = this;
@@ -291,7 +291,7 @@
       return true;
     }
     if (this.late.signal.aborted || this.getRemainingMs() < MIN_REMAINING_MS) {
-      this.lastDetail = `${this.lastDetail}; deadline passed`;
+      this.addDetail('deadline passed');
       this.fail();
       return true;
     }
@@ -327,7 +327,7 @@
       this.lastDetail ||= 'no server';
       return this.fail();
     }
-    this.lastDetail = `${this.lastDetail}; limits of servers used up`;
+    this.addDetail('limits of servers used up');
     const returnMs = limits.addRefused(this.service, withheld);
     const spreadMs = returnMs * (1 + RETURN_SPREAD * random.next());
     return this.fail(
@@ -349,6 +349,12 @@
     return decideByWait(waitMs, request.route.targetMs, options.random);
   }
 
+  /** Notes what else went wrong, after what did before. */
+  private addDetail(detail: string): void {
+    this.lastDetail =
+      this.lastDetail === '' ? detail : `${this.lastDetail}; ${detail}`;
+  }
+
   private createProblem(refusal: Problem | undefined): Problem {
     if (this.attempts.mayHaveRun()) {
       return this.late.signal.aborted
--- a/src/relay/run_watch.ts
+++ b/src/relay/run_watch.ts
@@ -55,7 +55,9 @@
       const result = await attempt();
       const hasEnded = await this.noteEnd(server, result);
       const {firstMs, wholeMs} = result;
-      run.finish(judgeVersionEnd(result, hasEnded), firstMs, wholeMs);
+      const end = judgeVersionEnd(result, hasEnded);
+      run.finish(end, firstMs, wholeMs);
+      this.options.metrics.increment('version_runs', {service, version, end});
       return result;
     } finally {
       run.finish(VersionEnd.NEUTRAL);
--- a/test/explain/explain_test.ts
+++ b/test/explain/explain_test.ts
@@ -69,6 +69,45 @@
     ]);
   });
 
+  describe('a request at servers of several versions', () => {
+    const LINES_OF_VERSIONS = [
+      'time=2030-01-01T00:00:01.000Z level=info event=route host=h1 request=r1 route=chat attempt=0 server=i-1 version=v1',
+      'time=2030-01-01T00:00:01.100Z level=info event=route host=h1 request=r1 route=chat attempt=1 server=i-2 version=v2',
+      'time=2030-01-01T00:00:01.200Z level=info event=relayed host=h1 request=r1 route=chat outcome=server-status-500 attempts=2 detail="i-2: status 500"',
+      'time=2030-01-01T00:00:02.000Z level=info event=refused host=h1 request=r2 route=chat reason=customer-over-rate ran=no',
+    ];
+
+    it('counts for the version that it was sent to last', () => {
+      const verdicts = read(LINES_OF_VERSIONS).list().map(judgeRequest);
+      expect(verdicts.map(({version}) => version)).to.deep.equal([
+        'v2',
+        'none',
+      ]);
+      const [first] = countLosses(verdicts, ({version}) => version);
+      expect(first?.group).to.equal('v2');
+      expect(first?.failed).to.equal(1);
+    });
+  });
+
+  describe('a request that limits of servers kept away', () => {
+    it('is told apart, refused or sent elsewhere', () => {
+      const verdicts = read([
+        'time=2030-01-01T00:00:01.000Z level=info event=route host=h1 request=r1 route=chat attempt=0 withheld=i-1,i-2 reason=no-server',
+        'time=2030-01-01T00:00:01.000Z level=info event=relayed host=h1 request=r1 route=chat outcome=service-limited attempts=1 detail="limits of servers used up"',
+        'time=2030-01-01T00:00:02.000Z level=info event=route host=h1 request=r2 route=chat attempt=0 server=i-3 withheld=i-1 target_ms=300 predicted_ms=700',
+        'time=2030-01-01T00:00:02.900Z level=info event=relayed host=h1 request=r2 route=chat outcome=answered attempts=1 late_ms=500',
+      ])
+        .list()
+        .map(judgeRequest);
+      expect(
+        verdicts.map(({outcome, cause}) => [outcome, cause]),
+      ).to.deep.equal([
+        ['refused', 'service-limited: limits of servers used up'],
+        ['late', 'late by its prediction: limits of other servers used up'],
+      ]);
+    });
+  });
+
   it('counts losses so that they add up', () => {
     const verdicts = read(LINES).list().map(judgeRequest);
     const rows = countLosses(verdicts, ({route}) => route);
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -87,6 +87,7 @@
   readonly clock = new SystemClock();
   readonly fleet: Fleet;
   readonly quarantine: Quarantine;
+  readonly metrics = new Metrics();
   readonly limits: ServerLimits;
   readonly relay: Relay;
   readonly sent: ExchangeOrder[] = [];
@@ -108,7 +109,7 @@
     });
     const catalog = new CatalogStore(log);
     catalog.offer(createCatalog(), 'test');
-    const metrics = new Metrics();
+    const {metrics} = this;
     this.quarantine = new Quarantine({clock, log, metrics});
     this.limits = new ServerLimits({
       clock,
--- a/test/relay/relay_test.ts
+++ b/test/relay/relay_test.ts
@@ -124,6 +124,24 @@
     });
   });
 
+  describe('runs', () => {
+    it('are counted by the version of their server and their end', async () => {
+      const fixture = new RelayFixture(answerInTurn(answer, fail));
+      for (const id of ['s1', 's2', 's3']) {
+        fixture.fleet.set({...createServer(id), version: 'v2'}, 'test');
+      }
+      await fixture.serve({});
+      await fixture.serve({});
+      const count = (end: string) =>
+        fixture.metrics.getCount('version_runs', {
+          service: 'desk',
+          version: 'v2',
+          end,
+        });
+      expect([count('good'), count('bad')]).to.deep.equal([1, 1]);
+    });
+  });
+
   describe('a stream', () => {
     it('tells of its server’s delay by its first event, not by later ones', async () => {
       const slow = createAnswer(
