--- a/src/prove/call_proofs.ts
+++ b/src/prove/call_proofs.ts
@@ -12,7 +12,8 @@
   createCallSchedules,
   createStopSchedules,
 } from './call_schedule.js';
-import {CallVariant, CallWorld} from './call_world.js';
+import {CallVariant} from './call_variant.js';
+import {CallWorld} from './call_world.js';
 import {History} from './history.js';
 import {Proof, RunReport} from './proof.js';
 
--- a/src/prove/call_world.ts
+++ b/src/prove/call_world.ts
@@ -1,67 +1,21 @@
 import {Result} from 'true-myth';
-import {problems, Ran} from '../errors/index.js';
-import {
-  BookDirectory,
-  Bookkeeper,
-  CallOrder,
-  CallOutcome,
-  DispatchKind,
-  DispatchResult,
-  getBookOfKey,
-  getEntryKey,
-  isSlotBook,
-  KeyMint,
-  OutcomeKind,
-  RecordedAnswer,
-} from '../journal/index.js';
-import {SilentLog} from '../log/index.js';
+import {CallOutcome, OutcomeKind} from '../journal/index.js';
 import {PeerFailure, PeerFailureKind} from '../peer/index.js';
 import {MemoryTableService} from '../table/index.js';
-import {fromCallMessage, OnceCalls} from '../service/index.js';
-import {CallMessage, OnceCall} from '../service/index.js';
+import {CallMessage, fromCallMessage, OnceCall} from '../service/index.js';
 import {VirtualClock} from '../time/index.js';
 import {CallSchedule, CallStep, HOSTS, ServiceFault} from './call_schedule.js';
 import {FaultyTable, TableFault} from './faulty_table.js';
-import {Gate, GatedClock} from './gate.js';
-import {History, Recorder, Told} from './history.js';
+import {CallVariant} from './call_variant.js';
+import {History, Recorder} from './history.js';
+import {ProofBackEnd} from './proof_back_end.js';
+import {createProofOrder, readAnswer, toTold} from './proof_call.js';
+import {isLive, ProofHost} from './proof_host.js';
+import {startProofHost} from './start_proof_host.js';
 
-/** How a variant differs from the product; all false in the product itself. */
-export interface CallVariant {
-  /** Calls are dispatched before they are recorded. */
-  readonly dispatchesFirst?: boolean;
-  /** A lost answer is taken for a call that was not sent. */
-  readonly trustsSilence?: boolean;
-  /** Answers of another key are passed on. */
-  readonly crossesAnswers?: boolean;
-  /** Books are handed over without their entries. */
-  readonly dropsEntries?: boolean;
-  /** A planned stop ends the process at once. */
-  readonly stopsAtOnce?: boolean;
-}
-
-/** One start of one entry host. */
-interface ProofHost {
-  readonly name: string;
-  readonly incarnation: string;
-  readonly gate: Gate;
-  readonly bookkeeper: Bookkeeper;
-  readonly calls: OnceCalls;
-  readonly directory: BookDirectory;
-  readonly stop: AbortController;
-  leaving: boolean;
-  cut: boolean;
-  /** Callers' requests being answered. */
-  inFlight: number;
-}
-
-const CUSTOMER = 'north-house';
-const DEPLOYMENT = 'bids';
 const PEER_MS = 3;
-const SERVICE_MS = 8;
-const LATE_MS = 4000;
 const SETTLE_MS = 40_000;
 const WATCH_MS = 1000;
-const LEASE_MS = 3000;
 const RETRY_MS = 100;
 const RETRIES = 2;
 const NOTICE_MS = 15_000;
@@ -78,8 +32,7 @@
   );
   private readonly recorder = new Recorder();
   private readonly hosts: ProofHost[] = [];
-  private readonly answers = new Map<string, string>();
-  private serviceFault: ServiceFault = ServiceFault.NONE;
+  private readonly backEnd: ProofBackEnd;
   private duplicating = false;
   private starts = 0;
   private asks = 0;
@@ -94,7 +47,9 @@
   constructor(
     private readonly variant: CallVariant,
     private readonly balances: boolean,
-  ) {}
+  ) {
+    this.backEnd = new ProofBackEnd(this.clock, this.recorder, variant);
+  }
 
   /**
    * Runs a schedule to its end.
@@ -111,7 +66,7 @@
       this.execute(step);
     }
     await this.clock.advance(SETTLE_MS / 2);
-    if (!this.hosts.some(host => this.isLive(host))) {
+    if (!this.hosts.some(host => isLive(host))) {
       // The platform replaces hosts: what was accepted waits for the next one.
       this.hosts[0] = this.startHost(0);
     }
@@ -135,8 +90,8 @@
         this.after(step.forMs, () => (this.table.fault = TableFault.NONE));
         return;
       case 'service':
-        this.serviceFault = step.fault;
-        this.after(step.forMs, () => (this.serviceFault = ServiceFault.NONE));
+        this.backEnd.fault = step.fault;
+        this.after(step.forMs, () => (this.backEnd.fault = ServiceFault.NONE));
         return;
       case 'duplicate':
         this.duplicating = true;
@@ -188,7 +143,7 @@
       return;
     }
     const successors = this.hosts
-      .filter(other => this.isLive(other) && other !== host)
+      .filter(other => isLive(other) && other !== host)
       .map(other => other.name);
     const endMs = this.clock.monotonicMs() + NOTICE_MS;
     const handedOver = host.bookkeeper.handOver(successors);
@@ -241,7 +196,13 @@
         key,
         payload,
       });
-      const order = this.createOrder(key, instance, payload, step);
+      const order = createProofOrder({
+        key,
+        instance,
+        payload,
+        deadlineMs: this.clock.monotonicMs() + step.timeoutMs,
+        respondAsync: step.async,
+      });
       const firstAttempt = !this.askedKeys.has(key);
       this.askedKeys.add(key);
       const call = {order, key, firstAttempt};
@@ -293,127 +254,18 @@
     return Promise.race([asked, nothing]);
   }
 
-  private createOrder(
-    key: string,
-    instance: string,
-    payload: string,
-    step: Extract<CallStep, {readonly kind: 'call'}>,
-  ): CallOrder {
-    return {
-      entryKey: getEntryKey(CUSTOMER, key),
-      requestId: `id-of-${key}`,
-      customer: CUSTOMER,
-      deployment: DEPLOYMENT,
-      fingerprint: payload,
-      call: {
-        requestId: `id-of-${key}`,
-        method: 'POST',
-        path: '/bids',
-        contentType: 'text/plain',
-        body: Buffer.from(payload),
-        key,
-      },
-      deadlineMs: this.clock.monotonicMs() + step.timeoutMs,
-      respondAsync: step.async,
-      instance,
-      copy: 0,
-    };
-  }
-
   private startHost(index: number): ProofHost {
-    const name = `host-${index}`;
-    const incarnation = `start${this.starts++}`;
-    const gate = new Gate();
-    const clock = new GatedClock(this.clock, gate);
-    const directory = new BookDirectory(name);
-    const mint = new KeyMint(name, incarnation);
-    const stop = new AbortController();
-    const bookkeeper = new Bookkeeper({
-      host: name,
-      incarnation,
-      table: {
-        get: key => gate.call(() => this.table.get(key)),
-        list: prefix => gate.call(() => this.table.list(prefix)),
-        transact: steps => gate.call(() => this.table.transact(steps)),
-      },
-      clock,
-      log: new SilentLog(),
-      directory,
-      listLiveHosts: () =>
-        this.hosts.filter(host => this.isLive(host)).map(host => host.name),
-      isGone: (other, start) =>
-        this.hosts.some(
-          host => host.name === other && host.incarnation !== start,
-        ),
-      book: {
-        clock,
-        log: new SilentLog(),
-        dispatch: order => gate.call(() => this.dispatch(order)),
-        lookUp: () => Promise.resolve(undefined),
-        mintKey: () => mint.mint(),
-        recordPatienceMs: 1200,
-        acceptedRetryMs: 500,
-        retentionMs: 600_000,
-      },
-      recordsFirst: book =>
-        isSlotBook(book) && this.variant.dispatchesFirst !== true,
-      writesPerSecond: 1000,
-      leaseMs: LEASE_MS,
-      watchMs: WATCH_MS,
-      lingerMs: 20,
-      retryMs: RETRY_MS,
-      retentionMs: 600_000,
-      ownsSlot: slot => this.isUsed(slot),
-      sendBook: async (to, handover) => {
-        const peer = this.hosts.find(host => host.name === to);
-        if (peer === undefined || !peer.gate.isOpen()) {
-          return false;
-        }
-        const entries =
-          this.variant.dropsEntries === true ? [] : handover.entries;
-        return peer.bookkeeper.receiveBook({...handover, entries});
-      },
-      sendOutcome: async (to, book, entry) => {
-        const peer = this.hosts.find(host => host.name === to);
-        return peer?.gate.isOpen() === true && !peer.cut
-          ? peer.bookkeeper.addLateOutcome(book, entry)
-          : false;
-      },
+    return startProofHost({
+      name: `host-${index}`,
+      incarnation: `start${this.starts++}`,
+      clock: this.clock,
+      table: this.table,
+      variant: this.variant,
+      backEnd: this.backEnd,
+      listHosts: () => this.hosts,
+      requestPeer: (from, to, body, timeoutMs) =>
+        this.requestPeer(from, to, body, timeoutMs),
     });
-    const calls = new OnceCalls({
-      host: name,
-      clock,
-      log: new SilentLog(),
-      bookkeeper,
-      directory,
-      requestPeer: (to, body, timeoutMs) =>
-        gate.call(() => this.requestPeer(name, to, body, timeoutMs)),
-      mintKey: () => mint.mint(),
-    });
-    const host: ProofHost = {
-      name,
-      incarnation,
-      gate,
-      bookkeeper,
-      calls,
-      directory,
-      stop,
-      leaving: false,
-      cut: false,
-      inFlight: 0,
-    };
-    void bookkeeper.watch(stop.signal);
-    return host;
-  }
-
-  /** Only the books that the keys of schedules fall into are worked with. */
-  private isUsed(book: string): boolean {
-    for (let key = 0; key < 4; key++) {
-      if (getBookOfKey(getEntryKey(CUSTOMER, `key-${key}`)) === book) {
-        return true;
-      }
-    }
-    return false;
   }
 
   private async requestPeer(
@@ -458,68 +310,6 @@
     return Promise.race([reply, lost]);
   }
 
-  private async dispatch(order: CallOrder): Promise<DispatchResult> {
-    const fault = this.serviceFault;
-    const notSent: DispatchResult = {
-      kind: DispatchKind.NOT_SENT,
-      problem: {...problems.serverFailed('refused'), ran: Ran.NO},
-    };
-    await this.clock.sleep(SERVICE_MS);
-    switch (fault) {
-      case ServiceFault.REFUSES:
-        return notSent;
-      case ServiceFault.CALL_LOST:
-        return this.lose(order);
-      case ServiceFault.ANSWER_LOST:
-        this.runCall(order);
-        return this.lose(order);
-      case ServiceFault.LATE:
-        this.after(LATE_MS, () => this.runCall(order));
-        return this.lose(order);
-      default:
-        return {kind: DispatchKind.ANSWERED, answer: this.runCall(order)};
-    }
-  }
-
-  private async lose(order: CallOrder): Promise<DispatchResult> {
-    const leftMs = order.deadlineMs - this.clock.monotonicMs();
-    await this.clock.sleep(Math.min(Math.max(0, leftMs), 1000));
-    return this.variant.trustsSilence === true
-      ? {
-          kind: DispatchKind.NOT_SENT,
-          problem: {...problems.serverFailed('silent'), ran: Ran.NO},
-        }
-      : {kind: DispatchKind.LOST, detail: 'no answer'};
-  }
-
-  /** The back end deduplicates nothing: every call that arrives runs. */
-  private runCall(order: CallOrder): RecordedAnswer {
-    const key = order.call.key ?? '';
-    const payload = Buffer.from(order.call.body).toString();
-    this.recorder.add({
-      kind: 'ran',
-      atMs: this.clock.monotonicMs(),
-      instance: order.instance,
-      key,
-      payload,
-    });
-    const crossed =
-      this.variant.crossesAnswers === true
-        ? [...this.answers.values()].find(other => other !== payload)
-        : undefined;
-    this.answers.set(key, payload);
-    const body = crossed ?? payload;
-    return {
-      status: 201,
-      contentType: 'text/plain',
-      bodyBase64: Buffer.from(body).toString('base64'),
-    };
-  }
-
-  private isLive(host: ProofHost): boolean {
-    return host.gate.isOpen() && !host.leaving && !host.cut;
-  }
-
   private getHost(index: number): ProofHost {
     const host = this.hosts[index % HOSTS];
     if (host === undefined) {
@@ -532,22 +322,3 @@
     void this.clock.sleep(ms).then(act);
   }
 }
-
-function toTold(outcome: CallOutcome | undefined): Told {
-  switch (outcome?.kind) {
-    case OutcomeKind.ANSWERED:
-      return 'answered';
-    case OutcomeKind.ACCEPTED:
-      return 'accepted';
-    case OutcomeKind.FAILED:
-      return outcome.problem.ran === Ran.NO ? 'did-not-run' : 'unknown';
-    case OutcomeKind.MOVED:
-      return 'unknown';
-    default:
-      return 'nothing';
-  }
-}
-
-function readAnswer(answer: RecordedAnswer): string {
-  return Buffer.from(answer.bodyBase64 ?? '', 'base64').toString();
-}
