--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -23,14 +23,10 @@
   readonly random: Random;
   /** Returns what live peers have in flight at a server. */
   readonly listPeerLoads: (server: string) => readonly HostLoad[];
-  /** Tells whether a channel to a server is open and idle; left out, one always is. */
-  readonly hasChannel?: (server: string) => boolean;
 }
 
 /** Milliseconds of detour to another data centre and back. */
 const HOP_MS = 3;
-/** Milliseconds that a new channel takes of server, host and network. */
-const CHANNEL_MS = 4;
 /** Milliseconds an engine takes per token of one stream, when moderately full. */
 const DECODE_MS = 5;
 /** Milliseconds a plain service works on a request, until its own are seen. */
@@ -256,7 +252,7 @@
         pendingPrefillTokens:
           sumAhead(tracked.prefill.list(), urgency) + peers.ahead,
         excessMs: tracked.getExcessMs(),
-        hopMs: this.getHopMs(server),
+        hopMs: server.dataCentre === this.options.dataCentre ? 0 : HOP_MS,
         ejected: this.outliers.isEjected(server.id) || tracked.isSilent(),
       });
     }
@@ -288,13 +284,6 @@
     );
   }
 
-  /** Returns what it takes to reach a server, in milliseconds. */
-  private getHopMs({id, dataCentre}: FleetServer): number {
-    const wayMs = dataCentre === this.options.dataCentre ? 0 : HOP_MS;
-    const hasChannel = this.options.hasChannel?.(id) ?? true;
-    return hasChannel ? wayMs : wayMs + CHANNEL_MS;
-  }
-
   private noteEnd(id: string, end: FlightEnd): void {
     if (end === FlightEnd.NEUTRAL) {
       return;
--- a/src/http/channel_pool.ts
+++ b/src/http/channel_pool.ts
@@ -30,17 +30,6 @@
     super({keepAlive: true, scheduling: 'lifo'});
   }
 
-  /** Tells whether a channel is open that serves no request. */
-  hasIdle(): boolean {
-    // Asked for each server that a request may go to, so without making a list.
-    for (const name in this.freeSockets) {
-      if ((this.freeSockets[name]?.length ?? 0) > 0) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** Closes the channels that serve no request; the others end by themselves. */
   closeIdle(): void {
     this.isClosing = true;
--- a/src/relay_host/bind_knowledge.ts
+++ b/src/relay_host/bind_knowledge.ts
@@ -10,14 +10,7 @@
 import {SharedRetryBudget} from '../routing/index.js';
 import {HostState} from './host_state.js';
 import {TrueTime} from '../usage/index.js';
-import {
-  CLOCK,
-  GET_SETTINGS,
-  HAS_CHANNEL,
-  LOG,
-  RANDOM,
-  SELF,
-} from './identifiers.js';
+import {CLOCK, GET_SETTINGS, LOG, RANDOM, SELF} from './identifiers.js';
 import {REPLICA} from './replica_names.js';
 
 /** Age at which a peer's loads count no longer, in milliseconds. */
@@ -39,7 +32,6 @@
       random: context.get(RANDOM),
       dataCentre: context.get(SELF).dataCentre,
       listPeerLoads: server => reports.listLoadsAt(server),
-      hasChannel: context.get(HAS_CHANNEL),
     });
   });
   bind(
--- a/src/relay_host/identifiers.ts
+++ b/src/relay_host/identifiers.ts
@@ -25,9 +25,6 @@
 export const INCARNATION: ServiceIdentifier<string> = Symbol('incarnation');
 export const TABLE: ServiceIdentifier<TableService> = Symbol('TableService');
 export const EXCHANGE: ServiceIdentifier<Exchange> = Symbol('Exchange');
-/** Tells whether a channel to a server is open and idle. */
-export const HAS_CHANNEL: ServiceIdentifier<(server: string) => boolean> =
-  Symbol('HasChannel');
 export const COPY_RUN: ServiceIdentifier<CopyRun> = Symbol('CopyRun');
 export const LOOK_FOR_END: ServiceIdentifier<LookForEnd> = Symbol('LookForEnd');
 export const ROLLOUT_STORE: ServiceIdentifier<RolloutStore> =
--- a/test/fleet/fleet_test.ts
+++ b/test/fleet/fleet_test.ts
@@ -2,7 +2,6 @@
 import {
   createStartId,
   Fleet,
-  FleetServer,
   FleetState,
   FlightEnd,
   HostLoad,
@@ -32,45 +31,7 @@
   });
 }
 
-function createServer(id: string): FleetServer {
-  return {
-    id,
-    name: id,
-    startedMs: 0,
-    service: SERVICE,
-    address: `${id}:1`,
-    dataCentre: 'here',
-    slots: 8,
-    state: FleetState.READY,
-    reclaimable: false,
-  };
-}
-
 describe('Fleet', () => {
-  describe('a server to which a channel is open', () => {
-    it('is nearer than another by what a channel takes', () => {
-      const clock = new VirtualClock();
-      const channels = new Set(['a']);
-      const fleet = new Fleet({
-        clock,
-        log: new SilentLog(),
-        random: new SeededRandom(1),
-        dataCentre: 'here',
-        listPeerLoads: () => [],
-        hasChannel: server => channels.has(server),
-      });
-      for (const id of ['a', 'b']) {
-        fleet.set(createServer(id), 'test');
-      }
-      const readHops = () =>
-        fleet.listKnowledge(SERVICE, {parts: []}).map(({hopMs}) => hopMs);
-      const [open = 0, closed = 0] = readHops();
-      expect(closed).to.be.above(open);
-      channels.add('b');
-      expect(readHops()).to.deep.equal([open, open]);
-    });
-  });
-
   let clock: VirtualClock;
   let peerLoads: HostLoad[];
   let fleet: Fleet;
@@ -80,7 +41,20 @@
     peerLoads = [];
     fleet = createFleet(clock, () => peerLoads);
     for (const id of ['a', 'b']) {
-      fleet.set(createServer(id), 'test');
+      fleet.set(
+        {
+          id,
+          name: id,
+          startedMs: 0,
+          service: SERVICE,
+          address: `${id}:1`,
+          dataCentre: 'here',
+          slots: 8,
+          state: FleetState.READY,
+          reclaimable: false,
+        },
+        'test',
+      );
     }
   });
 
--- a/test/platform/server_exchange_test.ts
+++ b/test/platform/server_exchange_test.ts
@@ -67,15 +67,6 @@
       expect(server.channels).to.equal(1);
     });
 
-    it('tells whether a channel is open that serves no request', async () => {
-      expect(exchange.hasChannel('i-1')).to.equal(false);
-      await read(await send());
-      await new Promise(resolve => setImmediate(resolve));
-      expect(exchange.hasChannel('i-1')).to.equal(true);
-      exchange.forget('i-1');
-      expect(exchange.hasChannel('i-1')).to.equal(false);
-    });
-
     it('leaves nothing on a channel that is used many times', async () => {
       const warnings: string[] = [];
       const warn = (warning: Error) => warnings.push(warning.name);
