--- a/src/limits/server_limits.ts
+++ b/src/limits/server_limits.ts
@@ -4,6 +4,7 @@
 import {DemandMeter} from '../quota/index.js';
 import {hashText} from '../random/index.js';
 import {Clock} from '../time/index.js';
+import {CarriedTime} from './carried_time.js';
 import {MAX_TOLD, ToldLimit} from './limit_news.js';
 import {PERMIT_LIFE_MS} from './permit_schedule.js';
 import {RankDemand} from './rank_demand.js';
@@ -40,8 +41,6 @@
 const MAX_TRACKED = 4096;
 /** Servers whose unusable statements are remembered, so that each is logged once. */
 const MAX_FAULTY = 1000;
-/** Time for which a reading of true time is carried on, in milliseconds. */
-const CARRIED_MS = 1000;
 /** Longest time after which a caller is told to come back, in milliseconds. */
 const MAX_RETURN_MS = 10_000;
 const MS_PER_SECOND = 1000;
@@ -59,17 +58,16 @@
   private readonly listeners: (() => void)[] = [];
   private readonly refused: DemandMeter;
   private readonly demand: RankDemand;
+  private readonly time: CarriedTime;
   private readonly startMs: number;
   private trimmedMs: number;
-  /** True time less the monotonic clock, and when it was read. */
-  private trueOffsetMs = 0;
-  private offsetReadMs = Number.NEGATIVE_INFINITY;
   private version = 0;
 
   constructor(private readonly options: ServerLimitsOptions) {
     const {clock, metrics} = options;
     this.startMs = clock.monotonicMs();
     this.trimmedMs = this.startMs;
+    this.time = new CarriedTime(clock, options.getTrueMs);
     this.refused = new DemandMeter(clock);
     this.demand = new RankDemand(clock);
     metrics.addGauge(
@@ -149,13 +147,13 @@
     return (
       limit !== undefined &&
       this.hasLearnt() &&
-      limit.schedule.holdsTrial(this.getTrueMs())
+      limit.schedule.holdsTrial(this.time.getMs())
     );
   }
 
   /** Notes that a server is sent a request. */
   take(server: string): void {
-    this.getPlanned(server)?.schedule.take(this.getTrueMs());
+    this.getPlanned(server)?.schedule.take(this.time.getMs());
   }
 
   /**
@@ -168,7 +166,7 @@
   addRefused(service: string, servers: readonly string[]): number {
     this.refused.add(service, 1);
     this.options.metrics.increment('limit_refused', {service});
-    const nowMs = this.getTrueMs();
+    const nowMs = this.time.getMs();
     let perSecond = 0;
     let waitMs = MAX_RETURN_MS;
     for (const server of servers) {
@@ -251,7 +249,7 @@
     if (limit === undefined) {
       return Infinity;
     }
-    return this.hasLearnt() ? limit.schedule.countHeld(this.getTrueMs()) : 0;
+    return this.hasLearnt() ? limit.schedule.countHeld(this.time.getMs()) : 0;
   }
 
   private createLimit(server: string): TrackedLimit {
@@ -300,21 +298,10 @@
     }
     const {hosts, place} = this.options.getTurn();
     const plan = {perSecond, hosts, place: (place + limit.offset) % hosts};
-    limit.schedule.setPlan(plan, this.getTrueMs());
+    limit.schedule.setPlan(plan, this.time.getMs());
     return limit;
   }
 
-  /** Returns true time, which takes the readings of all hosts to work out. */
-  private getTrueMs(): number {
-    const {clock, getTrueMs} = this.options;
-    const nowMs = clock.monotonicMs();
-    if (nowMs - this.offsetReadMs >= CARRIED_MS) {
-      this.offsetReadMs = nowMs;
-      this.trueOffsetMs = getTrueMs() - nowMs;
-    }
-    return nowMs + this.trueOffsetMs;
-  }
-
   /** Tells whether this host has been there for long enough to know its turn. */
   private hasLearnt(): boolean {
     return this.options.clock.monotonicMs() - this.startMs >= LEARN_MS;
--- a/src/limits/tracked_limit.ts
+++ b/src/limits/tracked_limit.ts
@@ -15,8 +15,12 @@
 const DOUBLING_MS = 100;
 /** Doublings after which the server counts as any other. */
 const DOUBLINGS = 8;
-/** Share of a limit by which it may change without a word to peers. */
-const TOLERANCE = 0.1;
+/**
+ * Shares of a limit by which it may fall and rise without a word to peers: one that is
+ * named a little otherwise in each answer would else be told after each.
+ */
+const FALL_TOLERANCE = 0.1;
+const RISE_TOLERANCE = 0.25;
 
 /** What is known of the limit of one server. */
 export class TrackedLimit {
@@ -83,8 +87,9 @@
     if (before === undefined) {
       return true;
     }
-    const isNear = Math.abs(stated - before) <= before * TOLERANCE;
-    return !isNear && (stated < before || isSentSince);
+    return stated < before
+      ? stated < before * (1 - FALL_TOLERANCE)
+      : isSentSince && stated > before * (1 + RISE_TOLERANCE);
   }
 
   /** Returns the requests a second that all hosts may send; absent without a bound. */
--- a/test/limits/shared_limit_test.ts
+++ b/test/limits/shared_limit_test.ts
@@ -156,6 +156,18 @@
     }).timeout(60_000);
   }
 
+  it('does not keep hosts from hearing each other, whatever figure is named', async () => {
+    for (const limit of [1e31, Number.MAX_VALUE, 1e-300]) {
+      const server = await start(3, 1, limit);
+      await server.run(CONTACT_MS);
+      for (const {known, limits, metrics} of server.fixture.hosts) {
+        expect(known.countAlive()).to.equal(3);
+        expect(limits.getLimit('i-1')).to.equal(limit);
+        expect(metrics.format()).not.to.match(/peer_words_refused\S+ [1-9]/);
+      }
+    }
+  });
+
   describe('while hosts come and go', () => {
     for (const hosts of [8, 89]) {
       for (let seed = 1; seed <= 6; seed++) {
