--- a/src/bin/slopes.ts
+++ b/src/bin/slopes.ts
@@ -4,11 +4,12 @@
 import {
   measureDaemon,
   measureLeaving,
+  measureLimits,
   measureSlopes,
   measureToday,
 } from '../slopes/index.js';
 
-for (const line of measureSlopes()) {
+for (const line of [...measureSlopes(), ...measureLimits()]) {
   process.stdout.write(`${formatLine(line)}\n`);
 }
 for (const count of [10, 72]) {
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -169,6 +169,18 @@
     return found;
   }
 
+  /** Tells whether a function picks any of a service's servers that take work. */
+  hasReady(service: string, picks: (server: FleetServer) => boolean): boolean {
+    for (const {server} of this.servers.values()) {
+      const isReady =
+        server.service === service && server.state === FleetState.READY;
+      if (isReady && picks(server)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Counts the servers of a service that take work, by version. */
   countReady(service: string): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
--- a/src/limits/server_limits.ts
+++ b/src/limits/server_limits.ts
@@ -117,10 +117,26 @@
     }
   }
 
+  /** Tells whether what a server gets is bounded now. */
+  isLimited(server: string): boolean {
+    return this.tracked.get(server)?.getRate() !== undefined;
+  }
+
+  /** Lists the servers, of any service, that there is no permit for now. */
+  listUsedUp(): string[] {
+    const usedUp: string[] = [];
+    for (const server of this.tracked.keys()) {
+      if (this.countHeld(server) === 0) {
+        usedUp.push(server);
+      }
+    }
+    return usedUp;
+  }
+
   /**
-   * Lists the servers that a request must not be sent to now: those without a permit. Where
-   * all are limited, permits are left for more urgent requests, as many as are expected
-   * while these last.
+   * Lists the servers that a request must not be sent to now, where all that it may go to
+   * are limited: those without a permit. Permits are left for more urgent requests, as
+   * many as are expected while these last.
    * @param service - The service.
    * @param servers - Servers that it may go to otherwise.
    * @param rank - Rank of the request; 0 is the most urgent.
--- a/src/relay/server_choice.ts
+++ b/src/relay/server_choice.ts
@@ -85,17 +85,23 @@
       return [];
     }
     const {request, service, attempts} = this.order;
-    const servers: string[] = [];
-    for (const server of fleet.listServers(service)) {
-      const isOpen =
-        server.state === FleetState.READY &&
-        !attempts.excluded.has(server.id) &&
-        allows?.(server) !== false;
-      if (isOpen) {
-        servers.push(server.id);
-      }
+    const isOpen = (server: FleetServer) =>
+      server.state === FleetState.READY &&
+      !attempts.excluded.has(server.id) &&
+      allows?.(server) !== false;
+    const hasFree = fleet.hasReady(
+      service,
+      server => isOpen(server) && !limits.isLimited(server.id),
+    );
+    if (hasFree) {
+      // Of many servers few are limited: the others need not be looked at.
+      return limits
+        .listUsedUp()
+        .filter(id => fleet.get(id)?.service === service);
     }
-    return limits.listWithheld(service, servers, rankUrgency(request));
+    const servers = fleet.listServers(service).filter(isOpen);
+    const names = servers.map(({id}) => id);
+    return limits.listWithheld(service, names, rankUrgency(request));
   }
 
   /** The first token may take this long at no loss, with room for surprises. */
--- a/test/relay/relay_test.ts
+++ b/test/relay/relay_test.ts
@@ -72,6 +72,13 @@
       expect(new Set(fixture.listServers())).to.deep.equal(new Set(['s2']));
     });
 
+    it('of another service keep nothing from this one’s', async () => {
+      const fixture = createFixture(answer, 's1', 'x1');
+      fixture.fleet.set({...createServer('x1'), service: 'other'}, 'test');
+      await fixture.serve(route);
+      expect(['s2', 's3']).to.include(fixture.listServers()[0]);
+    });
+
     it('are passed over by second attempts, too', async () => {
       const fixture = createFixture(lose, 's1', 's3');
       await fixture.serve(route);
