--- a/test/limits/shared_limit_test.ts
+++ b/test/limits/shared_limit_test.ts
@@ -169,6 +169,36 @@
   });
 
   describe('while hosts come and go', () => {
+    for (const [hosts, centres] of [
+      [8, 4],
+      [89, 3],
+    ] as const) {
+      for (const seed of [1, 2, 3]) {
+        it(`is kept by ${hosts} hosts of which most end and start at once, seed ${seed}`, async () => {
+          const server = await start(hosts, centres, 2.6, seed);
+          await server.run(CONTACT_MS);
+          const fromMs = server.getNowMs();
+          for (let round = 0; round < 3; round++) {
+            const {fixture} = server;
+            const struck = fixture.hosts
+              .map((host, index) => ({host, index}))
+              .filter(({index}) => (index + round + seed) % 4 !== 0);
+            for (const {host} of struck) {
+              fixture.kill(host);
+            }
+            await server.run(500 * seed);
+            for (const {index} of struck) {
+              fixture.start(index);
+            }
+            await server.run(CONTACT_MS);
+          }
+          // Hosts that have just started send before they hear of the limit.
+          const most = server.countMost(fromMs, server.awareMs);
+          expect(most).to.be.at.most(getAllowed(2.6));
+        }).timeout(60_000);
+      }
+    }
+
     for (const hosts of [8, 89]) {
       for (let seed = 1; seed <= 6; seed++) {
         it(`is kept by ${hosts} hosts that restart in turn, seed ${seed}`, async () => {
