--- a/test/soak/find_excess.ts
+++ b/test/soak/find_excess.ts
@@ -1,6 +1,6 @@
 /** What bounds over all hosts do not allow. */
 import {History} from './history.js';
-import {groupRuns, isStruck, overlaps, touches} from './history_questions.js';
+import {groupRuns, isStruck, isStruckBy} from './history_questions.js';
 import {FaultKind} from './schedule.js';
 
 const MS_PER_SECOND = 1000;
@@ -117,12 +117,9 @@
   host: string,
   atMs: number,
 ): boolean {
-  return history.faults.some(
-    fault =>
-      FORGETTING.has(fault.kind) &&
-      touches(fault, host) &&
-      overlaps(fault, atMs - history.bounds.contactMs, atMs),
-  );
+  const fromMs = atMs - history.bounds.contactMs;
+  const isKind = (kind: string) => FORGETTING.has(kind);
+  return isStruckBy(history, host, isKind, fromMs, atMs);
 }
 
 export function* findLowerFences(history: History): Iterable<string> {
--- a/test/soak/history_questions.ts
+++ b/test/soak/history_questions.ts
@@ -25,9 +25,7 @@
   atMs: number,
 ): boolean {
   const sinceMs = atMs - history.bounds.contactMs;
-  return history.faults.some(
-    fault => touches(fault, host) && overlaps(fault, sinceMs, atMs),
-  );
+  return isStruckBy(history, host, () => true, sinceMs, atMs);
 }
 
 export function touches({target}: FaultSpan, host: string): boolean {
@@ -47,11 +45,25 @@
   history: History,
   host: string,
   atMs: number,
+): boolean {
+  const fromMs = atMs - UNWRITTEN_MS;
+  const toMs = atMs + UNWRITTEN_MS;
+  const isKill = (kind: string) => kind.includes('kill');
+  return isStruckBy(history, host, isKill, fromMs, toMs);
+}
+
+/** Tells whether a fault of some kind struck a host, or all, in a span. */
+export function isStruckBy(
+  history: History,
+  host: string,
+  isKind: (kind: string) => boolean,
+  fromMs: number,
+  toMs: number,
 ): boolean {
   return history.faults.some(
     fault =>
-      fault.kind.includes('kill') &&
+      isKind(fault.kind) &&
       touches(fault, host) &&
-      overlaps(fault, atMs - UNWRITTEN_MS, atMs + UNWRITTEN_MS),
+      overlaps(fault, fromMs, toMs),
   );
 }
