--- a/src/prove/all_proofs.ts
+++ b/src/prove/all_proofs.ts
@@ -5,7 +5,7 @@
   refusalsAreTrue,
   stopsCutNothing,
 } from './call_proofs.js';
-import {configurationHolds} from './configuration_world.js';
+import {configurationHolds} from './configuration_proof.js';
 import {leasesExclude} from './lease_world.js';
 import {leavingGetsNothing} from './leaving_world.js';
 import {prove, ProofOptions, ProofResult} from './proof.js';
--- /dev/null
+++ b/src/prove/configuration_schedule.ts
@@ -0,0 +1,72 @@
+import fc from 'fast-check';
+import {TableFault} from './faulty_table.js';
+
+/** Entry hosts of the world. */
+export const HOSTS = 4;
+
+/** One step of a schedule of changes and faults. */
+export type ConfigurationStep =
+  | {
+      readonly kind: 'change';
+      readonly host: number;
+      readonly record: number;
+      /** Schema version it is written in. */
+      readonly version: number;
+    }
+  | {
+      readonly kind: 'table';
+      readonly fault: TableFault;
+      readonly forMs: number;
+    }
+  | {
+      readonly kind: 'cut' | 'freeze';
+      readonly host: number;
+      readonly forMs: number;
+    }
+  | {readonly kind: 'restart'; readonly host: number}
+  | {readonly kind: 'slow-peers'; readonly forMs: number};
+
+/** A schedule: each step comes a while after the one before. */
+export type ConfigurationSchedule = readonly {
+  readonly afterMs: number;
+  readonly step: ConfigurationStep;
+}[];
+
+const host = fc.integer({min: 0, max: HOSTS - 1});
+const forMs = fc.integer({min: 100, max: 6000});
+const steps: fc.Arbitrary<ConfigurationStep> = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant('change' as const),
+      host,
+      record: fc.integer({min: 0, max: 1}),
+      version: fc.constantFrom(1, 2),
+    }) as fc.Arbitrary<ConfigurationStep>,
+  },
+  fc.record({
+    kind: fc.constant('table' as const),
+    fault: fc.constantFrom(...Object.values(TableFault)),
+    forMs,
+  }) as fc.Arbitrary<ConfigurationStep>,
+  fc.record({
+    kind: fc.constantFrom('cut' as const, 'freeze' as const),
+    host,
+    forMs,
+  }) as fc.Arbitrary<ConfigurationStep>,
+  fc.record({
+    kind: fc.constant('restart' as const),
+    host,
+  }) as fc.Arbitrary<ConfigurationStep>,
+  fc.record({
+    kind: fc.constant('slow-peers' as const),
+    forMs,
+  }) as fc.Arbitrary<ConfigurationStep>,
+);
+
+/** Schedules of changes and faults, some of each in turn. */
+export const configurationSchedules: fc.Arbitrary<ConfigurationSchedule> =
+  fc.array(
+    fc.record({afterMs: fc.constantFrom(0, 10, 300, 1500), step: steps}),
+    {minLength: 4, maxLength: 14},
+  );
--- a/src/prove/configuration_world.ts
+++ b/src/prove/configuration_world.ts
@@ -1,4 +1,3 @@
-import fc from 'fast-check';
 import {Result} from 'true-myth';
 import {
   ChangeFailureKind,
@@ -15,39 +14,15 @@
 import {HostRole, HostState, ListedHost} from '../host_list/index.js';
 import {MemoryTableService} from '../table/index.js';
 import {VirtualClock} from '../time/index.js';
+import {
+  ConfigurationSchedule,
+  ConfigurationStep,
+  HOSTS,
+} from './configuration_schedule.js';
 import {FaultyTable, TableFault} from './faulty_table.js';
 import {Gate, GatedClock} from './gate.js';
-import {Proof, RunReport} from './proof.js';
-
-/** One step of a schedule of changes and faults. */
-export type ConfigurationStep =
-  | {
-      readonly kind: 'change';
-      readonly host: number;
-      readonly record: number;
-      /** Schema version it is written in. */
-      readonly version: number;
-    }
-  | {
-      readonly kind: 'table';
-      readonly fault: TableFault;
-      readonly forMs: number;
-    }
-  | {
-      readonly kind: 'cut' | 'freeze';
-      readonly host: number;
-      readonly forMs: number;
-    }
-  | {readonly kind: 'restart'; readonly host: number}
-  | {readonly kind: 'slow-peers'; readonly forMs: number};
+import {RunReport} from './proof.js';
 
-/** A schedule: each step comes a while after the one before. */
-export type ConfigurationSchedule = readonly {
-  readonly afterMs: number;
-  readonly step: ConfigurationStep;
-}[];
-
-const HOSTS = 4;
 const IN_FORCE_MS = 4000;
 const HEARTBEAT_MS = 500;
 const POLL_MS = 1000;
@@ -82,7 +57,7 @@
 }
 
 /** Four entry hosts in two data centres, on a virtual clock. */
-class ConfigurationWorld {
+export class ConfigurationWorld {
   private readonly clock = new VirtualClock();
   private readonly table = new FaultyTable(
     new MemoryTableService(),
@@ -410,46 +385,3 @@
   records.sort((a, b) => (a.name < b.name ? -1 : 1));
   return records;
 }
-
-const host = fc.integer({min: 0, max: HOSTS - 1});
-const forMs = fc.integer({min: 100, max: 6000});
-const steps: fc.Arbitrary<ConfigurationStep> = fc.oneof(
-  {
-    weight: 6,
-    arbitrary: fc.record({
-      kind: fc.constant('change' as const),
-      host,
-      record: fc.integer({min: 0, max: 1}),
-      version: fc.constantFrom(1, 2),
-    }) as fc.Arbitrary<ConfigurationStep>,
-  },
-  fc.record({
-    kind: fc.constant('table' as const),
-    fault: fc.constantFrom(...Object.values(TableFault)),
-    forMs,
-  }) as fc.Arbitrary<ConfigurationStep>,
-  fc.record({
-    kind: fc.constantFrom('cut' as const, 'freeze' as const),
-    host,
-    forMs,
-  }) as fc.Arbitrary<ConfigurationStep>,
-  fc.record({
-    kind: fc.constant('restart' as const),
-    host,
-  }) as fc.Arbitrary<ConfigurationStep>,
-  fc.record({
-    kind: fc.constant('slow-peers' as const),
-    forMs,
-  }) as fc.Arbitrary<ConfigurationStep>,
-);
-
-/** Accepted configuration is in force everywhere in time, and never reverts. */
-export const configurationHolds: Proof<ConfigurationSchedule> = {
-  name: 'configuration-holds',
-  variant: 'takes over a lower revision',
-  schedules: fc.array(
-    fc.record({afterMs: fc.constantFrom(0, 10, 300, 1500), step: steps}),
-    {minLength: 4, maxLength: 14},
-  ),
-  run: (schedule, broken) => new ConfigurationWorld(broken).run(schedule),
-};
--- a/src/prove/stream_world.ts
+++ b/src/prove/stream_world.ts
@@ -1,13 +1,4 @@
-import {
-  CacheExport,
-  EngineOrder,
-  GenerationFormat,
-  GenerationOrder,
-  ModelEngine,
-  Reach,
-  ServerFailure,
-  Token,
-} from '../backend/index.js';
+import {GenerationFormat} from '../backend/index.js';
 import {ConfigurationStore, RecordKind} from '../configuration/index.js';
 import {FakeEngine, getExpectedTokens} from '../fakes/index.js';
 import {
@@ -25,6 +16,7 @@
 import {chooseServer, RetryBudget, ServerDirectory} from '../routing/index.js';
 import {VirtualClock} from '../time/index.js';
 import {RunReport} from './proof.js';
+import {SpoiltEngine} from './spoilt_engine.js';
 import {StreamSchedule, StreamStep} from './stream_schedule.js';
 
 /** How a variant differs from the product. */
@@ -40,74 +32,6 @@
 const SETTLE_MS = 60_000;
 const DEADLINE_MS = 50_000;
 
-/** An engine whose next stream can be spoilt. */
-class SpoiltEngine implements ModelEngine {
-  spoil: StreamStep['kind'] | 'none' = 'none';
-  private readonly killed = new AbortController();
-
-  constructor(
-    readonly engine: FakeEngine,
-    private readonly clock: VirtualClock,
-  ) {}
-
-  kill(): void {
-    this.killed.abort();
-  }
-
-  async *generate(
-    order: GenerationOrder,
-    signal: AbortSignal,
-  ): AsyncGenerator<Token> {
-    if (this.killed.signal.aborted) {
-      throw new ServerFailure(Reach.NOT_SENT, 'refused');
-    }
-    const {spoil} = this;
-    this.spoil = 'none';
-    const either = AbortSignal.any([signal, this.killed.signal]);
-    let sent = 0;
-    for await (const token of this.engine.generate(order, either)) {
-      sent++;
-      if (spoil === 'cross' && sent === 2) {
-        yield {...token, requestId: 'another', text: 'CROSSED '};
-        continue;
-      }
-      if (spoil === 'skip' && sent === 2) {
-        continue;
-      }
-      yield token;
-      if (spoil === 'double' && sent === 2) {
-        yield token;
-      }
-      if (spoil === 'break' && sent === 3) {
-        throw new ServerFailure(Reach.SENT, 'broken off');
-      }
-      if (spoil === 'silence' && sent === 3) {
-        await this.clock.sleep(SETTLE_MS, either);
-      }
-    }
-  }
-
-  getLoad() {
-    return this.engine.getLoad();
-  }
-
-  listCacheEvents(after: number) {
-    return this.engine.listCacheEvents(after);
-  }
-
-  exportCache(requestId: string) {
-    return this.engine.exportCache(requestId);
-  }
-
-  importCache(cache: CacheExport) {
-    return this.engine.importCache(cache);
-  }
-
-  give(order: EngineOrder) {
-    return this.engine.give(order);
-  }
-}
-
 /** A reader of one generation, which may come back after losing its place. */
 interface Reading {
   readonly generation: Generation;
--- a/test/prove/found_faults_test.ts
+++ b/test/prove/found_faults_test.ts
@@ -5,7 +5,7 @@
   atMostOnce,
   refusalsAreTrue,
 } from '../../src/prove/call_proofs.js';
-import {configurationHolds} from '../../src/prove/configuration_world.js';
+import {configurationHolds} from '../../src/prove/configuration_proof.js';
 import {leasesExclude} from '../../src/prove/lease_world.js';
 import {reclaimCutsNothing} from '../../src/prove/stream_proofs.js';
 
