A signal to reload does not end a daemon that still loads

Trace: front-2 was stopped as planned, ended at 14,441 ms and was started again 0.1 s later; at 14,941 ms its settings were changed and SIGHUP sent; a busy machine loads the daemon in half a second, and until it listens for the signal the system ends it. Ruled out: an end by itself (no code, no line), the freezes (over 7 s before).

The first thing that a start does is to listen; what the signal tells of is read later. The test failed before (SIGHUP) and passes. Left: some 30 ms until Node.js runs anything.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -77,6 +77,7 @@
 });
 
 copyFileSync('scripts/start_bundle.cjs', 'target/sedgefalld.cjs');
+copyFileSync('scripts/early_signals.cjs', 'target/early_signals.cjs');
 
 // Run for a moment, before a store that does not answer, so that what every start
 // runs is compiled; the rest is compiled when it is first called.
--- a/test/soak/soak_host.ts
+++ b/test/soak/soak_host.ts
@@ -22,7 +22,12 @@
 const MS_PER_SECOND = 1000;
 /** Time after which a process that ended is started again, in milliseconds. */
 const RESTART_MS = 100;
-const PROGRAM = 'dist/platform/sedgefalld.js';
+/** As the bundled daemon is started. */
+const PROGRAM = [
+  '--require',
+  './scripts/early_signals.cjs',
+  'dist/platform/sedgefalld.js',
+];
 const ENDED = /event=(relayed|refused) .*?request=(\S+)/;
 /** Lines kept of one host for a run that fails. */
 const MAX_LINES = 200_000;
@@ -69,7 +74,7 @@
   start(): void {
     this.starts++;
     this.isAsked = false;
-    const child = spawn(process.execPath, [PROGRAM], {
+    const child = spawn(process.execPath, PROGRAM, {
       env: {PATH: process.env['PATH'], SEDGEFALL_BOOT: this.settingsPath},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
