--- a/test/platform/crashing_request_test.ts
+++ b/test/platform/crashing_request_test.ts
@@ -31,14 +31,9 @@
   beforeEach(async () => {
     system = new StandInSystem();
     ended = 0;
-    while (system.servers.length < SERVERS) {
-      system.servers.push(new StandInServer(answerWith('whole')));
-    }
-    for (const [index, server] of system.servers.entries()) {
-      server.script = endOn(server, index);
-    }
+    system.addServers(SERVERS, endOn);
     await system.start();
-    hosts = await startHosts(['front-1', 'front-2', 'front-3']);
+    hosts = await system.startHosts(['front-1', 'front-2', 'front-3']);
   });
 
   afterEach(() => system.stop());
@@ -57,17 +52,6 @@
     };
   }
 
-  async function startHosts(names: readonly string[]): Promise<RunningHost[]> {
-    const started: RunningHost[] = [];
-    for (const name of names) {
-      started.push(await system.startHost(name));
-    }
-    for (const host of started) {
-      await system.waitFor(() => system.isReady(host));
-    }
-    return started;
-  }
-
   /** Sends it to each host in turn until that many servers have ended. */
   async function endServers(count: number): Promise<void> {
     for (let turn = 0; ended < count; turn++) {
@@ -121,7 +105,7 @@
     await endServers(ENDS);
     await waitForWord();
     await Promise.all(hosts.map(({host}) => host.stop()));
-    hosts = await startHosts(['front-4', 'front-5', 'front-6']);
+    hosts = await system.startHosts(['front-4', 'front-5', 'front-6']);
     await waitForWord();
     expect(await askAllAgain()).to.be.at.most(MORE);
   });
@@ -147,12 +131,7 @@
   beforeEach(async () => {
     system = new StandInSystem();
     ended = 0;
-    while (system.servers.length < SERVERS) {
-      system.servers.push(new StandInServer(answerWith('whole')));
-    }
-    for (const [index, server] of system.servers.entries()) {
-      server.script = endOn(server, index);
-    }
+    system.addServers(SERVERS, endOn);
     await system.start();
     system.putConfig({
       tenants: [
@@ -161,13 +140,7 @@
       ],
       routes: [system.createRoute('/a/', {}), system.createRoute('/b/', {})],
     });
-    hosts = [];
-    for (const name of ['front-1', 'front-2', 'front-3']) {
-      hosts.push(await system.startHost(name));
-    }
-    for (const host of hosts) {
-      await system.waitFor(() => system.isReady(host));
-    }
+    hosts = await system.startHosts(['front-1', 'front-2', 'front-3']);
   });
 
   afterEach(() => system.stop());
@@ -240,12 +213,7 @@
 
   beforeEach(async () => {
     system = new StandInSystem();
-    while (system.servers.length < 2 * TURNS) {
-      system.servers.push(new StandInServer(answerWith('whole')));
-    }
-    for (const server of system.servers) {
-      server.script = () => undefined;
-    }
+    system.addServers(2 * TURNS, () => () => undefined);
     await system.start();
     system.putConfig({routes: [system.createRoute('/a/', {max_attempts: 1})]});
     host = await system.startHost('front-1');
--- a/test/platform/limited_server_test.ts
+++ b/test/platform/limited_server_test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {answerWith, Script, StandInServer} from './stand_in/stand_in_server.js';
+import {answerWith, Script} from './stand_in/stand_in_server.js';
 import {
   CallerView,
   RunningHost,
@@ -107,20 +107,9 @@
   beforeEach(async () => {
     system = new StandInSystem();
     limits = new LimitedServers();
-    while (system.servers.length < SERVERS) {
-      system.servers.push(new StandInServer(answerWith('whole')));
-    }
-    for (const [index, server] of system.servers.entries()) {
-      server.script = limits.createScript(index);
-    }
+    system.addServers(SERVERS, (_server, index) => limits.createScript(index));
     await system.start();
-    hosts = [];
-    for (const name of HOSTS) {
-      hosts.push(await system.startHost(name));
-    }
-    for (const host of hosts) {
-      await system.waitFor(() => system.isReady(host));
-    }
+    hosts = await system.startHosts(HOSTS);
   });
 
   afterEach(() => system.stop());
--- a/test/platform/stand_in/stand_in_system.ts
+++ b/test/platform/stand_in/stand_in_system.ts
@@ -8,7 +8,7 @@
 import {createRelayHost} from '../../../platform/container.js';
 import {parsePlatformSettings} from '../../../platform/settings.js';
 import {SettingsSource} from '../../../platform/settings_source.js';
-import {StandInServer, answerWith} from './stand_in_server.js';
+import {answerWith, Script, StandInServer} from './stand_in_server.js';
 import {StandInStore} from './stand_in_store.js';
 
 /** An answer as a caller got it. */
@@ -35,6 +35,9 @@
   readonly metrics: string;
 }
 
+/** Makes how a server answers. */
+export type CreateScript = (server: StandInServer, index: number) => Script;
+
 export const KEY = 'k1';
 const WAIT_STEP_MS = 10;
 
@@ -191,6 +194,28 @@
     return running;
   }
 
+  /** Starts hosts, and waits until all are ready. */
+  async startHosts(names: readonly string[]): Promise<RunningHost[]> {
+    const started: RunningHost[] = [];
+    for (const name of names) {
+      started.push(await this.startHost(name));
+    }
+    for (const host of started) {
+      await this.waitFor(() => this.isReady(host));
+    }
+    return started;
+  }
+
+  /** Has as many servers, each of which answers as a function says. */
+  addServers(count: number, createScript: CreateScript): void {
+    while (this.servers.length < count) {
+      this.servers.push(new StandInServer(answerWith('whole')));
+    }
+    for (const [index, server] of this.servers.entries()) {
+      server.script = createScript(server, index);
+    }
+  }
+
   /** Waits until something holds. */
   async waitFor(holds: () => boolean | Promise<boolean>): Promise<void> {
     while (!(await holds())) {
