--- a/src/measure/experiments.ts
+++ b/src/measure/experiments.ts
@@ -6,7 +6,8 @@
   createRoundRobin,
 } from './baselines.js';
 import {Figures} from './figures.js';
-import {MeasuredWorld, WorldEvent, WorldPlan} from './measured_world.js';
+import {MeasuredWorld} from './measured_world.js';
+import {WorldEvent, WorldPlan} from './world_plan.js';
 import {CASILLAS, GUILD, Profile} from './workload.js';
 
 /** A policy in an experiment. */
