Soak: a host that is killed while it stands still has lost its last lines

The check allowed for a second without counting the standstill. Narrowed to this: the standstill began within that second, and the kill came before it ended. Tests of both sides; the first failed before.

--- a/test/soak/checks_test.ts
+++ b/test/soak/checks_test.ts
@@ -287,6 +287,34 @@
       expect(judge(history, true)).to.deep.equal([]);
     });
 
+    for (const [what, killedMs, allowed] of [
+      ['was killed', 11_500, true],
+      ['went on, and was killed long after', 13_500, false],
+    ] as const) {
+      it(`${allowed ? '' : 'not '}an end that no line tells, of a host that stood still and ${what}`, () => {
+        const history = createBase();
+        addRequest(history, 'r1');
+        history.logged.set('front-0', new Set());
+        history.faults.push(
+          createStop({
+            kind: 'host-freeze',
+            planned: false,
+            fromMs: 10_080,
+            toMs: 12_000,
+          }),
+          createStop({
+            kind: 'all-killed',
+            target: '',
+            planned: false,
+            fromMs: killedMs,
+            toMs: killedMs + 10,
+          }),
+        );
+        const found = judge(history, true).map(({check}) => check);
+        expect(found.includes('ends in the logs')).to.equal(!allowed);
+      });
+    }
+
     it('an old configuration at a host that was just frozen', () => {
       const history = createBase();
       addChange(history);
--- a/test/soak/history_questions.ts
+++ b/test/soak/history_questions.ts
@@ -1,4 +1,5 @@
 import {Arrival, FaultSpan, History} from './history.js';
+import {FaultKind} from './schedule.js';
 
 /** Time in which a line may not have left its process, in milliseconds. */
 const UNWRITTEN_MS = 1000;
@@ -40,14 +41,27 @@
   return fault.fromMs <= toMs && fault.toMs >= fromMs;
 }
 
-/** Tells whether a host was killed so soon after that its last lines are lost. */
+/**
+ * Tells whether a host was killed so soon after that its last lines are lost. While it
+ * stands still it writes none: one that is killed before it goes on has lost them, too.
+ */
 export function wasKilled(
   history: History,
   host: string,
   atMs: number,
 ): boolean {
   const fromMs = atMs - UNWRITTEN_MS;
-  const toMs = atMs + UNWRITTEN_MS;
+  const unwrittenMs = atMs + UNWRITTEN_MS;
+  const frozenMs = history.faults
+    .filter(
+      fault =>
+        fault.kind === FaultKind.HOST_FREEZE &&
+        touches(fault, host) &&
+        fault.fromMs >= atMs &&
+        fault.fromMs <= unwrittenMs,
+    )
+    .map(fault => fault.toMs);
+  const toMs = Math.max(unwrittenMs, ...frozenMs);
   const isKill = (kind: string) => kind.includes('kill');
   return isStruckBy(history, host, isKill, fromMs, toMs);
 }
