--- a/test/relay/limited_servers_test.ts
+++ b/test/relay/limited_servers_test.ts
@@ -2,23 +2,18 @@
 import {Maybe, Result} from 'true-myth';
 import {Repeat} from '../../src/catalog/index.js';
 import {Ran} from '../../src/errors/index.js';
-import {Exchange, ExchangeKind} from '../../src/relay/index.js';
+import {Exchange} from '../../src/relay/index.js';
 import {
+  answer,
   createAnswer,
   createServer,
+  fail,
   formatEvents,
+  lose,
+  refuse,
   RelayFixture,
 } from './relay_fixture.js';
 
-const lose: Exchange = async () => ({kind: ExchangeKind.LOST, detail: 'cut'});
-const refuse: Exchange = async () => ({
-  kind: ExchangeKind.NOT_RUN,
-  detail: 'status 503',
-  full: true,
-});
-const answer: Exchange = async () => createAnswer(200, ['whole']);
-const fail: Exchange = async () => createAnswer(500, ['failed']);
-
 describe('Relay, before servers that limit what they take', () => {
   const route = {repeat: Repeat.ANY, maxAttempts: 3};
   const none = Result.ok<Maybe<number>, string>(Maybe.nothing());
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -71,6 +71,22 @@
   return {kind: ExchangeKind.ANSWERED, status, headers: [], body: read()};
 }
 
+/** Loses the request: it may have run. */
+export const lose: Exchange = async () => ({
+  kind: ExchangeKind.LOST,
+  detail: 'cut',
+});
+/** Says that there is no room: it did not run. */
+export const refuse: Exchange = async () => ({
+  kind: ExchangeKind.NOT_RUN,
+  detail: 'status 503',
+  full: true,
+});
+/** Answers whole. */
+export const answer: Exchange = async () => createAnswer(200, ['whole']);
+/** Answers with the server's own failure. */
+export const fail: Exchange = async () => createAnswer(500, ['failed']);
+
 /** Writes events with ids from one number up to another. */
 export function formatEvents(from: number, to: number): string[] {
   const events: string[] = [];
--- a/test/relay/relay_test.ts
+++ b/test/relay/relay_test.ts
@@ -4,9 +4,13 @@
 import {createStartId, FleetState} from '../../src/fleet/index.js';
 import {Exchange, ExchangeKind} from '../../src/relay/index.js';
 import {
+  answer,
   createAnswer,
   createServer,
+  fail,
   formatEvents,
+  lose,
+  refuse,
   RelayFixture,
 } from './relay_fixture.js';
 
@@ -19,14 +23,6 @@
   };
 }
 
-const lose: Exchange = async () => ({kind: ExchangeKind.LOST, detail: 'cut'});
-const refuse: Exchange = async () => ({
-  kind: ExchangeKind.NOT_RUN,
-  detail: 'status 503',
-  full: true,
-});
-const answer: Exchange = async () => createAnswer(200, ['whole']);
-const fail: Exchange = async () => createAnswer(500, ['failed']);
 const hang: Exchange = (_order, signal) =>
   new Promise(resolve => {
     signal.addEventListener('abort', () =>
