Report the age of table data and replicas that differ at the same version

After requests reached servers that had left, neither the logs nor the metrics could distinguish a host that had permanently missed a change from one that received it late: hosts compare the version and digest of their replicas, and request changes only from a peer with a higher version.

A host now counts (replicas_different) and logs (replica_different), once per version, when its replica holds different rows from a peer's at the same version. It also reports the time since it or its peers read the tables (tables_known_age_ms). Decisions are unchanged.

--- a/src/peering/peer_words.ts
+++ b/src/peering/peer_words.ts
@@ -55,6 +55,11 @@
 
   constructor(private readonly options: PeerWordsOptions) {
     const {clock, self, incarnation} = options;
+    options.metrics.addGauge(
+      'tables_known_age_ms',
+      'Time since this host or its peers read the tables that it serves by',
+      () => toGaugeValue(options.readAge.getMs()),
+    );
     this.pauses = new PauseWatch(clock);
     this.heard = new HeardWords(options);
     this.suspects = createSuspectWords(options.quarantine);
@@ -249,3 +254,8 @@
     }
   }
 }
+
+/** Rounds an age to whole milliseconds; returns NaN while it is unknown. */
+function toGaugeValue(ms: number): number {
+  return Number.isFinite(ms) ? Math.round(ms) : Number.NaN;
+}
--- a/src/peering/row_words.ts
+++ b/src/peering/row_words.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {Log} from '../log/index.js';
+import {Metrics} from '../metrics/index.js';
 import {Peers} from '../peer/index.js';
 import {
   ReplicaState,
@@ -21,6 +22,8 @@
 /** Time in which changes that come together are gathered, in milliseconds. */
 const GATHER_MS = 10;
 
+const DIFFERENT_METRIC = 'replicas_different';
+
 /** Rows that a peer passes on at once, since they are news. */
 export const rowsSchema = z.object({
   kind: z.literal('rows'),
@@ -35,6 +38,7 @@
 export interface RowWordsOptions {
   readonly clock: Clock;
   readonly log: Log;
+  readonly metrics: Metrics;
   /** Tables of which hosts tell each other news, by name. */
   readonly replicas: ReadonlyMap<string, RowReplica>;
   readonly requestPeer: Peers['request'];
@@ -58,8 +62,15 @@
   private readonly passed = new Map<string, ToldState>();
   /** Replicas whose changes are being gathered, and whether any was read here. */
   private readonly gathering = new Map<string, boolean>();
+  /** Version at which a difference from a peer was last reported, by replica. */
+  private readonly reportedVersions = new Map<string, number>();
 
-  constructor(private readonly options: RowWordsOptions) {}
+  constructor(private readonly options: RowWordsOptions) {
+    options.metrics.addCounter(
+      DIFFERENT_METRIC,
+      'Replicas that differ from a peer’s at the same version',
+    );
+  }
 
   /** Returns what each replica holds. */
   listStates(): z.input<typeof newsSchema> {
@@ -83,7 +94,11 @@
   compare(host: string, told: z.output<typeof newsSchema>): void {
     for (const [name, replica] of this.options.replicas) {
       const state = told[name];
-      if (state !== undefined && isBehind(replica, state)) {
+      if (state === undefined) {
+        continue;
+      }
+      this.reportDifference(name, replica, state, host);
+      if (isBehind(replica, state)) {
         void this.pull(name, replica, host);
       }
     }
@@ -134,6 +149,33 @@
     }
   }
 
+  /**
+   * Counts and logs a replica whose digest differs from a peer's at the same version.
+   * Comparing versions alone does not reveal a missed change.
+   */
+  private reportDifference(
+    name: string,
+    replica: RowReplica,
+    peerState: ReplicaState,
+    host: string,
+  ): void {
+    const {version, digest} = replica.getState();
+    const isConsistent =
+      version !== peerState.version || digest === peerState.digest;
+    if (isConsistent || this.reportedVersions.get(name) === version) {
+      return;
+    }
+    this.reportedVersions.set(name, version);
+    this.options.metrics.increment(DIFFERENT_METRIC, {table: name});
+    this.options.log.warn('replica_different', {
+      table: name,
+      peer: host,
+      version,
+      digest,
+      peer_digest: peerState.digest,
+    });
+  }
+
   /** Asks a peer for what it has that is newer; one question at a time. */
   private async pull(
     name: string,
--- a/test/peering/row_words_test.ts
+++ b/test/peering/row_words_test.ts
@@ -7,6 +7,7 @@
 const HOSTS = 16;
 /** Time in which every host hears what one has read, in milliseconds. */
 const TOLD_MS = 2500;
+const ONE_DIFFERENCE = /^sedgefall_replicas_different\{table="servers"\} 1$/m;
 
 describe('RowWords', () => {
   let fixture: HostsFixture;
@@ -71,6 +72,17 @@
     );
     expect(keeping.map(({self}) => self.host)).to.deep.equal([]);
   });
+
+  it('counts a replica that differs from a peer’s at the same version', async () => {
+    await read(100, {key: 'a', version: 100, text: 'ready'});
+    await fixture.run(TOLD_MS);
+    expect(member.metrics.format()).not.to.match(ONE_DIFFERENCE);
+
+    // Adding a row alone changes the digest but not the version of the replica.
+    member.replica.add({key: 'a', version: 101, text: 'other'}, 'test');
+    await fixture.run(TOLD_MS);
+    expect(member.metrics.format()).to.match(ONE_DIFFERENCE);
+  });
 });
 
 /** Finds a host that hears of the table through another one only. */
