--- a/src/replica/row_replica.ts
+++ b/src/replica/row_replica.ts
@@ -193,6 +193,8 @@
       this.add(row, source);
     }
     this.readVersion = Math.max(this.readVersion, version);
+    // Removals of absent rows up to this version are ignored, and so cannot be listed.
+    this.rememberedVersion = Math.max(this.rememberedVersion, version);
   }
 
   /**
@@ -278,7 +280,7 @@
     }
     this.completeVersion = version;
     this.changedVersion = Math.max(this.changedVersion, version);
-    this.rememberedVersion = version;
+    this.rememberedVersion = Math.max(this.rememberedVersion, version);
   }
 
   /** Returns the version up to which a row that is not held was removed again. */
--- a/test/replica/row_replica_test.ts
+++ b/test/replica/row_replica_test.ts
@@ -50,6 +50,22 @@
       expect(replica.getText('c')).to.equal('new');
       expect(replica.getNewsVersion()).to.equal(0);
     });
+
+    it('has peers remove rows that it lacked, even after an older snapshot', () => {
+      const {replica} = create();
+      const a = {key: 'a', version: 5, text: 'left'};
+      const b = {key: 'b', version: 2, text: 'y'};
+      replica.addReading([b], 7, 'store');
+      replica.addSnapshot([a, b], 6, 'peer');
+      const removal = {key: 'a', version: 7};
+      const state = {version: 7, digest: 0};
+      replica.addTold({rows: [removal], after: 6, state}, 'peer');
+
+      const {replica: other} = create();
+      other.addSnapshot([a, b], 6, 'store');
+      other.addTold(replica.listChangesSince(6), 'peer');
+      expect(other.getText('a')).to.equal(undefined);
+    });
   });
 
   describe('addSnapshot', () => {
