Let a host skip reading a table only while it holds the rows last read

Symptom: all hosts of a data centre sent requests to servers that had left, some of them for seconds after the bound.

Cause: the age of a table reading and the rows that were read reached a host separately. A host was told that a table had been read 0.8 s ago and skipped reading it, while its own rows were at version 47 and the table at version 50. In addition, a feed that had read a table once, without removing the rows that the table lacked, treated its replica as complete 2.3 s later. Class of fault: freshness reported separately from the content that it describes.

A host now reports the age of its replica (ageMs) together with the replica's version and digest. The age is counted from when the host was asked, and another host adopts it only if its own rows are the same. Hosts that read for many pause between readings as two hosts do, and wait for a change for 0.15 of the time for news instead of 1.5 s.

The tests of ReadAge and TableReading now query by table, since each table has its own age.

--- a/src/peering/heard_words.ts
+++ b/src/peering/heard_words.ts
@@ -48,9 +48,6 @@
     if (report.timeOffsetMs !== undefined) {
       trueTime.addPeer(host, report.timeOffsetMs);
     }
-    if (report.readAgeMs !== undefined) {
-      this.options.readAge.addTold(report.readAgeMs);
-    }
   }
 
   /** Takes in what the hosts of another data centre have under way. */
--- a/src/peering/host_report.ts
+++ b/src/peering/host_report.ts
@@ -64,8 +64,6 @@
   membersVersion: count.optional(),
   /** What the hosts of its data centre have under way, where it sums that up. */
   centre: workSummarySchema.optional(),
-  /** Time since it last read the tables, in milliseconds; left out if never. */
-  readAgeMs: count.optional(),
   /** Requests that end servers; left out while there is none. */
   suspects: suspectNewsSchema.optional(),
   /** Limits that servers name; left out while there is none. */
@@ -77,14 +75,12 @@
   hostsVersion: count.optional(),
   /** Number of the list of a data centre's hosts that the sender has. */
   membersVersion: count.optional(),
-  /** What the sender's replicas hold. */
+  /** Version, digest and age of each of the sender's replicas. */
   news: newsSchema.optional(),
   /** What the hosts of the sender's data centre have under way. */
   centre: workSummarySchema.optional(),
   /** What all hosts but the receiver have under way. */
   all: workSummarySchema.optional(),
-  /** Time since the tables were read by a host whose word counts, in ms. */
-  readAgeMs: count.optional(),
   /** The table's steady clock when the reply was made, in milliseconds. */
   sharedMs: z.number().optional(),
   /** The usual time of day less that clock, in milliseconds. */
--- a/src/peering/peer_words.ts
+++ b/src/peering/peer_words.ts
@@ -58,7 +58,7 @@
     options.metrics.addGauge(
       'tables_known_age_ms',
       'Time since this host or its peers read the tables that it serves by',
-      () => toGaugeValue(options.readAge.getMs()),
+      () => toGaugeValue(options.readAge.getOldestMs()),
     );
     this.pauses = new PauseWatch(clock);
     this.heard = new HeardWords(options);
@@ -114,20 +114,17 @@
       this.heard.refuse(peer, parsed.error.issues[0]?.message ?? '');
       return;
     }
-    const {all, news, readAgeMs, sharedMs, usualOffsetMs} = parsed.data;
-    const {trueTime, readAge} = this.options;
+    const {all, news, sharedMs, usualOffsetMs} = parsed.data;
+    const {trueTime} = this.options;
     if (sharedMs !== undefined) {
       trueTime.addReading(sharedMs, sentMs);
     }
     if (usualOffsetMs !== undefined) {
       trueTime.addPeer(peer.host, usualOffsetMs);
     }
-    if (readAgeMs !== undefined) {
-      readAge.addTold(readAgeMs);
-    }
     this.heard.addAll(peer, all);
     this.heard.addCentre(peer, parsed.data.centre);
-    this.rows.compare(peer.host, news ?? {});
+    this.rows.compare(peer.host, news ?? {}, sentMs);
     this.suspects.receive(peer, parsed.data.suspects);
     this.limits.receive(peer, parsed.data.limits);
   }
@@ -250,6 +247,7 @@
       this.options.log.warn('pause_noticed', {forgets: 'word of peers'});
       this.options.reports.forget();
       this.options.known.forgetWord();
+      this.options.readAge.forget();
       this.summaries.startAnew();
     }
   }
--- a/src/peering/read_age.ts
+++ b/src/peering/read_age.ts
@@ -1,50 +1,80 @@
 import {Clock} from '../time/index.js';
 
 /**
- * How long ago the platform's tables were read by this host, or by one whose word
- * of them reaches it: while that is fresh, this host need not read them itself.
+ * Tracks, for each table, the latest time at which this host's rows are known to have
+ * matched the table: from its own reading, or as reported by a host with the same rows.
+ * While that time is recent, this host need not read the table itself.
  */
 export class ReadAge {
-  /** When each table was last read here, monotonic milliseconds. */
-  private readonly readMs = new Map<string, number>();
-  private toldMs = Number.NEGATIVE_INFINITY;
+  /** Time of the latest reading by this host, by table, monotonic milliseconds. */
+  private readonly ownMs = new Map<string, number>();
+  /** Latest time reported by hosts with the same rows, by table, monotonic ms. */
+  private readonly toldMs = new Map<string, number>();
 
   /**
    * @param clock - Measures the age.
-   * @param tables - Tables that must all have been read.
+   * @param tables - Names of the tables.
    */
   constructor(
     private readonly clock: Clock,
     private readonly tables: readonly string[],
   ) {}
 
-  /** Notes that a table was read here. */
-  addRead(table: string): void {
-    this.readMs.set(table, this.clock.monotonicMs());
+  /**
+   * Notes that a table was read here.
+   * @param table - The table.
+   * @param asOfMs - Lower bound of the time of the reading, monotonic milliseconds.
+   */
+  addRead(table: string, asOfMs = this.clock.monotonicMs()): void {
+    setLatest(this.ownMs, table, asOfMs);
+  }
+
+  /**
+   * Records the time reported by another host that has the same rows of a table.
+   * @param table - The table.
+   * @param asOfMs - When those rows matched the table, monotonic milliseconds.
+   */
+  addTold(table: string, asOfMs: number): void {
+    setLatest(this.toldMs, table, asOfMs);
   }
 
-  /** Takes in how long ago another host read them all. */
-  addTold(ageMs: number): void {
-    this.toldMs = Math.max(this.toldMs, this.clock.monotonicMs() - ageMs);
+  /** Clears all times; needed after a pause that the steady clock has not counted. */
+  forget(): void {
+    this.ownMs.clear();
+    this.toldMs.clear();
   }
 
-  /** Returns the time since this host read them all; infinite if it never did. */
-  getOwnMs(): number {
-    const oldest = Math.min(
-      ...this.tables.map(
-        table => this.readMs.get(table) ?? Number.NEGATIVE_INFINITY,
-      ),
-    );
-    return this.clock.monotonicMs() - oldest;
+  /** Returns the age of this host's latest reading of a table; infinite if none. */
+  getOwnMs(table: string): number {
+    return this.getAgeMs(this.ownMs, table);
   }
 
-  /** Returns the time since another host did, as it told. */
-  getToldMs(): number {
-    return this.clock.monotonicMs() - this.toldMs;
+  /** Returns the age of a table as reported by other hosts; infinite if none. */
+  getToldMs(table: string): number {
+    return this.getAgeMs(this.toldMs, table);
   }
 
-  /** Returns the time since this host or another did. */
-  getMs(): number {
-    return Math.min(this.getOwnMs(), this.getToldMs());
+  /** Returns the lower of the own and the reported age of a table. */
+  getMs(table: string): number {
+    return Math.min(this.getOwnMs(table), this.getToldMs(table));
   }
+
+  /** Returns the highest age of all tables. */
+  getOldestMs(): number {
+    return Math.max(...this.tables.map(table => this.getMs(table)));
+  }
+
+  private getAgeMs(times: ReadonlyMap<string, number>, table: string): number {
+    const asOfMs = times.get(table) ?? Number.NEGATIVE_INFINITY;
+    return this.clock.monotonicMs() - asOfMs;
+  }
+}
+
+function setLatest(
+  times: Map<string, number>,
+  table: string,
+  ms: number,
+): void {
+  const known = times.get(table) ?? Number.NEGATIVE_INFINITY;
+  times.set(table, Math.max(known, ms));
 }
--- a/src/peering/report_words.ts
+++ b/src/peering/report_words.ts
@@ -58,15 +58,13 @@
     peer: PeerIdentity,
     reply: Acknowledgement | undefined,
   ): HostReport {
-    const {known, readAge} = this.options;
-    const readAgeMs = readAge.getOwnMs();
+    const {known} = this.options;
     return {
       ...this.createEmptyReport(),
       ...optional('membersVersion', known.getMembersVersion(peer.host)),
       ...(known.isAggregator()
         ? {centre: this.parts.summaries.createCentre(reply?.membersVersion)}
         : {}),
-      ...(Number.isFinite(readAgeMs) ? {readAgeMs} : {}),
     };
   }
 
@@ -79,16 +77,14 @@
     if (report.wantsAll === undefined) {
       return {hostsVersion};
     }
-    const {trueTime, readAge} = this.options;
-    const readAgeMs = readAge.getMs();
+    const {trueTime} = this.options;
     const all = report.wantsAll
       ? this.parts.summaries.createAll(from, report.membersVersion)
       : undefined;
     return {
       hostsVersion,
-      news: this.parts.rows.listStates(),
+      news: this.parts.rows.listStatesWithAge(),
       ...optional('all', all),
-      ...(Number.isFinite(readAgeMs) ? {readAgeMs} : {}),
       ...optional('sharedMs', trueTime.readSharedMs()),
       ...optional('usualOffsetMs', trueTime.getUsualOffset()),
     };
@@ -107,6 +103,7 @@
     const isTold = first?.host === from.host;
     return {
       hostsVersion,
+      news: this.parts.rows.listStatesWithAge(),
       ...optional('membersVersion', known.getMembersVersion(from.host)),
       ...(isTold || !known.isAggregator()
         ? {}
--- a/src/peering/row_words.ts
+++ b/src/peering/row_words.ts
@@ -11,6 +11,7 @@
   ToldState,
 } from '../replica/index.js';
 import {Clock} from '../time/index.js';
+import {ReadAge} from './read_age.js';
 
 /** What is told of a replica that is not there. */
 const NOTHING: RowChanges = {
@@ -41,6 +42,8 @@
   readonly metrics: Metrics;
   /** Tables of which hosts tell each other news, by name. */
   readonly replicas: ReadonlyMap<string, RowReplica>;
+  /** When the replicas last matched the tables. */
+  readonly readAge: ReadAge;
   readonly requestPeer: Peers['request'];
   /**
    * Returns the connected peers that are to get rows at once.
@@ -81,23 +84,48 @@
     return states;
   }
 
+  /** Returns the version, digest and age of each replica. */
+  listStatesWithAge(): z.input<typeof newsSchema> {
+    const states: z.input<typeof newsSchema> = {};
+    for (const [name, replica] of this.options.replicas) {
+      states[name] = this.getStateWithAge(name, replica);
+    }
+    return states;
+  }
+
   /**
    * Answers a peer that asks for news.
    * @param name - The replica.
    * @param after - Version up to which the peer is complete.
    */
   listNews(name: string, after: number): RowChanges {
-    return this.options.replicas.get(name)?.listChangesSince(after) ?? NOTHING;
+    const replica = this.options.replicas.get(name);
+    if (replica === undefined) {
+      return NOTHING;
+    }
+    const changes = replica.listChangesSince(after);
+    return {...changes, state: this.getStateWithAge(name, replica)};
   }
 
-  /** Asks a peer for news where it has later ones. */
-  compare(host: string, told: z.output<typeof newsSchema>): void {
+  /**
+   * Compares the replicas with a peer's, and requests news where the peer is ahead.
+   * @param host - The peer.
+   * @param told - What its replicas hold.
+   * @param sentMs - When the request was sent that the peer replied to, monotonic
+   *   milliseconds; ages are counted from then. Without it, ages are ignored.
+   */
+  compare(
+    host: string,
+    told: z.output<typeof newsSchema>,
+    sentMs?: number,
+  ): void {
     for (const [name, replica] of this.options.replicas) {
       const state = told[name];
       if (state === undefined) {
         continue;
       }
       this.reportDifference(name, replica, state, host);
+      this.adoptAge(name, replica, state, sentMs);
       if (isBehind(replica, state)) {
         void this.pull(name, replica, host);
       }
@@ -187,6 +215,7 @@
     }
     this.pulling.add(name);
     const body = {kind: 'news', replica: name, after: replica.getNewsVersion()};
+    const sentMs = this.options.clock.monotonicMs();
     const reply = await this.options.requestPeer(host, body, PULL_MS);
     this.pulling.delete(name);
     const news = rowChangesSchema.safeParse(reply.unwrapOr(undefined));
@@ -199,6 +228,29 @@
       return;
     }
     replica.addTold(news.data, `peer:${host}`);
+    this.adoptAge(name, replica, news.data.state, sentMs);
+  }
+
+  private getStateWithAge(name: string, replica: RowReplica): ReplicaState {
+    const ageMs = this.options.readAge.getMs(name);
+    const state = replica.getState();
+    return Number.isFinite(ageMs) ? {...state, ageMs} : state;
+  }
+
+  /** Adopts the age of a peer's replica if it holds the same rows. */
+  private adoptAge(
+    name: string,
+    replica: RowReplica,
+    state: ReplicaState,
+    sentMs: number | undefined,
+  ): void {
+    const {ageMs} = state;
+    if (sentMs === undefined || ageMs === undefined) {
+      return;
+    }
+    if (replica.hasSameRows(state)) {
+      this.options.readAge.addTold(name, sentMs - ageMs);
+    }
   }
 }
 
--- a/src/peering/table_reading.ts
+++ b/src/peering/table_reading.ts
@@ -23,6 +23,18 @@
 const TOLD_SHARE = 0.7;
 /** The same for aggregators, which many others hear of it from. */
 const AGGREGATOR_SHARE = 0.6;
+/** Number of hosts that `isTableReader` selects. */
+const READER_COUNT = 2;
+/**
+ * Longest wait for a change, in milliseconds. It bounds the time to detect a silent
+ * connection: servers that leave must be known within two seconds of a healed link.
+ */
+const MAX_WAIT_MS = 1500;
+/**
+ * Longest wait of a table reader for a change, as a share of the time for news. The
+ * age that it reports to other hosts goes down only when a request completes.
+ */
+const READER_WAIT_SHARE = 0.15;
 /** Time from the start in which a host learns who there is, in milliseconds. */
 const MEET_MS = 400;
 /**
@@ -66,12 +78,32 @@
     if (!known.isLarge() || isTableReader(known)) {
       return false;
     }
-    if (readAge.getToldMs() < this.getMaxToldMs()) {
+    if (readAge.getToldMs(table) < this.getMaxToldMs()) {
       return true;
     }
     return ageMs < this.spreadMs || this.restsAlone(table);
   }
 
+  /** Returns the number of hosts that share the reading, this one included. */
+  countReaders(): number {
+    const {known} = this.options;
+    return this.isDesignatedReader() ? READER_COUNT : known.countAlive();
+  }
+
+  /** Returns the timeout of a request that waits for a change, in milliseconds. */
+  getMaxWaitMs(): number {
+    const readerMs = this.options.getNewsMs() * READER_WAIT_SHARE;
+    return this.isDesignatedReader()
+      ? Math.min(readerMs, MAX_WAIT_MS)
+      : MAX_WAIT_MS;
+  }
+
+  /** Tells whether this host reads the tables on behalf of the others. */
+  private isDesignatedReader(): boolean {
+    const {known} = this.options;
+    return known.isLarge() && isTableReader(known);
+  }
+
   private getMaxToldMs(): number {
     const {known, getNewsMs} = this.options;
     const share = known.isAggregator() ? AGGREGATOR_SHARE : TOLD_SHARE;
@@ -82,7 +114,7 @@
   private restsAlone(table: string): boolean {
     const {clock, random, readAge} = this.options;
     const nowMs = clock.monotonicMs();
-    if (readAge.getOwnMs() < this.getMaxToldMs()) {
+    if (readAge.getOwnMs(table) < this.getMaxToldMs()) {
       // It reads, and goes on until others tell it again.
       return false;
     }
--- a/src/replica/replica_state.ts
+++ b/src/replica/replica_state.ts
@@ -6,6 +6,11 @@
   version: z.number().int().min(0),
   /** See `RowDigest`. */
   digest: z.number().int().min(0),
+  /**
+   * Time since the rows were last known to match the table, in milliseconds; left
+   * out if unknown.
+   */
+  ageMs: z.number().min(0).optional(),
 });
 
 /** What a replica holds, in two numbers. */
--- a/src/replica/row_replica.ts
+++ b/src/replica/row_replica.ts
@@ -99,14 +99,18 @@
     }
   }
 
-  /** Notes that rows may be gone which a reading of the table did not have. */
-  doubtMissing(rows: readonly VersionedRow[]): void {
-    const present = new Set(rows.map(row => row.key));
-    for (const {row} of this.rows.values()) {
-      if (!present.has(row.key)) {
-        this.doubt(row.key);
-      }
+  /**
+   * Marks rows as doubted that a reading of the table lacks.
+   * @param rows - All rows.
+   * @param version - Version of the table they were read at.
+   * @returns Whether the reading lacks none of the rows held.
+   */
+  doubtMissing(rows: readonly VersionedRow[], version: number): boolean {
+    const missing = this.listMissingKeys(rows, version);
+    for (const key of missing) {
+      this.doubt(key);
     }
+    return missing.length === 0;
   }
 
   /** Returns a row that exists. */
@@ -183,18 +187,20 @@
    * @param rows - All rows.
    * @param version - Version of the table they were read at.
    * @param source - Where from, for the log.
+   * @returns Whether the reading lacks none of the rows held.
    */
   addReading(
     rows: readonly VersionedRow[],
     version: number,
     source: string,
-  ): void {
+  ): boolean {
     for (const row of rows) {
       this.add(row, source);
     }
     this.readVersion = Math.max(this.readVersion, version);
     // Removals of absent rows up to this version are ignored, and so cannot be listed.
     this.rememberedVersion = Math.max(this.rememberedVersion, version);
+    return this.listMissingKeys(rows, version).length === 0;
   }
 
   /**
@@ -237,11 +243,11 @@
    * Tells whether this replica holds what a peer's does, and notes that it is as
    * complete then, though it may not know what came and went between.
    */
-  confirm({version, digest}: ReplicaState): boolean {
-    if (this.digest.get() !== digest) {
+  confirm(state: ReplicaState): boolean {
+    if (!this.hasSameRows(state)) {
       return false;
     }
-    this.setComplete(version);
+    this.setComplete(state.version);
     return true;
   }
 
@@ -283,6 +289,27 @@
     this.rememberedVersion = Math.max(this.rememberedVersion, version);
   }
 
+  /** Tells whether this replica has the same digest as another. */
+  hasSameRows({digest}: ReplicaState): boolean {
+    return this.digest.get() === digest;
+  }
+
+  /** Lists the keys of rows held, up to its version, that a reading lacks. */
+  private listMissingKeys(
+    rows: readonly VersionedRow[],
+    version: number,
+  ): string[] {
+    const present = new Set(rows.map(row => row.key));
+    const missing: string[] = [];
+    for (const {row} of this.rows.values()) {
+      const isOlder = row.text !== undefined && row.version <= version;
+      if (isOlder && !present.has(row.key)) {
+        missing.push(row.key);
+      }
+    }
+    return missing;
+  }
+
   /** Returns the version up to which a row that is not held was removed again. */
   private getAbsentVersion(): number {
     return Math.max(this.completeVersion, this.readVersion);
--- a/test/peering/many_hosts_test.ts
+++ b/test/peering/many_hosts_test.ts
@@ -185,11 +185,11 @@
         await fixture.run(1000);
       }
       for (const {readAge} of fixture.hosts) {
-        expect(readAge.getMs()).to.be.lessThan(2600);
+        expect(readAge.getMs(TABLE)).to.be.lessThan(2600);
       }
       await fixture.run(3000);
       for (const {readAge} of fixture.hosts) {
-        expect(readAge.getMs()).to.be.greaterThan(2800);
+        expect(readAge.getMs(TABLE)).to.be.greaterThan(2800);
       }
     }).timeout(30_000);
 
--- a/test/peering/row_words_test.ts
+++ b/test/peering/row_words_test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'chai';
 import {VersionedRow} from '../../src/replica/index.js';
 import {HostsFixture} from './hosts_fixture.js';
-import {WordsHost} from './words_fixture.js';
+import {TABLE, WordsHost} from './words_fixture.js';
 
 const HOSTS = 16;
 /** Time in which every host hears what one has read, in milliseconds. */
@@ -73,6 +73,21 @@
     expect(keeping.map(({self}) => self.host)).to.deep.equal([]);
   });
 
+  it('adopts the age of a peer’s reading only while holding the same rows', async () => {
+    const a = {key: 'a', version: 100, text: 'ready'};
+    await read(100, a);
+    reader.readAge.addRead(TABLE);
+    await fixture.run(TOLD_MS);
+    expect(member.readAge.getMs(TABLE)).to.be.lessThan(TOLD_MS + 1000);
+
+    member.replica.add({key: 'b', version: 101, text: 'other'}, 'test');
+    await fixture.run(TOLD_MS);
+    const before = member.readAge.getMs(TABLE);
+    reader.readAge.addRead(TABLE);
+    await fixture.run(TOLD_MS);
+    expect(member.readAge.getMs(TABLE)).to.be.closeTo(before + TOLD_MS, 1);
+  });
+
   it('counts a replica that differs from a peer’s at the same version', async () => {
     await read(100, {key: 'a', version: 100, text: 'ready'});
     await fixture.run(TOLD_MS);
--- a/test/peering/table_reading_test.ts
+++ b/test/peering/table_reading_test.ts
@@ -78,7 +78,9 @@
   it('has a host read that hears of no reader within its part of the bound', async () => {
     const {readAge, reading} = createReading(60, 30);
     await clock.advance(5000);
-    readAge.addTold(0);
+    for (const table of TABLES) {
+      readAge.addTold(table, clock.monotonicMs());
+    }
     expect(reading.rests('servers')).to.equal(true);
     await clock.advance(NEWS_MS * 0.65);
     expect(reading.rests('servers')).to.equal(true);
@@ -97,7 +99,7 @@
     }
     expect(reading.rests('servers')).to.equal(false);
     expect(reading.rests('servers')).to.equal(false);
-    readAge.addTold(500);
+    readAge.addTold('servers', clock.monotonicMs() - 500);
     expect(reading.rests('servers')).to.equal(true);
   });
 
@@ -122,22 +124,33 @@
 });
 
 describe('ReadAge', () => {
-  it('counts from the table that was read longest ago', async () => {
+  it('tracks each table separately and reports the highest age', async () => {
     const clock = new VirtualClock();
     const age = new ReadAge(clock, TABLES);
-    age.addRead('catalog');
-    expect(age.getMs()).to.equal(Infinity);
+    age.addRead('catalog', 0);
+    expect(age.getMs('catalog')).to.equal(0);
+    expect(age.getMs('servers')).to.equal(Infinity);
+    expect(age.getOldestMs()).to.equal(Infinity);
     await clock.advance(100);
-    age.addRead('servers');
-    expect(age.getOwnMs()).to.equal(100);
+    age.addRead('servers', 60);
+    expect(age.getOwnMs('servers')).to.equal(40);
+    expect(age.getOldestMs()).to.equal(100);
+  });
+
+  it('ignores a reading older than the latest', () => {
+    const clock = new VirtualClock();
+    const age = new ReadAge(clock, TABLES);
+    age.addRead('servers', -10);
+    age.addRead('servers', -90);
+    expect(age.getMs('servers')).to.equal(10);
   });
 
   it('believes the latest of others, and never an older word', async () => {
     const clock = new VirtualClock();
     const age = new ReadAge(clock, TABLES);
-    age.addTold(50);
-    age.addTold(400);
+    age.addTold('servers', -50);
+    age.addTold('servers', -400);
     await clock.advance(10);
-    expect(age.getToldMs()).to.equal(60);
+    expect(age.getToldMs('servers')).to.equal(60);
   });
 });
--- a/test/platform/leaving_servers_property_test.ts
+++ b/test/platform/leaving_servers_property_test.ts
@@ -16,8 +16,11 @@
 import {HostsFixture} from '../peering/hosts_fixture.js';
 import {TABLE, WordsHost} from '../peering/words_fixture.js';
 
-/** Seeds 2 and 4 cover hosts that keep a removed server indefinitely. */
-const SEEDS = [1, 2, 3, 4, 5];
+/**
+ * Seeds 2 and 4 cover hosts that keep a removed server indefinitely; seeds from 6 on
+ * cover hosts that adopt the age of a table reading without holding its rows.
+ */
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 14, 27, 32, 34];
 const HOST_COUNT = 24;
 const DATA_CENTRE_COUNT = 3;
 const SERVER_COUNT = 30;
@@ -278,9 +281,10 @@
       table: TABLE,
       replica,
       random,
-      countReaders: () => known.countAlive(),
+      countReaders: () => reading.countReaders(),
+      getMaxWaitMs: () => reading.getMaxWaitMs(),
       rests: () => reading.rests(TABLE),
-      onRead: () => readAge.addRead(TABLE),
+      onRead: asOfMs => readAge.addRead(TABLE, asOfMs),
     });
     void feed.run(stop.signal);
   }
--- a/test/platform/store_feed_test.ts
+++ b/test/platform/store_feed_test.ts
@@ -10,6 +10,7 @@
 describe('StoreFeed', () => {
   const clock = new SystemClock();
   let store: StandInStore;
+  let address: string;
   let replica: RowReplica;
   let stopped: AbortController;
   let rests: boolean;
@@ -19,9 +20,13 @@
     rests = false;
     reads = 0;
     store = new StandInStore();
-    const address = await store.listen();
-    replica = new RowReplica({getSubstance: text => text});
+    address = await store.listen();
     stopped = new AbortController();
+    replica = new RowReplica({getSubstance: text => text});
+    startFeed(replica, () => reads++);
+  });
+
+  function startFeed(target: RowReplica, onRead: () => void): void {
     const client = new StoreClient({
       clock,
       getAddress: () => address,
@@ -33,14 +38,15 @@
       log,
       client,
       table: 'servers',
-      replica,
+      replica: target,
       random: new SeededRandom(1),
       countReaders: () => 8,
+      getMaxWaitMs: () => 1500,
       rests: () => rests,
-      onRead: () => reads++,
+      onRead,
     });
     void feed.run(stopped.signal);
-  });
+  }
 
   afterEach(() => {
     stopped.abort();
@@ -99,6 +105,21 @@
     expect(replica.getNewsVersion()).to.equal(known);
   });
 
+  it('removes a row told by a peer that the table lacks, before it reports a reading', async () => {
+    stopped.abort();
+    stopped = new AbortController();
+    store.put('servers', 'b', {state: 'ready'});
+    const told = new RowReplica({getSubstance: text => text});
+    told.addSnapshot([{key: 'a', version: 1, text: 'left'}], 1, 'peer');
+    const heldWhenRead: boolean[] = [];
+    startFeed(told, () => heldWhenRead.push(told.getText('a') !== undefined));
+    const startMs = clock.monotonicMs();
+    await waitFor(() => told.getText('a') === undefined);
+    expect(clock.monotonicMs() - startMs).to.be.lessThan(4500);
+    await waitFor(() => heldWhenRead.length > 0);
+    expect(heldWhenRead[0]).to.equal(false);
+  });
+
   it('reads all again when the history is gone', async () => {
     store.put('servers', 'a', {state: 'ready'});
     await waitFor(() => replica.getText('a') !== undefined);
