Read the table at once when the age from peers expires after a successful read

With seed 86 of the seeded property test, two hosts still held a removed server 2.5 s after its removal; the bound is 2 s. One of them had started 3.2 s before. It read the table, received updates from peers, stopped reading, and then received no more updates. Its retry pause was drawn at its first read (1 to 3 s, so that hosts do not all query a store that is down at once). The pause was still running although the store had answered that read.

A successful response from the store now ends the pause. Ages are told in whole milliseconds.

--- a/src/peering/row_words.ts
+++ b/src/peering/row_words.ts
@@ -234,7 +234,9 @@
   private getStateWithAge(name: string, replica: RowReplica): ReplicaState {
     const ageMs = this.options.readAge.getMs(name);
     const state = replica.getState();
-    return Number.isFinite(ageMs) ? {...state, ageMs} : state;
+    return Number.isFinite(ageMs)
+      ? {...state, ageMs: Math.round(ageMs)}
+      : state;
   }
 
   /** Adopts the age of a peer's replica if it holds the same rows. */
--- a/src/peering/table_reading.ts
+++ b/src/peering/table_reading.ts
@@ -59,6 +59,8 @@
   private readonly spreadMs: number;
   /** Until when a table is not tried by a host without word, monotonic ms. */
   private readonly restsUntilMs = new Map<string, number>();
+  /** Time of the last successful request to the store by table, monotonic ms. */
+  private readonly lastResponseMs = new Map<string, number>();
 
   constructor(private readonly options: TableReadingOptions) {
     this.startMs = options.clock.monotonicMs();
@@ -84,6 +86,15 @@
     return ageMs < this.spreadMs || this.restsAlone(table);
   }
 
+  /**
+   * Records a successful request to the store and cancels the pause before the next.
+   * @param table - The table that was read.
+   */
+  addResponse(table: string): void {
+    this.lastResponseMs.set(table, this.options.clock.monotonicMs());
+    this.restsUntilMs.delete(table);
+  }
+
   /** Returns the number of hosts that share the reading, this one included. */
   countReaders(): number {
     const {known} = this.options;
@@ -112,9 +123,11 @@
 
   /** Spreads the tries of hosts that have no word, once they have none. */
   private restsAlone(table: string): boolean {
-    const {clock, random, readAge} = this.options;
+    const {clock, random} = this.options;
     const nowMs = clock.monotonicMs();
-    if (readAge.getOwnMs(table) < this.getMaxToldMs()) {
+    const responseMs =
+      this.lastResponseMs.get(table) ?? Number.NEGATIVE_INFINITY;
+    if (nowMs - responseMs < this.getMaxToldMs()) {
       // It reads, and goes on until others tell it again.
       return false;
     }
--- a/test/peering/table_reading_test.ts
+++ b/test/peering/table_reading_test.ts
@@ -95,7 +95,7 @@
     const {readAge, reading} = createReading(60, 30);
     await clock.advance(5000);
     for (const table of TABLES) {
-      readAge.addRead(table);
+      reading.addResponse(table);
     }
     expect(reading.rests('servers')).to.equal(false);
     expect(reading.rests('servers')).to.equal(false);
@@ -111,6 +111,17 @@
     expect(reading.rests('catalog')).to.equal(false);
   });
 
+  it('does not delay the next reading after a successful one when the age from peers expires', async () => {
+    const {readAge, reading} = createReading(60, 30);
+    await clock.advance(5000);
+    expect(reading.rests('servers')).to.equal(false);
+    reading.addResponse('servers');
+    readAge.addTold('servers', clock.monotonicMs());
+    expect(reading.rests('servers')).to.equal(true);
+    await clock.advance(NEWS_MS * 0.72);
+    expect(reading.rests('servers')).to.equal(false);
+  });
+
   it('spreads the tries of hosts that have no word of a store that is away', async () => {
     const {reading} = createReading(60, 30);
     await clock.advance(5000);
--- a/test/platform/leaving_servers_property_test.ts
+++ b/test/platform/leaving_servers_property_test.ts
@@ -20,7 +20,7 @@
  * Seeds 2 and 4 cover hosts that keep a removed server indefinitely; seeds from 6 on
  * cover hosts that adopt the age of a table reading without holding its rows.
  */
-const SEEDS = [1, 2, 3, 4, 5, 6, 7, 14, 27, 32, 34];
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 14, 27, 32, 34, 86];
 const HOST_COUNT = 24;
 const DATA_CENTRE_COUNT = 3;
 const SERVER_COUNT = 30;
@@ -284,6 +284,7 @@
       countReaders: () => reading.countReaders(),
       getMaxWaitMs: () => reading.getMaxWaitMs(),
       rests: () => reading.rests(TABLE),
+      onResponse: () => reading.addResponse(TABLE),
       onRead: asOfMs => readAge.addRead(TABLE, asOfMs),
     });
     void feed.run(stop.signal);
--- a/test/platform/store_feed_test.ts
+++ b/test/platform/store_feed_test.ts
@@ -43,6 +43,7 @@
       countReaders: () => 8,
       getMaxWaitMs: () => 1500,
       rests: () => rests,
+      onResponse: () => undefined,
       onRead,
     });
     void feed.run(stopped.signal);
