Recheck server readiness before writing the first byte of a request

Visible effect: a request could be sent to a server that had been leaving for longer than the bound allows.

Cause: the server is chosen before the request is sent, and its state was not rechecked in between. The server may start leaving during that time.

Nothing of a request is now written until a channel is open, and then only if the server still accepts requests. Otherwise the attempt counts as not run, is not held against the server, and another server is chosen. A stream is not stopped at its current server if the destination has left. A run whose memory has been copied is still sent to a destination that announced less than 0.5 s earlier that it is leaving, because no other server can resume the run.

Failed before the change: the test of a copy whose destination leaves ran and failed; the tests of a new and a reused channel and of the state check at the first byte did not compile without the new check.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -43,6 +43,9 @@
  */
 const GONE_MS = 1000;
 
+/** Time for which a draining server still accepts copied runs, in milliseconds. */
+const COPIED_RUN_GRACE_MS = 500;
+
 /** Rank that is behind every other: all that is pending counts. */
 const LAST_RANK = Number.MAX_SAFE_INTEGER;
 
@@ -145,6 +148,23 @@
     }
   }
 
+  /** Tells whether a server is registered and not draining. */
+  isReady(id: string): boolean {
+    return this.servers.get(id)?.server.state === FleetState.READY;
+  }
+
+  /**
+   * Tells whether a server accepts a run whose memory was copied to it. No other
+   * server can resume the run, so one that began draining only recently qualifies too.
+   */
+  acceptsCopiedRun(id: string): boolean {
+    const tracked = this.servers.get(id);
+    if (tracked?.server.state === FleetState.DRAINING) {
+      return tracked.getStateAgeMs() < COPIED_RUN_GRACE_MS;
+    }
+    return this.isReady(id);
+  }
+
   /** Tells whether any server is known. */
   isKnown(): boolean {
     return this.servers.size > 0;
--- a/src/relay/copy_away.ts
+++ b/src/relay/copy_away.ts
@@ -14,6 +14,8 @@
   readonly requestId: string;
   /** Tells whether the run is still at the server that leaves. */
   readonly isThere: () => boolean;
+  /** Tells whether a destination is still ready to accept the run. */
+  readonly isDestinationReady: (server: FleetServer) => boolean;
   /** Chooses where it goes on. */
   readonly chooseDestination: () => FleetServer | undefined;
   /** Aborted when the run has ended. */
@@ -55,7 +57,8 @@
       return undefined;
     }
     const ahead = await copyRun({requestId, from, to, stops: false});
-    if (ahead.isOk && run.isThere()) {
+    // A stopped run can resume only at this destination, so check it before stopping.
+    if (ahead.isOk && run.isThere() && run.isDestinationReady(to)) {
       const last = await copyRun({requestId, from, to, stops: true});
       if (last.isOk) {
         return {server: to, copy: {source: from.address, handle: last.value}};
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -10,6 +10,11 @@
   readonly remainingMs: number;
   /** Rank at the server; 0 is the most urgent. */
   readonly urgency: number;
+  /**
+   * Tells whether the server still accepts the request; called on an open channel,
+   * immediately before the first byte is written.
+   */
+  readonly maySend: () => boolean;
   /** Event after which a stream is to go on. */
   readonly lastEventId?: string;
   /** Copy of the run's memory to go on from. */
@@ -52,6 +57,8 @@
   readonly full?: boolean;
   /** Whether no byte of the request left this host. */
   readonly unsent?: boolean;
+  /** Whether nothing was sent because the server no longer accepts requests. */
+  readonly notAccepting?: boolean;
   /** Whether the server answered what cannot be used, so that it is there. */
   readonly spoiled?: boolean;
   /** What the rejection states of the server's limit; absent without an answer. */
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -125,6 +125,7 @@
         server,
         remainingMs,
         urgency,
+        maySend: () => this.acceptsRequest(),
         ...(copy === undefined ? {} : {copy}),
         ...(lastEventId === undefined ? {} : {lastEventId}),
       },
@@ -141,6 +142,15 @@
     return attempted;
   }
 
+  /** Tells whether the server accepts the request in its current state. */
+  private acceptsRequest(): boolean {
+    const {fleet} = this.options;
+    const {server, copy} = this.order;
+    return copy === undefined
+      ? fleet.isReady(server.id)
+      : fleet.acceptsCopiedRun(server.id);
+  }
+
   /** Returns what ends the sending: the caller, its time, or the server. */
   private listenForEnd(): AbortSignal {
     const {ended, lost} = this.context;
@@ -257,7 +267,8 @@
 
   /** Judges what a failed sending tells of its server. */
   private judge(failure: ExchangeFailure): FlightEnd {
-    if (this.context.ended.aborted || failure.full === true) {
+    const {full, notAccepting} = failure;
+    if (this.context.ended.aborted || full === true || notAccepting === true) {
       return FlightEnd.NEUTRAL;
     }
     const isSilent =
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -148,6 +148,7 @@
       (await copyAway(this.options, from, {
         requestId: this.request.id,
         isThere: () => this.isAt(from),
+        isDestinationReady: ({id}) => this.options.fleet.isReady(id),
         chooseDestination: () => this.chooseDestination(from),
         ended: this.ended,
       })) ?? this.copied;
--- a/test/platform/exchange_fixture.ts
+++ b/test/platform/exchange_fixture.ts
@@ -34,5 +34,6 @@
     },
     remainingMs: 987.6,
     urgency: 0,
+    maySend: () => true,
   };
 }
--- a/test/platform/server_exchange_test.ts
+++ b/test/platform/server_exchange_test.ts
@@ -61,6 +61,23 @@
       expect(seen?.body).to.equal('body');
     });
 
+    for (const channel of ['new', 'reused'] as const) {
+      it(`is nothing on a ${channel} channel if the server no longer accepts requests`, async () => {
+        if (channel === 'reused') {
+          await read(await send());
+        }
+        const before = server.seen.length;
+        const order = {...createOrder('late', address), maySend: () => false};
+        const result = await exchange.send(order, new AbortController().signal);
+        expect(result).to.deep.include({
+          kind: ExchangeKind.NOT_RUN,
+          notAccepting: true,
+        });
+        await read(await send());
+        expect(server.seen.length).to.equal(before + 1);
+      });
+    }
+
     it('uses a channel again while its server keeps it', async () => {
       await read(await send());
       await read(await send());
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -112,6 +112,8 @@
   /** Servers that have ended. */
   readonly ended = new Set<string>();
   copyResult: Result<string, CopyFailure> = Result.ok('h1');
+  /** Called for each requested copy, before its result is returned. */
+  onCopy: (order: CopyOrder) => void = () => undefined;
 
   constructor(exchange: Exchange) {
     const log = new SilentLog();
@@ -165,6 +167,7 @@
       },
       copyRun: async order => {
         this.copies.push(order);
+        this.onCopy(order);
         return this.copyResult;
       },
       endedServers: new EndedServers(clock, async address =>
--- a/test/relay/relay_test.ts
+++ b/test/relay/relay_test.ts
@@ -429,6 +429,39 @@
       expect(second?.server.id).to.equal(fixture.copies[0]?.to.id);
     });
 
+    it('is not stopped for a destination that starts draining during the first copy', async () => {
+      const fixture: RelayFixture = new RelayFixture(
+        answerInTurn(
+          runUntilCopied(() => fixture),
+          async () => createAnswer(200, formatEvents(3, 4)),
+        ),
+      );
+      fixture.onCopy = ({to}) => {
+        if (fixture.copies.length === 1) {
+          fixture.fleet.set(createServer(to.id, FleetState.DRAINING), 'test');
+        }
+      };
+      const sink = await fixture.serve(streaming);
+      expect(sink.body).to.equal(formatEvents(1, 4).join(''));
+      const [left, ahead, last] = fixture.copies;
+      expect(ahead?.to.id).not.to.equal(left?.to.id);
+      expect(last).to.deep.include({to: ahead?.to, stops: true});
+      expect(fixture.sent[1]?.server.id).to.equal(ahead?.to.id);
+    });
+
+    it('is checked again before the first byte is sent', async () => {
+      const states: boolean[] = [];
+      const fixture: RelayFixture = new RelayFixture(async order => {
+        states.push(order.maySend());
+        const {id} = order.server;
+        fixture.fleet.set(createServer(id, FleetState.DRAINING), 'test');
+        states.push(order.maySend());
+        return createAnswer(200, []);
+      });
+      await fixture.serve({});
+      expect(states).to.deep.equal([true, false]);
+    });
+
     it('gets no new requests', async () => {
       const fixture = new RelayFixture(answer);
       for (const id of ['s1', 's2']) {
