Limit a newly started host to its own share of a rate

User-visible effect: a customer that started sending at high load, with all hosts killed at once soon after, exceeded its bound: 1,346,186 units in 8 s, where 1,311,776 are allowed.

Cause: in addition to its share of a rate, a host admits requests against the units that all hosts together have left, less a reserve for what other hosts spend before their reports arrive. The reserve is computed from measured demand, which is zero just after a start. Eight hosts that started together each treated the whole remainder as their own until they heard from each other.

A host now admits requests beyond its share only after it has run for the time that reports take to reach the other hosts (WORD_MS).

--- a/src/quota/quota.ts
+++ b/src/quota/quota.ts
@@ -78,8 +78,10 @@
   private readonly balances = new Map<string, Balance>();
   private readonly peers = new PeerSpending();
   private readonly demand: DemandMeter;
+  private readonly startMs: number;
 
   constructor(private readonly options: QuotaOptions) {
+    this.startMs = options.clock.monotonicMs();
     this.demand = new DemandMeter(options.clock);
   }
 
@@ -198,7 +200,19 @@
       this.demand.get(customer) + this.options.sumPeerDemand(customer);
     const excess = Math.max(0, all - rate.perSecond * this.getHeardShare());
     const reserved = (excess * WORD_MS) / MS_PER_SECOND;
-    return this.hearsMost() && balance.whole.covers(units, reserved);
+    return (
+      this.hearsMost() &&
+      this.isWarmedUp() &&
+      balance.whole.covers(units, reserved)
+    );
+  }
+
+  /**
+   * Tells whether this host has run for long enough to have its peers' demand.
+   * Before that, demand reads as zero and nothing would be reserved.
+   */
+  private isWarmedUp(): boolean {
+    return this.options.clock.monotonicMs() - this.startMs >= WORD_MS;
   }
 
   /**
