Soak: drain servers in series and check late requests per host

The soak could barely detect late requests: a leaving server stopped 0.6 s after the drain bound, no server left by removal of its entry alone, requests were judged by when their caller sent them, and a store fault excused every host for 3 s.

A leaving server now keeps serving for 9 s. In half of the schedules, a server leaves every half second, half of these by removal of the entry alone. With 13 or more hosts, spread over three data centres, aggregators, two of which read the tables for others, and other hosts are meanwhile killed, stopped, frozen and cut off from the store. A request is judged by when it reaches the server. A fault excuses only the host that it affects. A store fault excuses a host only until the host itself knows that the server is leaving, according to its own log. A fault on the link to a server excuses the requests sent over that link.

Ports are now handed out only once per process. Previously, two hosts that got the same port exited at each start, and the run waited forever. A host that is not ready within 60 s now ends the run with an error that gives its name and its last log line.

--- a/src/trial/find_free_ports.ts
+++ b/src/trial/find_free_ports.ts
@@ -7,12 +7,19 @@
 const FIRST_PORT = 12_000;
 const LAST_PORT = 30_000;
 
-/** Finds loopback ports that are free now, at random places. */
+/** Ports already returned in this process; callers may not have bound them yet. */
+const allocatedPorts = new Set<number>();
+
+/** Picks random free loopback ports; never returns the same port twice per process. */
 export async function findFreePorts(count: number): Promise<number[]> {
   const found = new Set<number>();
   while (found.size < count) {
     const span = LAST_PORT - FIRST_PORT;
     const port = FIRST_PORT + Math.floor(Math.random() * span);
+    if (allocatedPorts.has(port)) {
+      continue;
+    }
+    allocatedPorts.add(port);
     if (await isFree(port)) {
       found.add(port);
     }
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -8,11 +8,11 @@
 import {
   findEnding,
   findLateChanges,
-  findLateWork,
   findLosses,
   findNoRecovery,
   findStepsBack,
 } from './find_late.js';
+import {findLateWork} from './find_late_work.js';
 import {
   findDisorder,
   findDoubled,
--- a/test/soak/checks_test.ts
+++ b/test/soak/checks_test.ts
@@ -226,6 +226,16 @@
   ],
 ]);
 
+function createStoreFault(): FaultSpan {
+  return createStop({
+    kind: 'store-busy',
+    target: '',
+    planned: false,
+    fromMs: 7050,
+    toMs: 12_000,
+  });
+}
+
 /** Adds a request that a server answered. */
 function addRequest(
   history: History,
@@ -315,6 +325,44 @@
       });
     }
 
+    it('a request to a server that left just before a store fault', () => {
+      const history = createBase();
+      addRequest(history, 'r1');
+      history.leavings.push({server: SERVER, atMs: 7000});
+      history.faults.push(createStoreFault());
+      expect(judge(history, true)).to.deep.equal([]);
+    });
+
+    it('not a request from a host that logged the leaving during a store fault', () => {
+      const history = createBase();
+      addRequest(history, 'r1');
+      history.leavings.push({server: SERVER, atMs: 7000});
+      history.faults.push(createStoreFault());
+      history.words.push({host: 'front-0', server: SERVER, atMs: 7100});
+      const found = judge(history, true).map(({check}) => check);
+      expect(found).to.include('leaving servers get nothing');
+    });
+
+    it('not a request sent within the drain bound but forwarded after it', () => {
+      const history = createBase();
+      history.sendings.push(createSending({sentMs: 8500, endMs: 9600}));
+      history.arrivals.push(createArrival({atMs: 9500}));
+      history.leavings.push({server: SERVER, atMs: 7000});
+      const found = judge(history, true).map(({check}) => check);
+      expect(found).to.include('leaving servers get nothing');
+    });
+
+    it('not a late request from a host while only another host has a fault', () => {
+      const history = createBase();
+      addRequest(history, 'r1');
+      history.leavings.push({server: SERVER, atMs: 7000});
+      history.faults.push(
+        createStop({kind: 'host-freeze', target: 'front-1', planned: false}),
+      );
+      const found = judge(history, true).map(({check}) => check);
+      expect(found).to.include('leaving servers get nothing');
+    });
+
     it('an old configuration at a host that was just frozen', () => {
       const history = createBase();
       addChange(history);
--- a/test/soak/find_late.ts
+++ b/test/soak/find_late.ts
@@ -55,23 +55,6 @@
   }
 }
 
-export function* findLateWork(history: History): Iterable<string> {
-  const {drainMs} = history.bounds;
-  const sent = new Map(history.sendings.map(sending => [sending.id, sending]));
-  for (const {server, atMs: leftMs} of history.leavings) {
-    for (const {id, server: at, atMs} of history.arrivals) {
-      const sending = sent.get(id);
-      if (at !== server || sending === undefined) {
-        continue;
-      }
-      const isLate = sending.sentMs > leftMs + drainMs && atMs > leftMs;
-      if (isLate && !isStruck(history, sending.host, atMs)) {
-        yield `${id} reached ${server} ${atMs - leftMs} ms after it left`;
-      }
-    }
-  }
-}
-
 /** Requests that were with a host, or came to it, when it was asked to stop. */
 export function* findLosses(history: History): Iterable<string> {
   const {contactMs, graceMs} = history.bounds;
--- /dev/null
+++ b/test/soak/find_late_work.ts
@@ -0,0 +1,99 @@
+/** Finds requests that reach servers after these have started leaving. */
+import {Arrival, FaultSpan, History, Leaving} from './history.js';
+import {overlaps, touches} from './history_questions.js';
+import {FaultKind} from './schedule.js';
+
+/** A request that reached a leaving server from a host not excused by a fault. */
+export interface ArrivalAfterLeaving {
+  readonly id: string;
+  readonly host: string;
+  readonly server: string;
+  /** Time since the leaving was recorded in the store or logged by the host, in ms. */
+  readonly sinceNoticeMs: number;
+}
+
+const SERVER_LINK_FAULTS: readonly string[] = [
+  FaultKind.SERVER_LINK_ONE_WAY,
+  FaultKind.SERVER_LINK_RESET,
+  FaultKind.SERVER_LINK_SLOW,
+];
+
+/** Lists requests that reached leaving servers, unless a fault excuses the host. */
+export function* listArrivalsAfterLeaving(
+  history: History,
+): Iterable<ArrivalAfterLeaving> {
+  const hosts = new Map(history.sendings.map(({id, host}) => [id, host]));
+  for (const leaving of history.leavings) {
+    for (const arrival of history.arrivals) {
+      const {id, server, atMs} = arrival;
+      const host = hosts.get(id);
+      const isAfter = server === leaving.server && atMs > leaving.atMs;
+      if (
+        !isAfter ||
+        host === undefined ||
+        isExcusedByFault(history, host, arrival)
+      ) {
+        continue;
+      }
+      const noticeMs = findNoticeMs(history, leaving, host, atMs);
+      if (noticeMs !== undefined && atMs > noticeMs) {
+        yield {id, host, server, sinceNoticeMs: atMs - noticeMs};
+      }
+    }
+  }
+}
+
+export function* findLateWork(history: History): Iterable<string> {
+  for (const arrival of listArrivalsAfterLeaving(history)) {
+    if (arrival.sinceNoticeMs > history.bounds.drainMs) {
+      const {id, host, server, sinceNoticeMs} = arrival;
+      yield `${id} reached ${server} from ${host} ${Math.round(sinceNoticeMs)} ms after it left`;
+    }
+  }
+}
+
+/**
+ * Returns the time from which the drain bound applies to a host: the change in the
+ * store or, if a store fault overlaps it, the host's own log line, if there is one.
+ */
+function findNoticeMs(
+  history: History,
+  {server, atMs: leftMs}: Leaving,
+  host: string,
+  atMs: number,
+): number | undefined {
+  const {contactMs, drainMs} = history.bounds;
+  const storeFaults = history.faults.filter(isStoreFault);
+  const isStoreHealthy = storeFaults.every(
+    fault => !overlaps(fault, leftMs - contactMs, leftMs + drainMs),
+  );
+  if (isStoreHealthy) {
+    return leftMs;
+  }
+  const observedMs = history.words
+    .filter(leaving => leaving.host === host && leaving.server === server)
+    .map(leaving => leaving.atMs)
+    .filter(loggedMs => loggedMs >= leftMs && loggedMs <= atMs);
+  return observedMs.length === 0 ? undefined : Math.min(...observedMs);
+}
+
+/** Tells whether a recent fault affected the host or its link to the server. */
+function isExcusedByFault(
+  history: History,
+  host: string,
+  {server, atMs}: Arrival,
+): boolean {
+  const sinceMs = atMs - history.bounds.contactMs;
+  return history.faults.some(fault => {
+    const affectsHost = !isStoreFault(fault) && touches(fault, host);
+    const affectsLink =
+      SERVER_LINK_FAULTS.includes(fault.kind) &&
+      server.startsWith(`${fault.target}@`);
+    return (affectsHost || affectsLink) && overlaps(fault, sinceMs, atMs);
+  });
+}
+
+/** Tells whether a fault affects the store for all hosts. */
+function isStoreFault({kind, target}: FaultSpan): boolean {
+  return target === '' && kind !== FaultKind.ALL_KILLED;
+}
--- a/test/soak/history.ts
+++ b/test/soak/history.ts
@@ -57,6 +57,13 @@
   readonly atMs: number;
 }
 
+/** A host's log entry that a server is draining or gone. */
+export interface ObservedLeaving {
+  readonly host: string;
+  readonly server: string;
+  readonly atMs: number;
+}
+
 /** A limit while a server named it. */
 export interface NamedLimit {
   readonly server: string;
@@ -118,6 +125,7 @@
   readonly sendings: Sending[];
   readonly arrivals: Arrival[];
   readonly leavings: Leaving[];
+  readonly words: ObservedLeaving[];
   readonly limits: NamedLimit[];
   readonly changes: Change[];
   readonly duties: DutyCall[];
@@ -141,6 +149,7 @@
     sendings: [],
     arrivals: [],
     leavings: [],
+    words: [],
     limits: [],
     changes: [],
     duties: [],
--- a/test/soak/injector.ts
+++ b/test/soak/injector.ts
@@ -1,6 +1,6 @@
 import {Callers} from './callers.js';
 import {FaultSpan, History} from './history.js';
-import {Fault, FaultKind} from './schedule.js';
+import {Fault, FaultKind, AGGREGATOR} from './schedule.js';
 import {LIMIT, SoakServer} from './soak_server.js';
 import {SoakSystem, wait} from './soak_system.js';
 
@@ -23,7 +23,10 @@
   /** Brings one fault about; returns once it is mended. */
   async inject(fault: Fault): Promise<void> {
     const {system} = this;
-    const host = system.getHost(fault.target);
+    const host =
+      fault.target === AGGREGATOR
+        ? await system.findAggregator()
+        : system.getHost(fault.target);
     const {name} = host.options;
     const server = system.getServer(fault.target);
     const {store} = system;
@@ -110,6 +113,10 @@
         return this.during(fault, name, () => system.crashServer(server, true));
       case FaultKind.SERVER_LEAVES:
         return this.during(fault, name, () => system.drainServer(server));
+      case FaultKind.SERVER_REMOVED:
+        return this.during(fault, name, () =>
+          system.drainServer(server, false),
+        );
       case FaultKind.SERVER_DARK:
         return this.hold(fault, name, on => (faults.dark = on));
       case FaultKind.SERVER_LOSES_ANSWERS:
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -3,6 +3,8 @@
 import {join} from 'node:path';
 import {cac} from 'cac';
 import {formatLine} from '../../src/log/index.js';
+import {listArrivalsAfterLeaving} from './find_late_work.js';
+import {History} from './history.js';
 import {runSoak, SoakReport} from './run_soak.js';
 import {drawSchedule, Schedule} from './schedule.js';
 import {shrinkSchedule} from './shrink_schedule.js';
@@ -122,6 +124,8 @@
           count,
         ]),
       ),
+      left: report.history.leavings.length,
+      ...describeLastArrivals(report.history),
       violations: report.violations.length,
       took_s: ((performance.now() - startMs) / MS_PER_SECOND).toFixed(0),
     }),
@@ -140,6 +144,22 @@
   return true;
 }
 
+/** Reports the two longest delays at which leaving servers still got requests. */
+function describeLastArrivals(
+  history: History,
+): Readonly<Record<string, number>> {
+  const lastMs = new Map<string, number>();
+  for (const {server, sinceNoticeMs} of listArrivalsAfterLeaving(history)) {
+    lastMs.set(server, Math.max(lastMs.get(server) ?? 0, sinceNoticeMs));
+  }
+  const sorted = [...lastMs.values()].sort((a, b) => b - a);
+  return {
+    reached_after_word: sorted.length,
+    last_arrival_ms: Math.round(sorted[0] ?? 0),
+    next_arrival_ms: Math.round(sorted[1] ?? 0),
+  };
+}
+
 /** Leaves a failed run for whoever looks into it. */
 async function leave(report: SoakReport, folder: string): Promise<void> {
   const {schedule, history, violations, lines} = report;
--- a/test/soak/run_soak.ts
+++ b/test/soak/run_soak.ts
@@ -67,6 +67,7 @@
     await system.stop();
     await rm(folder, {recursive: true, force: true});
   }
+  history.words.push(...system.listObservedLeavings());
   for (const {options, logged, ownExits} of system.hosts) {
     history.logged.set(options.name, logged);
     history.ownExits.push(...ownExits.map(exit => `${options.name} ${exit}`));
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -31,13 +31,19 @@
   CALLERS_LEAVE: 'callers-leave',
   ENDING_REQUEST: 'ending-request',
   SERVER_LIMITS: 'server-limits',
+  SERVER_REMOVED: 'server-removed',
 } as const;
 export type FaultKind = (typeof FaultKind)[keyof typeof FaultKind];
 
 /** Kinds that are drawn by themselves, so that older seeds keep their other faults. */
-const DRAWN_APART: readonly FaultKind[] = [FaultKind.SERVER_LIMITS];
+const DRAWN_APART: readonly FaultKind[] = [
+  FaultKind.SERVER_LIMITS,
+  FaultKind.SERVER_REMOVED,
+];
 /** Moves the seed by which those are drawn. */
 const APART = 0x5eed;
+/** Seed offset for series of leaving servers, so that other draws stay the same. */
+const LEAVINGS_SEED_OFFSET = 0x1eaf;
 
 /** One fault of a schedule. */
 export interface Fault {
@@ -76,6 +82,20 @@
 const SERIES_SHARE = 0.2;
 const SERIES = 3;
 const SERIES_GAP_MS = 600;
+/** Share of schedules in which servers leave throughout the run. */
+const LEAVINGS_SHARE = 0.5;
+/** Mean interval between leaving servers, in milliseconds. */
+const LEAVING_PAUSE_MS = 500;
+/** Minimum number of hosts for host faults in such schedules. */
+const MIN_HOSTS_FOR_HOST_FAULTS = 13;
+const HOST_FAULTS: readonly FaultKind[] = [
+  FaultKind.HOST_KILL,
+  FaultKind.HOST_FREEZE,
+  FaultKind.HOST_STOP,
+  FaultKind.STORE_LINK_CUT,
+];
+/** Target resolved, when the fault is injected, to an aggregator; two of these read the tables. */
+export const AGGREGATOR = -1;
 
 /**
  * Draws a schedule.
@@ -101,10 +121,58 @@
     atMs += Math.round(PAUSE_MS * (0.3 + 1.4 * random.next()));
   }
   faults.push(...drawLimits(new SeededRandom(seed + APART)));
+  faults.push(
+    ...drawLeavings(
+      new SeededRandom(seed + LEAVINGS_SEED_OFFSET),
+      hosts,
+      lengthMs,
+    ),
+  );
   faults.sort((a, b) => a.atMs - b.atMs);
   return {seed, hosts, servers: 2 * hosts, lengthMs, faults};
 }
 
+/**
+ * Draws servers that leave in series, either announced or only removed from the store.
+ * Large schedules also include host faults, half of them targeting table readers.
+ */
+function drawLeavings(
+  random: Random,
+  hosts: number,
+  lengthMs: number,
+): Fault[] {
+  if (random.next() >= LEAVINGS_SHARE) {
+    return [];
+  }
+  const faults: Fault[] = [];
+  let atMs = CALM_MS;
+  while (atMs < lengthMs - CALM_MS) {
+    const isAnnounced = random.next() < 0.5;
+    faults.push({
+      kind: isAnnounced ? FaultKind.SERVER_LEAVES : FaultKind.SERVER_REMOVED,
+      atMs,
+      forMs: 0,
+      target: Math.floor(random.next() * 64),
+    });
+    if (hosts >= MIN_HOSTS_FOR_HOST_FAULTS && random.next() < 0.3) {
+      faults.push(drawHostFault(random, atMs));
+    }
+    atMs += Math.round(LEAVING_PAUSE_MS * (0.5 + random.next()));
+  }
+  return faults;
+}
+
+function drawHostFault(random: Random, atMs: number): Fault {
+  const kind = HOST_FAULTS[Math.floor(random.next() * HOST_FAULTS.length)];
+  const spanMs = LONGEST_MS - SHORTEST_MS;
+  return {
+    kind: kind ?? FaultKind.HOST_KILL,
+    atMs,
+    forMs: Math.round(SHORTEST_MS + spanMs * random.next()),
+    target: random.next() < 0.5 ? AGGREGATOR : Math.floor(random.next() * 64),
+  };
+}
+
 function drawFault(random: Random, atMs: number): Fault {
   const kinds = Object.values(FaultKind).filter(
     kind => !DRAWN_APART.includes(kind),
--- a/test/soak/soak_host.ts
+++ b/test/soak/soak_host.ts
@@ -28,6 +28,8 @@
   './scripts/early_signals.cjs',
   'dist/platform/sedgefalld.js',
 ];
+const SERVER_LEAVING =
+  /^time=(\S+) .*event=server_state .*server=(\S+) .*state=(?:draining|gone)/;
 const ENDED = /event=(relayed|refused) .*?request=(\S+)/;
 /** Lines kept of one host for a run that fails. */
 const MAX_LINES = 200_000;
@@ -38,12 +40,16 @@
   readonly lines: string[] = [];
   /** Ids whose end it logged. */
   readonly logged = new Set<string>();
+  /** Servers it logged as draining or gone, with the wall-clock time of the line. */
+  readonly observedLeavings: {readonly server: string; readonly at: Date}[] =
+    [];
   /** Ends of its process that nobody asked for. */
   readonly ownExits: string[] = [];
   /** Starts so far. */
   starts = 0;
   callers = '';
   ready = '';
+  control = '';
   private settingsPath = '';
   private ports: number[] = [];
   private storeAddress = '';
@@ -64,9 +70,10 @@
     this.storeAddress = await this.storeLink.listen();
     this.ports = await findFreePorts(5);
     this.settingsPath = join(folder, `${name}.toml`);
-    const [front, ready] = this.ports;
+    const [front, ready, control] = this.ports;
     this.callers = `127.0.0.1:${front}`;
     this.ready = `127.0.0.1:${ready}`;
+    this.control = `127.0.0.1:${control}`;
     await this.writeSettings();
   }
 
@@ -81,6 +88,8 @@
     this.child = child;
     // Ended by its id also where the soak itself is interrupted.
     const endWithSoak = () => child.kill('SIGKILL');
+    // Avoids the listener leak warning: each running host adds an exit listener.
+    process.setMaxListeners(0);
     process.once('exit', endWithSoak);
     child.once('exit', () => process.off('exit', endWithSoak));
     child.once('exit', code => {
@@ -152,6 +161,13 @@
     if (this.lines.length < MAX_LINES) {
       this.lines.push(line);
     }
+    const leaving = SERVER_LEAVING.exec(line);
+    if (leaving !== null) {
+      this.observedLeavings.push({
+        server: leaving[2] ?? '',
+        at: new Date(leaving[1] ?? ''),
+      });
+    }
     const id = ENDED.exec(line)?.[2];
     if (id !== undefined) {
       this.logged.add(id);
--- a/test/soak/soak_system.ts
+++ b/test/soak/soak_system.ts
@@ -1,7 +1,7 @@
 import {createServer, Server} from 'node:http';
 import {AddressInfo} from 'node:net';
 import {StandInStore} from '../platform/stand_in/stand_in_store.js';
-import {History} from './history.js';
+import {History, ObservedLeaving} from './history.js';
 import {SoakHost} from './soak_host.js';
 import {SoakServer} from './soak_server.js';
 
@@ -18,14 +18,21 @@
 export const PRESSING_KEY = 'k2';
 export const HOST_NAME = 'desk.example';
 const CENTRES = ['tac', 'pdx'];
+/** Data centres in large runs; hosts in two of them read the tables for all. */
+const LARGE_RUN_CENTRES = ['tac', 'pdx', 'geg'];
+const LARGE_RUN_HOSTS = 13;
 const POLL_MS = 10;
 const READY_POLL_MS = 300;
+/** Time limit for all hosts to become ready, with allowance for a busy machine. */
+const READY_TIMEOUT_MS = 60_000;
 const SERVICE = 'ledger';
 /** Time after an end at which the entry lapses, and at which the server is back. */
 const LAPSE_MS = 900;
 const BACK_MS = 1800;
 /** Time for which a server that leaves goes on after the store has its word. */
-const LEAVES_MS = 2600;
+const LEAVES_MS = 9000;
+/** Time after which the entry of a draining server is removed. */
+const ENTRY_REMOVAL_MS = 2600;
 
 /** Store, cloud, servers and the real hosts before them, all on loopback. */
 export class SoakSystem {
@@ -38,6 +45,7 @@
   /** Where each start of a server is reached. */
   private readonly addresses = new Map<string, string>();
   private readonly startMs = performance.now();
+  private readonly startedAt = new Date();
   private storePort = 0;
   private version = 0;
   private extraRoute = '';
@@ -64,6 +72,17 @@
     return performance.now() - this.startMs;
   }
 
+  /** Lists when each host logged servers as draining or gone. */
+  listObservedLeavings(): ObservedLeaving[] {
+    return this.hosts.flatMap(({options: {name: host}, observedLeavings}) =>
+      observedLeavings.map(({server, at}) => ({
+        host,
+        server,
+        atMs: at.getTime() - this.startedAt.getTime(),
+      })),
+    );
+  }
+
   /** Starts everything; returns once every host is ready. */
   async start(): Promise<void> {
     this.storePort = Number((await this.store.listen()).split(':')[1]);
@@ -78,7 +97,7 @@
     for (let index = 0; index < this.size.hosts; index++) {
       const host = new SoakHost({
         name: `front-${index}`,
-        dataCentre: CENTRES[index % CENTRES.length] ?? '',
+        dataCentre: this.getDataCentre(index),
         folder: this.folder,
         bounds: this.history.bounds,
         getStorePort: () => this.storePort,
@@ -92,13 +111,29 @@
     await this.waitUntilReady();
   }
 
-  /** Waits until every host is in rotation. */
+  /** Waits until every host is in rotation; throws on timeout instead of hanging. */
   async waitUntilReady(): Promise<void> {
+    const endMs = this.getNowMs() + READY_TIMEOUT_MS;
     while (this.inRotation.size < this.hosts.length && !this.stopped) {
+      if (this.getNowMs() > endMs) {
+        throw new Error(
+          `hosts not ready within ${READY_TIMEOUT_MS} ms: ${this.describeUnready()}`,
+        );
+      }
       await wait(POLL_MS);
     }
   }
 
+  private describeUnready(): string {
+    return this.hosts
+      .filter(({options: {name}}) => !this.inRotation.has(name))
+      .map(
+        ({options: {name}, lines}) =>
+          `${name} (${lines.at(-1) ?? 'no log output'})`,
+      )
+      .join(', ');
+  }
+
   /** Ends every process and listener that was started here. */
   async stop(): Promise<void> {
     this.stopped = true;
@@ -133,6 +168,16 @@
     return this.servers[number % Math.max(1, this.servers.length)];
   }
 
+  /** Finds the first host that is an aggregator; the first host if none answers. */
+  async findAggregator(): Promise<SoakHost> {
+    for (const host of this.hosts) {
+      if (await isAggregator(host.control)) {
+        return host;
+      }
+    }
+    return this.getHost(0);
+  }
+
   /** Kills a host's process; it starts again after a while. */
   async killHost(host: SoakHost, downMs: number): Promise<void> {
     await host.end('SIGKILL', downMs);
@@ -164,20 +209,30 @@
     await this.startServer(`${server.name.split('.')[0]}.${++this.bornMs}`);
   }
 
-  /** Has a server leave as planned; another takes its place. */
-  async drainServer(server: SoakServer): Promise<void> {
+  /**
+   * Has a server leave as planned; another takes its place.
+   * @param server - The server.
+   * @param isAnnounced - Whether it is marked as draining before its entry is removed.
+   */
+  async drainServer(server: SoakServer, isAnnounced = true): Promise<void> {
     const index = this.servers.indexOf(server);
     if (index < 0) {
       return;
     }
     this.servers.splice(index, 1);
     await this.startServer(`${server.name.split('.')[0]}.${++this.bornMs}`);
-    this.register(server, 'draining');
+    if (isAnnounced) {
+      this.register(server, 'draining');
+    } else {
+      this.store.remove('servers', server.name);
+    }
     const atMs = this.getNowMs();
     this.history.leavings.push({server: server.start, atMs});
-    await wait(LEAVES_MS);
-    this.store.remove('servers', server.name);
-    await wait(LEAVES_MS / 2);
+    await wait(ENTRY_REMOVAL_MS);
+    if (isAnnounced) {
+      this.store.remove('servers', server.name);
+    }
+    await wait(LEAVES_MS - ENTRY_REMOVAL_MS);
     server.crash();
   }
 
@@ -249,7 +304,7 @@
     this.store.put('servers', name, {
       service: SERVICE,
       address,
-      zone: CENTRES[Number(/\d+/.exec(name)?.[0] ?? 0) % CENTRES.length],
+      zone: this.getDataCentre(Number(/\d+/.exec(name)?.[0] ?? 0)),
       version: 'v1',
       slots: 16,
       state,
@@ -259,6 +314,12 @@
     });
   }
 
+  private getDataCentre(index: number): string {
+    const isLargeRun = this.size.hosts >= LARGE_RUN_HOSTS;
+    const centres = isLargeRun ? LARGE_RUN_CENTRES : CENTRES;
+    return centres[index % centres.length] ?? '';
+  }
+
   private noteDuty(
     headers: Readonly<Record<string, unknown>>,
     text: string,
@@ -313,6 +374,19 @@
   }
 }
 
+/** Asks a host whether it is an aggregator; returns false if it does not answer. */
+async function isAggregator(address: string): Promise<boolean> {
+  try {
+    const answer = await fetch(`http://${address}/state`, {
+      signal: AbortSignal.timeout(100),
+    });
+    const state = (await answer.json()) as {readonly sums_up?: boolean};
+    return state.sums_up === true;
+  } catch {
+    return false;
+  }
+}
+
 function createRoute(
   prefix: string,
   overrides: Readonly<Record<string, unknown>>,
