Soak: ask hosts for their state where they serve it

The soak looked for an aggregator at the peers' port, where no host answers HTTP, so that faults drawn for an aggregator always struck the first host.

--- a/test/soak/soak_host.ts
+++ b/test/soak/soak_host.ts
@@ -49,7 +49,7 @@
   starts = 0;
   callers = '';
   ready = '';
-  control = '';
+  metrics = '';
   private settingsPath = '';
   private ports: number[] = [];
   private storeAddress = '';
@@ -70,10 +70,10 @@
     this.storeAddress = await this.storeLink.listen();
     this.ports = await findFreePorts(5);
     this.settingsPath = join(folder, `${name}.toml`);
-    const [front, ready, control] = this.ports;
+    const [front, ready, , , last] = this.ports;
     this.callers = `127.0.0.1:${front}`;
     this.ready = `127.0.0.1:${ready}`;
-    this.control = `127.0.0.1:${control}`;
+    this.metrics = `127.0.0.1:${last}`;
     await this.writeSettings();
   }
 
--- a/test/soak/soak_system.ts
+++ b/test/soak/soak_system.ts
@@ -171,7 +171,7 @@
   /** Finds the first host that is an aggregator; the first host if none answers. */
   async findAggregator(): Promise<SoakHost> {
     for (const host of this.hosts) {
-      if (await isAggregator(host.control)) {
+      if (await isAggregator(host.metrics)) {
         return host;
       }
     }
