--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -86,8 +86,11 @@
 const LEAVINGS_SHARE = 0.5;
 /** Mean interval between leaving servers, in milliseconds. */
 const LEAVING_PAUSE_MS = 500;
-/** Minimum number of hosts for host faults in such schedules. */
-const MIN_HOSTS_FOR_HOST_FAULTS = 13;
+/**
+ * Hosts from which two read the tables for all: such runs have three data centres, and
+ * host faults while servers leave.
+ */
+export const LARGE_RUN_HOSTS = 13;
 const HOST_FAULTS: readonly FaultKind[] = [
   FaultKind.HOST_KILL,
   FaultKind.HOST_FREEZE,
@@ -154,7 +157,7 @@
       forMs: 0,
       target: Math.floor(random.next() * 64),
     });
-    if (hosts >= MIN_HOSTS_FOR_HOST_FAULTS && random.next() < 0.3) {
+    if (hosts >= LARGE_RUN_HOSTS && random.next() < 0.3) {
       faults.push(drawHostFault(random, atMs));
     }
     atMs += Math.round(LEAVING_PAUSE_MS * (0.5 + random.next()));
@@ -162,13 +165,17 @@
   return faults;
 }
 
+/** Draws the length of a fault, in milliseconds. */
+function drawLength(random: Random): number {
+  return Math.round(SHORTEST_MS + (LONGEST_MS - SHORTEST_MS) * random.next());
+}
+
 function drawHostFault(random: Random, atMs: number): Fault {
   const kind = HOST_FAULTS[Math.floor(random.next() * HOST_FAULTS.length)];
-  const spanMs = LONGEST_MS - SHORTEST_MS;
   return {
     kind: kind ?? FaultKind.HOST_KILL,
     atMs,
-    forMs: Math.round(SHORTEST_MS + spanMs * random.next()),
+    forMs: drawLength(random),
     target: random.next() < 0.5 ? AGGREGATOR : Math.floor(random.next() * 64),
   };
 }
@@ -178,11 +185,10 @@
     kind => !DRAWN_APART.includes(kind),
   );
   const kind = kinds[Math.floor(random.next() * kinds.length)];
-  const spanMs = LONGEST_MS - SHORTEST_MS;
   return {
     kind: kind ?? FaultKind.CHANGE,
     atMs,
-    forMs: Math.round(SHORTEST_MS + spanMs * random.next()),
+    forMs: drawLength(random),
     target: Math.floor(random.next() * 64),
   };
 }
--- a/test/soak/soak_system.ts
+++ b/test/soak/soak_system.ts
@@ -2,6 +2,7 @@
 import {AddressInfo} from 'node:net';
 import {StandInStore} from '../platform/stand_in/stand_in_store.js';
 import {History, ObservedLeaving} from './history.js';
+import {LARGE_RUN_HOSTS} from './schedule.js';
 import {SoakHost} from './soak_host.js';
 import {SoakServer} from './soak_server.js';
 
@@ -20,7 +21,6 @@
 const CENTRES = ['tac', 'pdx'];
 /** Data centres in large runs; hosts in two of them read the tables for all. */
 const LARGE_RUN_CENTRES = ['tac', 'pdx', 'geg'];
-const LARGE_RUN_HOSTS = 13;
 const POLL_MS = 10;
 const READY_POLL_MS = 300;
 /** Time limit for all hosts to become ready, with allowance for a busy machine. */
