Read in one place what an answer states about its server, and log it

ServerStatement is the type of what an answer states: the limit, which had its own way, that the server leaves, and a backoff (Retry-After of a rejection). It is read from answers, failures, rejections and heads of streams; not from a 421, an answer to another request or one without a signature.

LeavingServers and ServerBackoffs record and log what was stated (server_leaving, server_backoff, server_backoff_unusable); nothing decides by it yet. Metrics servers_backing_off, backoffs.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -8,6 +8,7 @@
 import {choosePreferredServer} from './choose_preferred_server.js';
 import {FleetServer, FleetState} from './fleet_server.js';
 import {KnowledgeQuery} from './knowledge_query.js';
+import {LeavingServers} from './leaving_servers.js';
 import {HostLoad, PREFILL_TOKENS_PER_MS, sumPeerWork} from './peer_work.js';
 import {
   TrackedRequest,
@@ -73,6 +74,8 @@
 
 /** The registered backend servers, with what is known about each. */
 export class Fleet {
+  /** Servers that have stated in an answer that they leave. */
+  readonly leaving: LeavingServers;
   /** Servers by the id of their incarnation. */
   private readonly servers = new Map<string, TrackedServer>();
   /** Latest known incarnation of each server, by name. */
@@ -88,6 +91,11 @@
     this.outliers = new OutlierDetector(options.clock);
     this.prefillRates = new DemandMeter(options.clock);
     this.partUpdates = new PartUpdates(options.clock);
+    this.leaving = new LeavingServers({
+      clock: options.clock,
+      log: options.log,
+      isKnownServer: server => this.servers.has(server),
+    });
   }
 
   /** Adds a function that is called for each server whose state changes. */
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -1,6 +1,6 @@
 import {FleetServer} from '../fleet/index.js';
-import {StatedLimit} from '../limits/index.js';
 import {RawHeader, RelayRequest} from './relay_request.js';
+import {ServerStatement} from './server_statement.js';
 
 /** Parameters of one exchange with a server. */
 export interface ExchangeParams {
@@ -43,8 +43,8 @@
   readonly kind: typeof ExchangeKind.ANSWERED;
   readonly status: number;
   readonly headers: readonly RawHeader[];
-  /** Rate limit that the answer states; absent if it is not read. */
-  readonly limit?: StatedLimit;
+  /** What the answer states about its server. */
+  readonly statement?: ServerStatement;
   /** Throws if the answer breaks off; ends only if it is complete. */
   readonly body: AsyncIterable<Uint8Array>;
 }
@@ -62,8 +62,8 @@
   readonly notAccepting?: boolean;
   /** Whether an unusable answer arrived, which shows that the server is running. */
   readonly corrupted?: boolean;
-  /** Rate limit that the rejection states; absent without an answer. */
-  readonly limit?: StatedLimit;
+  /** What a rejection states about its server; absent if the server did not answer. */
+  readonly statement?: ServerStatement;
 }
 
 /** Result of an exchange. */
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -7,3 +7,4 @@
 export {Relay} from './relay.js';
 export type {RelayOptions} from './relay_options.js';
 export type {Prompt, RawHeader, RelayRequest} from './relay_request.js';
+export type {ServerStatement} from './server_statement.js';
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -6,6 +6,7 @@
   ExchangeAnswer,
   ExchangeFailure,
   ExchangeKind,
+  ExchangeResult,
   RunCopy,
 } from './exchange.js';
 import {RelayOptions} from './relay_options.js';
@@ -160,9 +161,7 @@
       },
       this.abortSignal,
     );
-    if (result.limit !== undefined) {
-      this.options.limits.addAnswer(server.id, result.limit, this.sentMs);
-    }
+    this.recordStatement(result);
     const attemptResult =
       result.kind === ExchangeKind.ANSWERED
         ? await this.receive(result)
@@ -171,6 +170,24 @@
     return attemptResult;
   }
 
+  /** Records what the answer, if any, states about its server. */
+  private recordStatement({statement}: ExchangeResult): void {
+    const {backoffs, fleet, limits} = this.options;
+    const {id} = this.params.server;
+    const {sentMs} = this;
+    if (statement?.isLeaving === true) {
+      fleet.leaving.addAnswer(id);
+    }
+    if (statement?.limit !== undefined) {
+      limits.addAnswer(id, statement.limit, sentMs);
+    }
+    backoffs.endAttempt(id, {
+      isAnswered: statement !== undefined,
+      stated: statement?.backoff,
+      sentMs,
+    });
+  }
+
   /** Tells whether the server accepts the request in its current state. */
   private acceptsRequest(): boolean {
     const {fleet} = this.options;
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -1,3 +1,4 @@
+import {ServerBackoffs} from '../backoff/index.js';
 import {CatalogStore} from '../catalog/index.js';
 import {Fleet} from '../fleet/index.js';
 import {ServerLimits} from '../limits/index.js';
@@ -27,6 +28,7 @@
   readonly fleet: Fleet;
   readonly quota: Quota;
   readonly limits: ServerLimits;
+  readonly backoffs: ServerBackoffs;
   readonly quarantine: Quarantine;
   readonly retryBudget: SharedRetryBudget;
   readonly usageLedger: UsageLedger;
--- a/src/relay_host/bind_cluster_state.ts
+++ b/src/relay_host/bind_cluster_state.ts
@@ -1,4 +1,5 @@
 import {Container} from 'inversify';
+import {ServerBackoffs} from '../backoff/index.js';
 import {CatalogStore} from '../catalog/index.js';
 import {bind} from '../container/index.js';
 import {Fleet} from '../fleet/index.js';
@@ -63,6 +64,17 @@
         isKnownServer: server => container.get(Fleet).get(server) !== undefined,
       }),
   );
+  bind(
+    container,
+    ServerBackoffs,
+    context =>
+      new ServerBackoffs({
+        clock: context.get(CLOCK),
+        log: context.get(LOG),
+        metrics: context.get(Metrics),
+        random: context.get(RANDOM),
+      }),
+  );
   bind(container, Quota, context => {
     const reports = context.get(HostReports);
     const knownHosts = context.get(KnownHosts);
--- a/src/relay_host/bind_relay_host.ts
+++ b/src/relay_host/bind_relay_host.ts
@@ -1,5 +1,6 @@
 /** Assembles an entry host that relays requests, by inversify. */
 import {Container} from 'inversify';
+import {ServerBackoffs} from '../backoff/index.js';
 import {CatalogStore} from '../catalog/index.js';
 import {bind} from '../container/index.js';
 import {Fleet} from '../fleet/index.js';
@@ -47,6 +48,7 @@
         fleet: context.get(Fleet),
         quota: context.get(Quota),
         limits: context.get(ServerLimits),
+        backoffs: context.get(ServerBackoffs),
         quarantine: context.get(Quarantine),
         retryBudget: context.get(SharedRetryBudget),
         usageLedger: context.get(UsageLedger),
--- a/test/platform/limited_server_test.ts
+++ b/test/platform/limited_server_test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {answerWith, Script} from './fakes/fake_server.js';
-import {CallerView, RunningHost, TestSystem} from './fakes/test_system.js';
+import {CallerTraffic} from './fakes/caller_traffic.js';
+import {TestSystem} from './fakes/test_system.js';
 
 /** Requests per second that each limited server accepts from all hosts together. */
 const LIMIT_PER_S = 2.6;
@@ -90,14 +91,9 @@
   }
 }
 
-/** A response as a caller received it, and how long it took. */
-interface TimedView extends CallerView {
-  readonly tookMs: number;
-}
-
 describe('a server that states a limit', () => {
   let system: TestSystem;
-  let hosts: RunningHost[];
+  let traffic: CallerTraffic;
   let limits: LimitedServers;
 
   beforeEach(async () => {
@@ -105,57 +101,29 @@
     limits = new LimitedServers();
     system.addServers(SERVERS, (_server, index) => limits.createScript(index));
     await system.start();
-    hosts = await system.startHosts(HOSTS);
+    const hosts = await system.startHosts(HOSTS);
+    traffic = new CallerTraffic(system, hosts, REQUESTS_PER_S);
   });
 
   afterEach(() => system.stop());
 
-  /** Sends requests of callers at the usual rate, to each host in turn. */
-  async function sendFor(spanMs: number): Promise<TimedView[]> {
-    const startMs = performance.now();
-    const calls: Promise<TimedView | undefined>[] = [];
-    for (let sent = 0; ; sent++) {
-      const dueMs = startMs + (sent * 1000) / REQUESTS_PER_S;
-      if (dueMs >= startMs + spanMs) {
-        break;
-      }
-      const host = hosts[sent % hosts.length] as RunningHost;
-      await new Promise(resolve =>
-        setTimeout(resolve, dueMs - performance.now()),
-      );
-      calls.push(send(host));
-    }
-    const views = await Promise.all(calls);
-    return views.filter(view => view !== undefined);
-  }
-
-  async function send(host: RunningHost): Promise<TimedView | undefined> {
-    const sentMs = performance.now();
-    try {
-      const view = await system.call(host, '/a/x', {}, 'body');
-      return {...view, tookMs: performance.now() - sentMs};
-    } catch {
-      return undefined;
-    }
-  }
-
   // Guards against hosts that together send a server several times the limit that it
   // states for all of them.
   it('gets no more than its limit from all hosts together', async () => {
     limits.setLimited(0, true);
     const statedMs = performance.now();
-    await sendFor(PROPAGATION_MS + 2 * WINDOW_MS);
+    await traffic.sendFor(PROPAGATION_MS + 2 * WINDOW_MS);
     const most = limits.countMaxInWindow(0, statedMs + PROPAGATION_MS);
     expect(most).to.be.at.most(MAX_PER_WINDOW);
   }).timeout(60_000);
 
   it('gets its full share again once it states none', async () => {
     limits.setLimited(0, true);
-    await sendFor(PROPAGATION_MS);
+    await traffic.sendFor(PROPAGATION_MS);
     limits.setLimited(0, false);
-    await sendFor(RECOVERY_MS);
+    await traffic.sendFor(RECOVERY_MS);
     const recoveredMs = performance.now();
-    await sendFor(WINDOW_MS);
+    await traffic.sendFor(WINDOW_MS);
     const own = limits.countBetween(0, recoveredMs, Infinity);
     let others = 0;
     for (let index = 1; index < SERVERS; index++) {
@@ -168,9 +136,9 @@
     for (let index = 0; index < SERVERS; index++) {
       limits.setLimited(index, true);
     }
-    await sendFor(PROPAGATION_MS);
+    await traffic.sendFor(PROPAGATION_MS);
     const fromMs = performance.now();
-    const views = await sendFor(2 * WINDOW_MS);
+    const requests = await traffic.sendFor(2 * WINDOW_MS);
     const spanMs = performance.now() - fromMs;
     let used = 0;
     for (let index = 0; index < SERVERS; index++) {
@@ -181,13 +149,16 @@
     }
     const least = (MIN_USED_SHARE * SERVERS * LIMIT_PER_S * spanMs) / 1000;
     expect(used).to.be.at.least(least);
-    const refused = views.filter(({status}) => status === 503);
-    expect(refused.length).to.be.above(views.length / 2);
-    for (const {body, headers} of refused) {
+    const refused = requests.filter(({view}) => view.status === 503);
+    expect(refused.length).to.be.above(requests.length / 2);
+    for (const {view} of refused) {
+      const {body, headers} = view;
       expect(body).to.contain('"service-limited"').and.contain('"no"');
       expect(Number(headers['retry-after'])).to.be.above(0);
     }
-    const late = refused.filter(({tookMs}) => tookMs > MAX_REFUSAL_MS);
+    const late = refused.filter(
+      ({sentMs, answeredMs}) => answeredMs - sentMs > MAX_REFUSAL_MS,
+    );
     expect(late.length).to.be.at.most(MAX_LATE_SHARE * refused.length);
   }).timeout(60_000);
 });
--- a/test/platform/server_exchange_test.ts
+++ b/test/platform/server_exchange_test.ts
@@ -3,6 +3,7 @@
   ExchangeAnswer,
   ExchangeKind,
   ExchangeResult,
+  ServerStatement,
 } from '../../src/relay/index.js';
 import {ServerExchange} from '../../platform/server_exchange.js';
 import {createExchangeParams} from './exchange_fixture.js';
@@ -127,7 +128,7 @@
             formatHead(request, status, ['Content-Length: 0', ...headers]),
           ),
         );
-      const {limit} = await send();
+      const limit = (await send()).statement?.limit;
       return limit === undefined
         ? 'not read'
         : limit.mapOr<number | string | undefined>('unusable', stated =>
@@ -167,6 +168,68 @@
     });
   });
 
+  describe('what a response states about its server', () => {
+    /** Returns the statement of a response; absent if the exchange ignores it. */
+    async function readStatement(
+      status: number,
+      headers: readonly string[],
+      change: (head: string) => string = head => head,
+    ): Promise<ServerStatement | undefined> {
+      server.script = (socket, request) =>
+        void socket.write(
+          change(
+            formatHead(request, status, ['Content-Length: 0', ...headers]),
+          ),
+        );
+      return (await send()).statement;
+    }
+
+    it('includes that it leaves, in responses, failures and rejections', async () => {
+      const leaving = 'Server-Leaving: 1';
+      for (const status of [200, 404, 500, 503]) {
+        const statement = await readStatement(status, [leaving]);
+        expect(statement?.isLeaving).to.equal(true);
+      }
+      const rejection = await readStatement(503, ['Not-Executed: 1', leaving]);
+      expect(rejection?.isLeaving).to.equal(true);
+    });
+
+    it('does not include that it leaves if the header is absent or has another value', async () => {
+      for (const headers of [[], ['Server-Leaving: 0'], ['Server-Leaving: ']]) {
+        const statement = await readStatement(200, headers);
+        expect(statement?.isLeaving).to.equal(false);
+      }
+    });
+
+    it('includes a backoff in rejections only', async () => {
+      const retryAfter = 'Retry-After: 1.5';
+      const readBackoff = async (status: number, ...headers: string[]) => {
+        const statement = await readStatement(status, headers);
+        return statement?.backoff?.unwrapOr(0);
+      };
+      const rejected = 'Not-Executed: 1';
+      expect(await readBackoff(503, rejected, retryAfter)).to.equal(1500);
+      expect(await readBackoff(429, rejected, retryAfter)).to.equal(1500);
+      expect(await readBackoff(503, retryAfter)).to.equal(1500);
+      expect(await readBackoff(503, rejected)).to.equal(undefined);
+      expect(await readBackoff(200, retryAfter)).to.equal(undefined);
+      expect(await readBackoff(500, retryAfter)).to.equal(undefined);
+    });
+
+    it('is not read from a response of another server, to another request, or without a signature', async () => {
+      const headers = ['Server-Leaving: 1', 'Retry-After: 3'];
+      expect(await readStatement(421, headers)).to.equal(undefined);
+      for (const [pattern, replacement] of [
+        [/Request-Id: \S+/, 'Request-Id: other'],
+        [/Server-Signature: \S+\r\n/, ''],
+      ] as const) {
+        const change = (head: string) => head.replace(pattern, replacement);
+        const statement = await readStatement(200, headers, change);
+        expect(statement).to.equal(undefined);
+      }
+    });
+  });
+
   describe('a response', () => {
     const cases: Record<string, [Script, string]> = {
       'to another request': [
--- a/test/relay/limited_servers_test.ts
+++ b/test/relay/limited_servers_test.ts
@@ -67,11 +67,12 @@
 
   it('learns limits from answers, streams and rejections', async () => {
     const limit = Result.ok<Maybe<number>, string>(Maybe.just(3));
+    const statement = {isLeaving: false, limit};
     const exchanges: Exchange[] = [
-      async () => ({...createAnswer(200, ['whole']), limit}),
-      async () => ({...createAnswer(200, formatEvents(1, 3)), limit}),
-      async () => ({...createAnswer(500, ['failed']), limit}),
-      async (...params) => ({...(await refuse(...params)), limit}),
+      async () => ({...createAnswer(200, ['whole']), statement}),
+      async () => ({...createAnswer(200, formatEvents(1, 3)), statement}),
+      async () => ({...createAnswer(500, ['failed']), statement}),
+      async (...params) => ({...(await refuse(...params)), statement}),
     ];
     for (const [index, exchange] of exchanges.entries()) {
       const fixture = createFixture(exchange);
@@ -83,7 +84,10 @@
 
   it('chooses servers again once an answer states no limit', async () => {
     const fixture = createFixture(
-      async () => ({...createAnswer(200, ['whole']), limit: noLimit}),
+      async () => ({
+        ...createAnswer(200, ['whole']),
+        statement: {isLeaving: false, limit: noLimit},
+      }),
       's1',
       's2',
       's3',
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -1,4 +1,5 @@
 import {Result} from 'true-myth';
+import {ServerBackoffs} from '../../src/backoff/index.js';
 import {Catalog, CatalogStore, Route} from '../../src/catalog/index.js';
 import {Problem} from '../../src/errors/index.js';
 import {Fleet, FleetServer, FleetState} from '../../src/fleet/index.js';
@@ -105,6 +106,7 @@
   readonly quarantine: Quarantine;
   readonly metrics = new Metrics();
   readonly limits: ServerLimits;
+  readonly backoffs: ServerBackoffs;
   readonly relay: Relay;
   readonly sent: ExchangeParams[] = [];
   readonly copies: CopyRunParams[] = [];
@@ -137,6 +139,12 @@
       getHostPosition: () => ({hosts: 1, place: 0}),
       isKnownServer: server => this.fleet.get(server) !== undefined,
     });
+    this.backoffs = new ServerBackoffs({
+      clock,
+      log,
+      metrics,
+      random: new SeededRandom(1),
+    });
     this.relay = new Relay({
       clock,
       log,
@@ -153,6 +161,7 @@
         getBound: () => ({windowMs: 8000, overage: 0, slack: 0}),
       }),
       limits: this.limits,
+      backoffs: this.backoffs,
       quarantine: this.quarantine,
       retryBudget: new SharedRetryBudget(clock, () => ({
         ratio: 0,
