Treat a server that states in an answer that it leaves as draining

What callers saw: nothing at once.

Cause: the state of a server came from its row in the store alone. Nothing read what the answers said; no line of server_state stands between the answer and the late requests, all first attempts, which rules out an older row that won and late sending.

Change: LeavingServers holds the incarnations that have stated it, for their life: no row of the same start, older or newer, and no lapse and return of the row undoes it; a later start is another incarnation. Fleet takes such a server as draining, so that the choice, the check before the first byte, relocation, roll-outs and server orders all see it. Hosts tell each other by the change messages that limits use, one id a link.

Found on the way, same cause: a draining server accepted copied runs for another 500 ms each time its row lapsed and returned; the time now runs from when it was last ready.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -96,6 +96,7 @@
       log: options.log,
       isKnownServer: server => this.servers.has(server),
     });
+    this.leaving.addListener((id, source) => this.handleLeaving(id, source));
   }
 
   /** Adds a function that is called for each server whose state changes. */
@@ -142,7 +143,16 @@
     this.removeExpired();
   }
 
-  private update(server: FleetServer, source: string): void {
+  /** Updates the state of a server that has become known to leave. */
+  private handleLeaving(id: string, source: string): void {
+    const server = this.get(id);
+    if (server !== undefined) {
+      this.update(server, source);
+    }
+  }
+
+  private update(registered: FleetServer, source: string): void {
+    const server = this.applyLeaving(registered);
     const known = this.servers.get(server.id);
     if (known !== undefined) {
       const {server: before} = known;
@@ -159,17 +169,27 @@
     this.publishStateChange(undefined, server, source);
   }
 
+  /** Returns a server that is registered as ready, but known to leave, as draining. */
+  private applyLeaving(server: FleetServer): FleetServer {
+    const isOutdated =
+      server.state === FleetState.READY && this.leaving.has(server.id);
+    return isOutdated ? {...server, state: FleetState.DRAINING} : server;
+  }
+
   /** Returns an incarnation of a server by its id; `undefined` if not known. */
   get(id: string): FleetServer | undefined {
     return this.servers.get(id)?.server;
   }
 
   /**
-   * Returns whether a server has announced that it leaves, or has been
+   * Returns whether a server has stated that it leaves, or has been
    * unregistered for longer than `UNREGISTERED_LEAVING_MS`. Its termination was
    * then to be expected, whatever requests ran there.
    */
   isLeaving(id: string): boolean {
+    if (this.leaving.has(id)) {
+      return true;
+    }
     const tracked = this.servers.get(id);
     switch (tracked?.server.state) {
       case FleetState.DRAINING:
@@ -194,7 +214,7 @@
   acceptsCopiedRun(id: string): boolean {
     const tracked = this.servers.get(id);
     if (tracked?.server.state === FleetState.DRAINING) {
-      return tracked.getStateAgeMs() < COPIED_RUN_GRACE_MS;
+      return tracked.getUnavailableMs() < COPIED_RUN_GRACE_MS;
     }
     return this.isReady(id);
   }
--- a/src/fleet/tracked_server.ts
+++ b/src/fleet/tracked_server.ts
@@ -1,5 +1,5 @@
 import {Clock} from '../time/index.js';
-import {FleetServer} from './fleet_server.js';
+import {FleetServer, FleetState} from './fleet_server.js';
 import {PartCache, PromptPart} from './part_cache.js';
 import {PendingPrefill} from './pending_prefill.js';
 
@@ -58,6 +58,8 @@
 
   /** When its state last changed, in monotonic milliseconds. */
   private stateSinceMs: number;
+  /** Since when it has not been ready, in monotonic milliseconds. */
+  private unavailableSinceMs: number;
 
   constructor(
     public server: FleetServer,
@@ -67,12 +69,17 @@
     this.cachedParts = new PartCache(cacheTokens);
     this.excessUpdatedMs = clock.monotonicMs();
     this.stateSinceMs = clock.monotonicMs();
+    this.unavailableSinceMs = clock.monotonicMs();
   }
 
   /** Updates the registration of the server. */
   setServer(server: FleetServer): void {
+    const nowMs = this.clock.monotonicMs();
     if (server.state !== this.server.state) {
-      this.stateSinceMs = this.clock.monotonicMs();
+      this.stateSinceMs = nowMs;
+    }
+    if (this.server.state === FleetState.READY) {
+      this.unavailableSinceMs = nowMs;
     }
     this.server = server;
   }
@@ -82,6 +89,14 @@
     return this.clock.monotonicMs() - this.stateSinceMs;
   }
 
+  /**
+   * Returns the time for which it has not been ready, in milliseconds, whether draining
+   * or unregistered.
+   */
+  getUnavailableMs(): number {
+    return this.clock.monotonicMs() - this.unavailableSinceMs;
+  }
+
   /** Returns the smoothed delay beyond predictions, in milliseconds. */
   getExcessMs(): number {
     const ageMs = this.clock.monotonicMs() - this.excessUpdatedMs;
--- a/src/peering/host_report.ts
+++ b/src/peering/host_report.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {leavingUpdatesSchema} from '../fleet/index.js';
 import {limitUpdatesSchema} from '../limits/index.js';
 import {suspectUpdatesSchema} from '../quarantine/index.js';
 import {hostAddressSchema} from './host_address.js';
@@ -68,6 +69,8 @@
   suspects: suspectUpdatesSchema.optional(),
   /** Limits that servers report; omitted while there are none. */
   limits: limitUpdatesSchema.optional(),
+  /** Servers that have stated that they leave; omitted while there are none. */
+  leaving: leavingUpdatesSchema.optional(),
 });
 
 /** Reply to a heartbeat; hosts of the previous release send an empty one. */
@@ -89,6 +92,8 @@
   suspects: suspectUpdatesSchema.optional(),
   /** Limits that servers report; omitted while there are none. */
   limits: limitUpdatesSchema.optional(),
+  /** Servers that have stated that they leave; omitted while there are none. */
+  leaving: leavingUpdatesSchema.optional(),
 });
 
 /** Report that a host sends its peers with each heartbeat. */
@@ -99,6 +104,7 @@
   membersVersion: true,
   suspects: true,
   limits: true,
+  leaving: true,
 });
 
 /** The part of a reply on which the next heartbeat depends. */
--- a/src/peering/peer_messages.ts
+++ b/src/peering/peer_messages.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {ChangeMessages} from '../changes/index.js';
+import {createLeavingMessages, LeavingPage} from '../fleet/index.js';
 import {createLimitMessages, LimitPage} from '../limits/index.js';
 import {PeerIdentity} from '../peer/index.js';
 import {createSuspectMessages, SuspectPage} from '../quarantine/index.js';
@@ -54,6 +55,7 @@
   private readonly reportReceiver: ReportReceiver;
   private readonly suspects: ChangeMessages<SuspectPage>;
   private readonly limits: ChangeMessages<LimitPage>;
+  private readonly leaving: ChangeMessages<LeavingPage>;
   private readonly pauses: PauseWatch;
   /**
    * Peers whose last heartbeat requested the summary of all hosts. This host forwards new
@@ -72,6 +74,7 @@
     this.reportReceiver = new ReportReceiver(options);
     this.suspects = createSuspectMessages(options.quarantine);
     this.limits = createLimitMessages(options.limits);
+    this.leaving = createLeavingMessages(options.fleet.leaving);
     this.summaries = new SummaryMessages(options);
     this.rows = new RowMessages({
       ...options,
@@ -106,6 +109,7 @@
         ...report,
         ...optional('suspects', suspects),
         ...optional('limits', this.limits.create(peer, reply?.limits)),
+        ...optional('leaving', this.leaving.create(peer, reply?.leaving)),
       },
     };
   }
@@ -135,6 +139,7 @@
     this.rows.compare(peer.host, news ?? {}, sentMs);
     this.suspects.receive(peer, parsed.data.suspects);
     this.limits.receive(peer, parsed.data.limits);
+    this.leaving.receive(peer, parsed.data.leaving);
   }
 
   /**
@@ -214,6 +219,7 @@
       ...this.reports.createReply(report, from),
       ...optional('suspects', this.suspects.create(from, report.suspects)),
       ...optional('limits', this.limits.create(from, report.limits)),
+      ...optional('leaving', this.leaving.create(from, report.leaving)),
     };
   }
 
@@ -221,6 +227,7 @@
     this.reportReceiver.addReport(report, from);
     this.suspects.receive(from, report.suspects);
     this.limits.receive(from, report.limits);
+    this.leaving.receive(from, report.leaving);
     if (report.wantsAll === true) {
       this.summaryReceivers.add(from.host);
     } else {
--- a/test/relay/relay_test.ts
+++ b/test/relay/relay_test.ts
@@ -469,6 +469,37 @@
       expect(states).to.deep.equal([true, false]);
     });
 
+    it('has its state checked again also if only an answer states that it leaves', async () => {
+      const states: boolean[] = [];
+      const fixture: RelayFixture = new RelayFixture(async params => {
+        states.push(params.maySend());
+        fixture.fleet.leaving.addAnswer(params.server.id);
+        states.push(params.maySend());
+        return createAnswer(200, []);
+      });
+      await fixture.serve({});
+      expect(states).to.deep.equal([true, false]);
+    });
+
+    it('gets no new requests once an answer, failure or rejection states that it leaves', async () => {
+      const statement = {isLeaving: true};
+      const exchanges: Exchange[] = [
+        async () => ({...createAnswer(200, ['whole']), statement}),
+        async () => ({...createAnswer(200, formatEvents(1, 3)), statement}),
+        async () => ({...createAnswer(500, ['failed']), statement}),
+        async (...params) => ({...(await refuse(...params)), statement}),
+      ];
+      for (const [index, exchange] of exchanges.entries()) {
+        const fixture = new RelayFixture(answerInTurn(exchange, answer));
+        await fixture.serve({streaming: index === 1, maxAttempts: 1});
+        const [first = ''] = fixture.listServers();
+        for (let count = 0; count < 12; count++) {
+          await fixture.serve({});
+        }
+        expect(fixture.listServers().slice(1)).not.to.include(first);
+      }
+    });
+
     it('gets no new requests', async () => {
       const fixture = new RelayFixture(answer);
       for (const id of ['s1', 's2']) {
