Send a server no requests for the time that it asks for

What callers saw: two of eight model servers turned away all they got from second 6 of the record, with 503 and Retry-After: 3. Requests lost one or two round trips and a part of the retry budget each; in four seconds 51 of 230 chat requests were refused.

Cause: Retry-After of a server was read by nobody, and a server that turns requests away has none in flight, so that it is predicted to be the fastest: arrivals at the two rose from 9 and 7 a second to 45 and 51.

Change: ServerBackoffs holds, for each incarnation, the time that a rejection stated, from the arrival of the answer, with up to a tenth added at random. In it the server is not chosen, and what was chosen before is not written to it; one copied run may be, which can continue nowhere else. Later statements prolong it and shorten nothing. Afterwards one request is sent, and the others once it was answered without another backoff, so that what has waited does not arrive together. Where all servers back off, a request is refused at once, unsent, with the time until the first of them takes requests again.

It binds the host that was asked only: a rejection is meant for one host, and the load that the others send may be what the server can take.

--- a/src/errors/problems.ts
+++ b/src/errors/problems.ts
@@ -286,6 +286,18 @@
   retryAfterSeconds,
 });
 
+export const serviceBackingOff = (
+  service: string,
+  retryAfterSeconds: number,
+): Problem => ({
+  kind: ProblemKind.SERVICE_BACKING_OFF,
+  status: 503,
+  detail: `All servers of "${service}" have asked to be sent no requests for a time.`,
+  remedy: 'Retry after the given time, or ask an operator to add servers.',
+  ran: ExecutionStatus.NOT_EXECUTED,
+  retryAfterSeconds,
+});
+
 export const serverLost = (detail: string): Problem => ({
   kind: ProblemKind.SERVER_FAILED,
   status: 502,
--- a/src/explain/classify_request.ts
+++ b/src/explain/classify_request.ts
@@ -23,6 +23,7 @@
   ProblemKind.NO_ROOM,
   ProblemKind.DEADLINE_UNREACHABLE,
   ProblemKind.QUARANTINED,
+  ProblemKind.SERVICE_BACKING_OFF,
   ProblemKind.SERVICE_LIMITED,
 ]);
 
@@ -81,6 +82,9 @@
   if (predictedMs <= targetMs) {
     return 'slower than predicted';
   }
+  if (route?.members.has('backing_off') === true) {
+    return 'predicted to miss the target: other servers asked for a time without requests';
+  }
   return route?.members.has('withheld') === true
     ? 'predicted to miss the target: limits of other servers used up'
     : 'predicted to miss the target: servers busy';
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -134,6 +134,7 @@
     const {server, predictedMs, urgency} = params;
     const {parts} = context.request.prompt;
     this.sentMs = options.clock.monotonicMs();
+    options.backoffs.beginAttempt(server.id);
     this.inFlight = options.fleet.trackRequest(
       server.id,
       parts,
@@ -190,11 +191,11 @@
 
   /** Tells whether the server accepts the request in its current state. */
   private acceptsRequest(): boolean {
-    const {fleet} = this.options;
+    const {backoffs, fleet} = this.options;
     const {server, copy} = this.params;
     return copy === undefined
-      ? fleet.isReady(server.id)
-      : fleet.acceptsCopiedRun(server.id);
+      ? fleet.isReady(server.id) && !backoffs.isActive(server.id)
+      : fleet.acceptsCopiedRun(server.id) && backoffs.takeCopiedRun(server.id);
   }
 
   /**
--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -23,7 +23,7 @@
   readonly serverTerminated: boolean;
 }
 
-/** Most rate-limited servers that a log line lists. */
+/** Most servers excluded for one reason that a log line lists. */
 const MAX_LISTED_SERVERS = 3;
 
 /** Logs, counts and bills one request. */
@@ -46,7 +46,7 @@
     resumeAfter: string | undefined,
   ): void {
     const {request} = this;
-    const {chosen, runnersUp, reason, withheld} = decision;
+    const {chosen, runnersUp, reason, withheld, backingOff} = decision;
     const remainingMs = request.deadlineMs - this.options.clock.monotonicMs();
     this.options.log.info('route', {
       request: request.id,
@@ -57,7 +57,8 @@
       server: chosen?.server,
       version: this.getVersion(chosen?.server),
       server_limit: this.getRateLimit(chosen?.server),
-      withheld: withheld.slice(0, MAX_LISTED_SERVERS).join(',') || undefined,
+      withheld: formatServers(withheld),
+      backing_off: formatServers(backingOff),
       target_ms: request.route.targetMs,
       predicted_ms: chosen?.firstTokenMs.toFixed(0),
       queue_ms: chosen?.queueMs.toFixed(0),
@@ -152,3 +153,8 @@
     });
   }
 }
+
+/** Formats the ids of servers for a log line; `undefined` if there are none. */
+function formatServers(ids: readonly string[]): string | undefined {
+  return ids.slice(0, MAX_LISTED_SERVERS).join(',') || undefined;
+}
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -31,7 +31,8 @@
 const DEADLINE_PASSED = new Error('deadline passed');
 /**
  * Largest random addition to the retry delay after a refusal because of the servers' rate
- * limits, as a share of that delay, so that refused callers do not all retry at once.
+ * limits or backoffs, as a share of that delay, so that refused callers do not all retry at
+ * once.
  */
 const RETRY_JITTER = 0.3;
 /**
@@ -167,7 +168,7 @@
       (await relocateRun(this.options, from, {
         requestId: this.request.id,
         isAtSource: () => this.isRunningOn(from),
-        isDestinationReady: ({id}) => this.options.fleet.isReady(id),
+        isDestinationReady: server => this.isReady(server),
         chooseDestination: () => this.chooseDestination(from),
         cancelled: this.cancelled,
       })) ?? this.copiedRun;
@@ -185,6 +186,11 @@
     });
   }
 
+  private isReady({id}: FleetServer): boolean {
+    const {backoffs, fleet} = this.options;
+    return fleet.isReady(id) && !backoffs.isActive(id);
+  }
+
   private isRunningOn(server: FleetServer): boolean {
     return this.server?.id === server.id && !this.cancelled.aborted;
   }
@@ -368,22 +374,42 @@
 
   /**
    * Ends the request because no server is available for it, or only servers that rate
-   * limits exclude. Returns `false`.
+   * limits or backoffs exclude. Returns `false`.
    */
-  private failWithoutServer({withheld}: LimitAwareDecision): false {
-    const {limits, random} = this.options;
-    if (withheld.length === 0) {
-      this.failureDetail ||= 'no server available';
-      return this.fail();
+  private failWithoutServer(decision: LimitAwareDecision): false {
+    const {withheld, backingOff} = decision;
+    if (withheld.length > 0) {
+      this.addDetail('limits of servers used up');
+      const retryMs = this.options.limits.addRefused(this.service, withheld);
+      return this.fail(
+        problems.serviceLimited(this.service, this.toRetryS(retryMs)),
+      );
+    }
+    if (backingOff.length > 0) {
+      this.addDetail('servers asked for a time without requests');
+      const retryS = this.toRetryS(this.getBackoffMs(backingOff));
+      return this.fail(problems.serviceBackingOff(this.service, retryS));
     }
-    this.addDetail('limits of servers used up');
-    const retryMs = limits.addRefused(this.service, withheld);
-    const jitteredMs = retryMs * (1 + RETRY_JITTER * random.next());
-    return this.fail(
-      problems.serviceLimited(this.service, jitteredMs / MS_PER_SECOND),
+    this.failureDetail ||= 'no server available';
+    return this.fail();
+  }
+
+  /** Returns the time until the first of several servers takes requests again, in ms. */
+  private getBackoffMs(servers: readonly string[]): number {
+    const {backoffs} = this.options;
+    const remainingMs = servers.map(id => backoffs.getRemainingMs(id));
+    return Math.max(
+      NO_CAPACITY_RETRY_S * MS_PER_SECOND,
+      Math.min(...remainingMs),
     );
   }
 
+  /** Converts a time until servers take requests to a retry delay with jitter, in seconds. */
+  private toRetryS(ms: number): number {
+    const jitter = RETRY_JITTER * this.options.random.next();
+    return (ms * (1 + jitter)) / MS_PER_SECOND;
+  }
+
   /**
    * Checks a new stream before its first attempt; one whose predicted wait exceeds the
    * first-token target must not be sent: its caller would give up, and it would delay
--- a/src/relay/relocate_run.ts
+++ b/src/relay/relocate_run.ts
@@ -50,11 +50,16 @@
   from: FleetServer,
   run: RelocatingRun,
 ): Promise<CopiedRun | undefined> {
-  const {clock, copyRun} = options;
+  const {backoffs, clock, copyRun} = options;
   const {requestId, cancelled} = run;
   const leavesMs = from.leavesMs ?? DEFAULT_REMAINING_MS;
   await clock.sleep(Math.max(0, leavesMs - RELOCATION_LEAD_MS), cancelled);
   for (let tries = 0; tries < MAX_COPIES; tries++) {
+    // A request for a copy is a request to the server, too.
+    const backoffMs = backoffs.getRemainingMs(from.id);
+    if (backoffMs > 0) {
+      await clock.sleep(backoffMs, cancelled);
+    }
     const to = run.chooseDestination();
     if (to === undefined || !run.isAtSource()) {
       return undefined;
--- a/src/relay/server_choice.ts
+++ b/src/relay/server_choice.ts
@@ -15,10 +15,12 @@
   readonly attempts: Attempts;
 }
 
-/** A routing decision that takes account of the rate limits of servers. */
+/** A routing decision that respects the rate limits and backoffs of servers. */
 export interface LimitAwareDecision extends RoutingDecision {
   /** Ids of the servers that rate limits exclude from the choice. */
   readonly withheld: readonly string[];
+  /** Ids of the servers that backoffs exclude from the choice. */
+  readonly backingOff: readonly string[];
 }
 
 /**
@@ -61,12 +63,14 @@
     const {fleet, limits, random} = this.options;
     const {request, service, attempts} = this.params;
     const {prompt} = request;
-    const withheld = this.listRateLimited(allows);
+    const backingOff = this.listBackingOff();
+    const allowsNow = excludeServers(allows, backingOff);
+    const withheld = this.listRateLimited(allowsNow);
     const candidates = fleet.listKnowledge(service, {
       parts: prompt.parts,
       urgency: rankUrgency(request),
       excluded: attempts.excluded,
-      allows: excludeServers(allows, withheld),
+      allows: excludeServers(allowsNow, withheld),
     });
     // Servers to which any request should go now, to check whether they are still limited.
     // If there are any, the choice is among them alone. Servers that are ejected after
@@ -85,7 +89,7 @@
       trialServers.length > 0 ? trialServers : candidates,
       random,
     );
-    return {...decision, withheld};
+    return {...decision, withheld, backingOff};
   }
 
   /** Returns the chosen server; absent if there is none or it is no longer known. */
@@ -95,6 +99,15 @@
       : this.options.fleet.get(chosen.server);
   }
 
+  /** Lists the ids of the ready servers of the service that backoffs exclude. */
+  private listBackingOff(): readonly string[] {
+    const {backoffs, fleet} = this.options;
+    const {service} = this.params;
+    return backoffs
+      .listBlocked()
+      .filter(id => fleet.isReady(id) && fleet.get(id)?.service === service);
+  }
+
   /**
    * Lists the ids of the servers of the service that rate limits exclude. If a candidate
    * without a limit is ready, these are the servers without a permit. If all candidates
