--- a/test/relay/backing_off_servers_test.ts
+++ b/test/relay/backing_off_servers_test.ts
@@ -128,7 +128,6 @@
   });
 
   it('requests no copy of a stream from a server in the time it asked for', async () => {
-    let fixture: RelayFixture;
     const stream: Exchange = async ({server, copy}) => {
       if (copy !== undefined) {
         return createAnswer(200, formatEvents(2, 3));
@@ -151,7 +150,7 @@
         })(),
       );
     };
-    fixture = new RelayFixture(stream);
+    const fixture = new RelayFixture(stream);
     const sink = await fixture.serve({streaming: true, repeat: Repeat.ONCE});
     expect(sink.body).to.equal(formatEvents(1, 3).join(''));
   });
