--- a/test/platform/fakes/fake_store.ts
+++ b/test/platform/fakes/fake_store.ts
@@ -27,6 +27,12 @@
 
 type Body = Readonly<Record<string, unknown>>;
 
+/** Content of the store at one time. */
+export interface StoreCopy {
+  readonly rows: ReadonlyMap<string, StoreRow>;
+  readonly version: number;
+}
+
 /** In-memory fake of the platform's store. */
 export class FakeStore {
   readonly faults: StoreFaults = {
@@ -38,8 +44,10 @@
   };
   /** Method and path of each call received. */
   readonly calls: string[] = [];
-  private readonly rows = new Map<string, StoreRow>();
+  private rows = new Map<string, StoreRow>();
   private version = 1;
+  /** Number of times that the store was restored from a copy. */
+  private era = 0;
   /** Watches after an older version get status 410: that history is no longer kept. */
   private oldestVersion = 0;
   private readonly server: Server;
@@ -97,6 +105,24 @@
     this.wake();
   }
 
+  /** Copies the content of the store. */
+  takeCopy(): StoreCopy {
+    return {rows: new Map(this.rows), version: this.version};
+  }
+
+  /** Restores the store from a copy: what was written since is lost. */
+  restore({rows, version}: StoreCopy): void {
+    this.rows = new Map(rows);
+    this.version = version;
+    this.era++;
+    this.wake();
+  }
+
+  /** Returns the version of the last write. */
+  getVersion(): number {
+    return this.version;
+  }
+
   private set(row: StoreRow): void {
     this.rows.set(`${row.table}|${row.part}|${row.key}`, row);
     if (!this.faults.staleWatches) {
@@ -124,11 +150,11 @@
       return;
     }
     if (this.faults.busy) {
-      answer(response, 503, {});
+      this.answer(response, 503, {});
       return;
     }
     if (url.pathname === '/rows-get') {
-      answer(response, 200, this.read(url.searchParams));
+      this.answer(response, 200, this.read(url.searchParams));
     } else if (url.pathname === '/rows-feed') {
       if (this.faults.unresponsiveWatches) {
         return;
@@ -161,8 +187,8 @@
     const after = Number(query.get('after_revision'));
     const endMs = performance.now() + Number(query.get('wait_ms'));
     for (;;) {
-      if (after < this.oldestVersion) {
-        answer(response, 410, {});
+      if (after < this.oldestVersion || after > this.version) {
+        this.answer(response, 410, {});
         return;
       }
       const changed = this.faults.staleWatches
@@ -170,7 +196,7 @@
         : this.list(query.get('table')).filter(row => row.row_version > after);
       const leftMs = endMs - performance.now();
       if (changed.length > 0 || leftMs <= 0) {
-        answer(response, 200, {rows: changed, ...this.getState()});
+        this.answer(response, 200, {rows: changed, ...this.getState()});
         return;
       }
       await this.waitForChange(leftMs);
@@ -196,7 +222,7 @@
       const held = this.rows.get(`${table}|${part}|${key}`);
       const version = held === undefined || held.removed ? 0 : held.row_version;
       if (version !== row_version) {
-        answer(response, 412, {rows: held === undefined ? [] : [held]});
+        this.answer(response, 412, {rows: held === undefined ? [] : [held]});
         return;
       }
     }
@@ -211,7 +237,15 @@
       response.destroy();
       return;
     }
-    answer(response, 200, this.getState());
+    this.answer(response, 200, this.getState());
+  }
+
+  private answer(response: ServerResponse, status: number, body: Body): void {
+    response.writeHead(status, {
+      'Content-Type': 'application/json',
+      'Store-Era': String(this.era),
+    });
+    response.end(JSON.stringify(body));
   }
 
   private list(table: string | null): StoreRow[] {
@@ -223,8 +257,3 @@
     return {row_version: this.version, now_ms};
   }
 }
-
-function answer(response: ServerResponse, status: number, body: Body): void {
-  response.writeHead(status, {'Content-Type': 'application/json'});
-  response.end(JSON.stringify(body));
-}
--- a/test/platform/fakes/test_system.ts
+++ b/test/platform/fakes/test_system.ts
@@ -57,6 +57,7 @@
   private cloudAddress = '';
   private configVersion = 0;
   private sent = 0;
+  private sequence = 0;
 
   constructor() {
     this.cloud = createServer((request, response) => {
@@ -101,7 +102,7 @@
       slots: 6,
       state,
       cold_remaining_ms: 0,
-      sequence: 1,
+      sequence: ++this.sequence,
     });
   }
 
--- a/test/platform/store_feed_test.ts
+++ b/test/platform/store_feed_test.ts
@@ -1,9 +1,11 @@
 import {expect} from 'chai';
 import {SilentLog} from '../../src/log/index.js';
+import {Metrics} from '../../src/metrics/index.js';
 import {SeededRandom} from '../../src/random/index.js';
 import {RowReplica} from '../../src/replica/index.js';
 import {SystemClock} from '../../src/time/index.js';
 import {StoreClient} from '../../platform/store_client.js';
+import {StoreEra} from '../../platform/store_era.js';
 import {StoreFeed} from '../../platform/store_feed.js';
 import {FakeStore} from './fakes/fake_store.js';
 
@@ -29,6 +31,7 @@
   function startFeed(target: RowReplica, onRead: () => void): void {
     const client = new StoreClient({
       clock,
+      era: new StoreEra({log: new SilentLog(), metrics: new Metrics()}),
       getAddress: () => address,
       onTime: () => undefined,
     });
