--- a/test/platform/fakes/test_system.ts
+++ b/test/platform/fakes/test_system.ts
@@ -25,6 +25,7 @@
   readonly path: string;
   readonly body: Readonly<Record<string, unknown>>;
   readonly fence: number;
+  readonly holder: string;
 }
 
 /** A host of the system under test. */
@@ -66,7 +67,8 @@
       request.on('end', () => {
         const fence = Number(request.headers['fencing-token']);
         const body = JSON.parse(text) as CloudCall['body'];
-        this.cloudCalls.push({path: request.url ?? '', body, fence});
+        const holder = String(request.headers['duty-holder']);
+        this.cloudCalls.push({path: request.url ?? '', body, fence, holder});
         response.end('{}');
       });
     });
