--- a/src/measure/measure_recording.ts
+++ b/src/measure/measure_recording.ts
@@ -31,6 +31,10 @@
 
   constructor(private readonly clock: VirtualClock) {}
 
+  getEra(): number {
+    return this.table.getEra();
+  }
+
   async get(key: string) {
     await this.clock.sleep(TABLE_LATENCY_MS);
     return this.table.get(key);
--- a/src/prove/configuration_simulation.ts
+++ b/src/prove/configuration_simulation.ts
@@ -21,6 +21,7 @@
 } from './configuration_schedule.js';
 import {FaultyTable, TableFault} from './faulty_table.js';
 import {Gate, GatedClock} from './gate.js';
+import {createGatedTable} from './gated_table.js';
 import {RunReport} from './proof.js';
 
 const IN_FORCE_TIMEOUT_MS = 4000;
@@ -232,11 +233,7 @@
       ? new RevertingStore(log)
       : new ConfigurationStore(log);
     const table = new ConfigurationTable(
-      {
-        get: key => gate.call(() => this.table.get(key)),
-        list: prefix => gate.call(() => this.table.list(prefix)),
-        transact: steps => gate.call(() => this.table.transact(steps)),
-      },
+      createGatedTable(gate, this.table),
       clock,
     );
     const membership = new Membership({
--- a/src/prove/faulty_table.ts
+++ b/src/prove/faulty_table.ts
@@ -41,6 +41,10 @@
     private readonly clock: Clock,
   ) {}
 
+  getEra(): number {
+    return this.table.getEra();
+  }
+
   get(key: string): Promise<Result<Row | undefined, TableFailure>> {
     return this.read(() => this.table.get(key));
   }
--- a/src/prove/lease_simulation.ts
+++ b/src/prove/lease_simulation.ts
@@ -4,6 +4,7 @@
 import {VirtualClock} from '../time/index.js';
 import {FaultyTable, TableFault} from './faulty_table.js';
 import {Gate, GatedClock} from './gate.js';
+import {createGatedTable} from './gated_table.js';
 import {Proof, RunReport} from './proof.js';
 
 /** One step of a schedule of faults. */
@@ -113,11 +114,7 @@
     const gate = new Gate();
     const clock = new GatedClock(this.clock, gate);
     const lease = new Lease({
-      table: {
-        get: key => gate.call(() => this.table.get(key)),
-        list: prefix => gate.call(() => this.table.list(prefix)),
-        transact: steps => gate.call(() => this.table.transact(steps)),
-      },
+      table: createGatedTable(gate, this.table),
       clock,
       role: 'placement',
       holder: `host-${index}`,
--- a/src/prove/start_simulated_host.ts
+++ b/src/prove/start_simulated_host.ts
@@ -11,6 +11,7 @@
 import {CallVariant} from './call_variant.js';
 import {FaultyTable} from './faulty_table.js';
 import {Gate, GatedClock} from './gate.js';
+import {createGatedTable} from './gated_table.js';
 import {FakeBackEnd} from './fake_back_end.js';
 import {getRequestEntryKey} from './call_request.js';
 import {isLive, SimulatedHost} from './simulated_host.js';
@@ -94,11 +95,7 @@
   return new Bookkeeper({
     host: name,
     incarnation,
-    table: {
-      get: key => gate.call(() => table.get(key)),
-      list: prefix => gate.call(() => table.list(prefix)),
-      transact: steps => gate.call(() => table.transact(steps)),
-    },
+    table: createGatedTable(gate, table),
     clock,
     log,
     directory,
--- a/src/table/http_table_service.ts
+++ b/src/table/http_table_service.ts
@@ -20,6 +20,11 @@
     private readonly timeoutMs: number,
   ) {}
 
+  /** This table is never restored from a copy. */
+  getEra(): number {
+    return 0;
+  }
+
   async get(key: string): Promise<Result<Row | undefined, TableFailure>> {
     const answer = await sendJson({
       method: 'GET',
--- a/src/table/index.ts
+++ b/src/table/index.ts
@@ -3,3 +3,4 @@
 export {createVersion, getEra, getNumber, MAX_ERA} from './table_version.js';
 export {HttpTableService} from './http_table_service.js';
 export {MemoryTableService} from './memory_table_service.js';
+export type {TableCopy} from './memory_table_service.js';
--- a/src/table/memory_table_service.ts
+++ b/src/table/memory_table_service.ts
@@ -9,11 +9,40 @@
   TableFailureKind,
   TableService,
 } from './table_service.js';
+import {createVersion, getNumber} from './table_version.js';
+
+/** Content of a table at one time. */
+export interface TableCopy {
+  readonly rows: ReadonlyMap<string, Row>;
+  readonly lastNumber: number;
+}
 
 /** In-memory implementation of the table service, for the fake platform, simulations and tests. */
 export class MemoryTableService implements TableService {
-  private readonly rows = new Map<string, Row>();
-  private lastVersion = ABSENT;
+  private rows = new Map<string, Row>();
+  /** The last number given out as a version. */
+  private lastNumber = 0;
+  private era = 0;
+
+  getEra(): number {
+    return this.era;
+  }
+
+  /** Copies the content of the table. */
+  takeCopy(): TableCopy {
+    return {rows: new Map(this.rows), lastNumber: this.lastNumber};
+  }
+
+  /** Restores the table from a copy: what was written since is lost. */
+  restore({rows, lastNumber}: TableCopy): void {
+    this.era++;
+    this.lastNumber = lastNumber;
+    this.rows = new Map();
+    for (const [key, row] of rows) {
+      const version = createVersion(this.era, getNumber(row.version));
+      this.rows.set(key, {...row, version});
+    }
+  }
 
   async get(key: string): Promise<Result<Row | undefined, TableFailure>> {
     return Result.ok(this.rows.get(key));
@@ -62,13 +91,13 @@
       return;
     }
     if (step.kind === StepKind.PUT) {
-      this.lastVersion++;
-      versions[step.key] = this.lastVersion;
+      const version = createVersion(this.era, ++this.lastNumber);
+      versions[step.key] = version;
       // Stores a copy, since a real table does not share objects with its clients.
       const value = structuredClone(step.value);
       this.rows.set(step.key, {
         key: step.key,
-        version: this.lastVersion,
+        version,
         value,
       });
     }
--- a/src/table/table_service.ts
+++ b/src/table/table_service.ts
@@ -6,7 +6,7 @@
 /** A row of the table. */
 export interface Row {
   readonly key: string;
-  /** Increases with every write to the row; never `ABSENT`. */
+  /** Increases with every write to the row; never `ABSENT`. See `createVersion`. */
   readonly version: number;
   readonly value: unknown;
 }
@@ -53,6 +53,11 @@
 
 /** Interface of the platform's transactional table service. */
 export interface TableService {
+  /**
+   * Returns the number of times that the table was restored from a copy, as far as its
+   * answers have told; see `createVersion`. What was written since the copy is lost then.
+   */
+  getEra(): number;
   /** Reads one row; `undefined` if it does not exist. */
   get(key: string): Promise<Result<Row | undefined, TableFailure>>;
   /** Reads all rows whose key starts with the prefix, in key order. */
