Keep a lease with its holder over a restoration of its table

Cause: the row of a lease came back as of the copy, and hosts took it for the present one. The holder's renewal conflicted, so that it gave the lease up; any host then took it with the next number after the copy's, which the holder, or one before it, had used already.

Change: the holder writes the row again, under its fencing number, at once; other hosts wait as long as if they had just seen the row, whatever it says. The first fencing number of an era is higher than all of the eras before. A host that has just started does not take the first answer for a restoration.

Left: a host that starts within four seconds after a restoration cannot know of it, and may take a lease that the copy shows as free while its holder still acts, for the rest of its three seconds.

--- a/src/lease/lease.ts
+++ b/src/lease/lease.ts
@@ -67,6 +67,11 @@
 const PREFIX = 'leases/';
 /** Maximum number of previous holders kept in a row. */
 const MAX_FORMER = 6;
+/**
+ * Fencing numbers of one era of the table. The first one of an era is higher than all that
+ * were given out before the table was restored, some of which it has lost.
+ */
+const FENCES_PER_ERA = 1_000_000;
 
 /**
  * A role that one host holds at a time.
@@ -74,6 +79,9 @@
  * The holder counts the duration from before it sent the request, so its lease expires
  * for itself before it can expire for any other host. Other hosts take the row over
  * once they have seen it unchanged for the duration plus a margin.
+ *
+ * A table that was restored from a copy may have lost the row of the holder. The holder
+ * then writes it again, and other hosts wait as long as if they had just seen it.
  */
 export class Lease {
   private held: HeldLease | undefined;
@@ -84,8 +92,14 @@
   private seenMs = 0;
   /** The row as this holder last wrote it; absent if that is not certain. */
   private writtenRow: Row | undefined;
+  /** The last known era of the table. */
+  private era: number | undefined;
+  /** When the table was last found to be restored, in monotonic milliseconds. */
+  private restoredMs = Number.NEGATIVE_INFINITY;
 
-  constructor(private readonly options: LeaseOptions) {}
+  constructor(private readonly options: LeaseOptions) {
+    this.era = options.table.getEra();
+  }
 
   /** Returns the lease while this host certainly holds it. */
   getHeld(): HeldLease | undefined {
@@ -109,20 +123,48 @@
     const key = PREFIX + this.options.role;
     const {releases} = this;
     const found = await this.findRow(key);
+    this.checkEra();
     if (found.isErr) {
       return this.getHeld();
     }
     const row = found.value;
-    const current = row?.value as LeaseRow | undefined;
-    const own = current?.holder === this.options.holder;
-    const terminated =
-      current !== undefined && this.isOwnMachine(current.holder);
-    if (row !== undefined && !own && !terminated && !this.hasExpired(row)) {
+    if (!this.mayTake(row)) {
       this.held = undefined;
       return undefined;
     }
+    const {era} = this;
+    const current = row?.value as LeaseRow | undefined;
     await this.write(key, row, current, releases);
-    return this.getHeld();
+    // A row that was lost while it was renewed is written again at once.
+    return this.era === era ? this.getHeld() : this.claim();
+  }
+
+  /** Returns whether this host may write the row of the lease. */
+  private mayTake(row: Row | undefined): boolean {
+    const {clock, durationMs, marginMs} = this.options;
+    const restoredAgeMs = clock.monotonicMs() - this.restoredMs;
+    if (restoredAgeMs < durationMs + marginMs) {
+      // The row is as of the copy. The holder, if any, has been granted the lease since.
+      return this.getHeld() !== undefined;
+    }
+    if (row === undefined) {
+      return true;
+    }
+    const {holder} = row.value as LeaseRow;
+    return this.isOwnMachine(holder) || this.hasExpired(row);
+  }
+
+  /** Returns whether the table was restored from a copy since the last call. */
+  private checkEra(): boolean {
+    const {clock, table} = this.options;
+    const before = this.era;
+    this.era = table.getEra();
+    if (before === undefined || this.era === before) {
+      return false;
+    }
+    this.restoredMs = clock.monotonicMs();
+    this.writtenRow = undefined;
+    return true;
   }
 
   /** Reads the current holder from the table; `undefined` if there is none. */
@@ -139,6 +181,7 @@
   private async findRow(
     key: string,
   ): Promise<Result<Row | undefined, TableFailure>> {
+    this.checkEra();
     const known = this.writtenRow;
     this.writtenRow = undefined;
     return known !== undefined && this.getHeld() !== undefined
@@ -187,14 +230,15 @@
     if (releases !== this.releases) {
       return;
     }
-    const own = current?.holder === holder;
-    const previous = current?.fence ?? 0;
+    const previous = Math.max(
+      current?.fence ?? 0,
+      (this.era ?? 0) * FENCES_PER_ERA,
+    );
     // An own lease that has expired is taken as a new one, with a new fencing number:
     // other hosts may have been told of the expiry.
-    const renews = own && this.getHeld() !== undefined;
     const next: LeaseRow = {
       holder,
-      fence: renews ? previous : previous + 1,
+      fence: this.getHeld()?.fence ?? previous + 1,
       former: listFormer(current, holder),
       beat: (current?.beat ?? 0) + 1,
     };
@@ -207,6 +251,7 @@
       return;
     }
     if (written.isOk) {
+      this.checkEra();
       const version = written.value.versions[key];
       this.writtenRow =
         version === undefined ? undefined : {key, version, value: next};
@@ -219,7 +264,8 @@
       };
       return;
     }
-    if (written.error.kind === TableFailureKind.CONFLICT) {
+    const isRestored = this.checkEra();
+    if (written.error.kind === TableFailureKind.CONFLICT && !isRestored) {
       this.held = undefined;
     }
   }
--- a/src/prove/faulty_table.ts
+++ b/src/prove/faulty_table.ts
@@ -41,7 +41,7 @@
     private readonly clock: Clock,
   ) {}
 
-  getEra(): number {
+  getEra(): number | undefined {
     return this.table.getEra();
   }
 
--- a/src/table/table_service.ts
+++ b/src/table/table_service.ts
@@ -55,9 +55,10 @@
 export interface TableService {
   /**
    * Returns the number of times that the table was restored from a copy, as far as its
-   * answers have told; see `createVersion`. What was written since the copy is lost then.
+   * answers have told; `undefined` before the first answer. What was written since the
+   * copy is lost then; see `createVersion`.
    */
-  getEra(): number;
+  getEra(): number | undefined;
   /** Reads one row; `undefined` if it does not exist. */
   get(key: string): Promise<Result<Row | undefined, TableFailure>>;
   /** Reads all rows whose key starts with the prefix, in key order. */
--- a/test/lease/restored_lease_test.ts
+++ b/test/lease/restored_lease_test.ts
@@ -55,7 +55,7 @@
 
   /** Creates a host's access to the table: it learns the era from answers. */
   function createTable(): MemoryTableService {
-    let era = table.getEra();
+    let era: number | undefined;
     const learn = async <T>(answer: Promise<T>): Promise<T> => {
       const result = await answer;
       era = table.getEra();
@@ -122,6 +122,16 @@
     stopAll(claimants);
   });
 
+  // Guards against hosts that take the first answer of a table that was restored long ago
+  // for a restoration, and let the duty wait at each start.
+  it('is granted at once at the first start', async () => {
+    table.restore(table.takeCopy());
+    const claimants = new Map([['a', start('a')]]);
+    await run(claimants, 100);
+    expect(claimants.get('a')?.lease.getHeld()?.fence).to.equal(1_000_001);
+    stopAll(claimants);
+  });
+
   // Guards against a fencing number that is given out again after its holder's row is lost.
   it('has a higher fencing number if its holder terminates', async () => {
     const claimants = new Map([['a', start('a')]]);
--- a/test/platform/store_era_test.ts
+++ b/test/platform/store_era_test.ts
@@ -22,9 +22,10 @@
     return era.read({status: 200, headers, body}, '/rows-get?table=t');
   }
 
-  it('is 0 until an answer states one', () => {
-    expect(era.get()).to.equal(0);
+  it('is not known before the first answer, and 0 until one states another', () => {
+    expect(era.get()).to.equal(undefined);
     expect(read(undefined)).to.equal(0);
+    expect(era.get()).to.equal(0);
     expect(read('3')).to.equal(3);
     expect(era.get()).to.equal(3);
   });
