Write usage again that a restored table has lost

Cause: a holder that had reported a window kept its final counts in the table only. After a restoration the next holder summed anew, and reported other counts for the same window; counts of a host that could not reach the holder were lost unbilled.

Change: a host that has written or read final counts keeps those of twelve windows and writes them again when the table was restored, and so does each host with its own last counts. RestorationWatch notices it, for the lease as well. Both tests fail without the writing (guild 5 for 1; counts missing).

Left: where the holder terminates before it has written again, the next one sums anew.

--- a/src/lease/lease.ts
+++ b/src/lease/lease.ts
@@ -1,6 +1,7 @@
 import {Result} from 'true-myth';
 import {
   ABSENT,
+  RestorationWatch,
   Row,
   StepKind,
   TableFailure,
@@ -92,13 +93,12 @@
   private seenMs = 0;
   /** The row as this holder last wrote it; absent if that is not certain. */
   private writtenRow: Row | undefined;
-  /** The last known era of the table. */
-  private era: number | undefined;
+  private readonly restorations: RestorationWatch;
   /** When the table was last found to be restored, in monotonic milliseconds. */
   private restoredMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: LeaseOptions) {
-    this.era = options.table.getEra();
+    this.restorations = new RestorationWatch(options.table);
   }
 
   /** Returns the lease while this host certainly holds it. */
@@ -123,7 +123,7 @@
     const key = PREFIX + this.options.role;
     const {releases} = this;
     const found = await this.findRow(key);
-    this.checkEra();
+    this.checkRestored();
     if (found.isErr) {
       return this.getHeld();
     }
@@ -132,11 +132,9 @@
       this.held = undefined;
       return undefined;
     }
-    const {era} = this;
     const current = row?.value as LeaseRow | undefined;
-    await this.write(key, row, current, releases);
-    // A row that was lost while it was renewed is written again at once.
-    return this.era === era ? this.getHeld() : this.claim();
+    const wasLost = await this.write(key, row, current, releases);
+    return wasLost ? this.claim() : this.getHeld();
   }
 
   /** Returns whether this host may write the row of the lease. */
@@ -155,16 +153,13 @@
   }
 
   /** Returns whether the table was restored from a copy since the last call. */
-  private checkEra(): boolean {
-    const {clock, table} = this.options;
-    const before = this.era;
-    this.era = table.getEra();
-    if (before === undefined || this.era === before) {
-      return false;
+  private checkRestored(): boolean {
+    const hasRestored = this.restorations.hasRestored();
+    if (hasRestored) {
+      this.restoredMs = this.options.clock.monotonicMs();
+      this.writtenRow = undefined;
     }
-    this.restoredMs = clock.monotonicMs();
-    this.writtenRow = undefined;
-    return true;
+    return hasRestored;
   }
 
   /** Reads the current holder from the table; `undefined` if there is none. */
@@ -181,7 +176,7 @@
   private async findRow(
     key: string,
   ): Promise<Result<Row | undefined, TableFailure>> {
-    this.checkEra();
+    this.checkRestored();
     const known = this.writtenRow;
     this.writtenRow = undefined;
     return known !== undefined && this.getHeld() !== undefined
@@ -220,19 +215,24 @@
     ]);
   }
 
+  /**
+   * Writes the row of the lease.
+   * @returns Whether the table was found to be restored, so that the row must be read and
+   *   written again.
+   */
   private async write(
     key: string,
     row: Row | undefined,
     current: LeaseRow | undefined,
     releases: number,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const {clock, holder, table, durationMs, getStartMs} = this.options;
     if (releases !== this.releases) {
-      return;
+      return false;
     }
     const previous = Math.max(
       current?.fence ?? 0,
-      (this.era ?? 0) * FENCES_PER_ERA,
+      (table.getEra() ?? 0) * FENCES_PER_ERA,
     );
     // An own lease that has expired is taken as a new one, with a new fencing number:
     // other hosts may have been told of the expiry.
@@ -248,10 +248,10 @@
       {kind: StepKind.PUT, key, ifVersion: row?.version ?? ABSENT, value: next},
     ]);
     if (releases !== this.releases) {
-      return;
+      return false;
     }
+    const wasLost = this.checkRestored();
     if (written.isOk) {
-      this.checkEra();
       const version = written.value.versions[key];
       this.writtenRow =
         version === undefined ? undefined : {key, version, value: next};
@@ -262,12 +262,12 @@
         untilMs: startMs + durationMs,
         untilTimeOfDayMs: sentTimeOfDayMs + (startMs - sentMs) + durationMs,
       };
-      return;
+      return wasLost;
     }
-    const isRestored = this.checkEra();
-    if (written.error.kind === TableFailureKind.CONFLICT && !isRestored) {
+    if (written.error.kind === TableFailureKind.CONFLICT && !wasLost) {
       this.held = undefined;
     }
+    return wasLost;
   }
 
   private isOwnMachine(holder: string): boolean {
--- a/src/usage/usage_reporter.ts
+++ b/src/usage/usage_reporter.ts
@@ -1,6 +1,12 @@
 import {Duty} from '../lease/index.js';
 import {Log} from '../log/index.js';
-import {ABSENT, StepKind, TableService} from '../table/index.js';
+import {
+  ABSENT,
+  RestorationWatch,
+  StepKind,
+  TableFailureKind,
+  TableService,
+} from '../table/index.js';
 import {Clock} from '../time/index.js';
 import {HostUsage} from './host_usage.js';
 import {UsageCounts, UsageLedger} from './usage_ledger.js';
@@ -47,6 +53,8 @@
 const SETTLE_DELAY_MS = 1000;
 /** Wait after the end of a window for unreachable hosts, in milliseconds. */
 const UNREACHABLE_HOST_TIMEOUT_MS = 4500;
+/** Windows whose counts are kept, to write them again if the table loses them. */
+const KEPT_WINDOWS = 12;
 const COUNTS_PREFIX = 'usage-counts/';
 const DECIDED_PREFIX = 'usage-decided/';
 
@@ -56,13 +64,21 @@
  * A host that cannot reach a holder of the duty writes its own counts to the table when a
  * window has ended. The holder sums the counts that hosts reported and those in the
  * table, writes the sum to the table unless one is there already, and sends the written
- * sum. A later holder therefore sends exactly the same counts.
+ * sum. A later holder therefore sends exactly the same counts. What the table loses when it
+ * is restored from a copy is written again.
  */
 export class UsageReporter {
   private lastWritten = 0;
   private lastReported = 0;
+  /** The final counts of the last windows, as written to the table or read from it. */
+  private readonly decided = new Map<number, UsageCounts>();
+  private readonly restorations: RestorationWatch;
+  /** Whether the table may have lost what this host has written. */
+  private mayLack = false;
 
-  constructor(private readonly options: UsageReporterOptions) {}
+  constructor(private readonly options: UsageReporterOptions) {
+    this.restorations = new RestorationWatch(options.table);
+  }
 
   /** Writes and reports counts until aborted. */
   async run(signal: AbortSignal): Promise<void> {
@@ -76,6 +92,7 @@
         isHolder ? POLL_INTERVAL_MS : STANDBY_POLL_INTERVAL_MS,
         signal,
       );
+      await this.writeLost();
       await this.writeOwn();
       await this.report();
     }
@@ -89,6 +106,29 @@
     await this.writeCounts(window);
   }
 
+  /**
+   * Writes the decided counts, and this host's own, again if the table may have lost them.
+   */
+  private async writeLost(): Promise<void> {
+    this.mayLack = this.restorations.hasRestored() || this.mayLack;
+    if (!this.mayLack) {
+      return;
+    }
+    const {table, ledger, getReferenceMs, log} = this.options;
+    for (const [window, counts] of this.decided) {
+      const found = await this.writeDecided(window, counts);
+      if (found === undefined) {
+        return;
+      }
+    }
+    this.mayLack = false;
+    this.lastWritten = ledger.getWindow(getReferenceMs()) - 2;
+    log.info('usage_written_again', {
+      windows: this.decided.size,
+      era: table.getEra(),
+    });
+  }
+
   private async writeOwn(): Promise<void> {
     const {ledger, getReferenceMs, duty} = this.options;
     const window = ledger.getWindow(getReferenceMs()) - 1;
@@ -162,17 +202,44 @@
       return undefined;
     }
     if (found.value !== undefined) {
-      return found.value.value as UsageCounts;
-    }
-    const counts = await this.sumCounts(window);
-    if (counts === undefined) {
-      return undefined;
+      return this.keepDecided(window, found.value.value as UsageCounts);
     }
+    const counts = this.decided.get(window) ?? (await this.sumCounts(window));
+    return counts === undefined ? undefined : this.writeDecided(window, counts);
+  }
+
+  /**
+   * Writes the final counts of a window, unless it has some already.
+   * @returns The final counts; `undefined` if they are not known to be written.
+   */
+  private async writeDecided(
+    window: number,
+    counts: UsageCounts,
+  ): Promise<UsageCounts | undefined> {
+    const {table} = this.options;
+    const key = `${DECIDED_PREFIX}${window}`;
     const written = await table.transact([
       {kind: StepKind.PUT, key, ifVersion: ABSENT, value: counts},
     ]);
-    // If the answer was lost, the next round reads the written counts.
-    return written.isOk ? counts : undefined;
+    if (written.isOk) {
+      return this.keepDecided(window, counts);
+    }
+    if (written.error.kind !== TableFailureKind.CONFLICT) {
+      // If the answer was lost, the next round reads the written counts.
+      return undefined;
+    }
+    const found = await table.get(key);
+    const row = found.unwrapOr(undefined);
+    return row && this.keepDecided(window, row.value as UsageCounts);
+  }
+
+  private keepDecided(window: number, counts: UsageCounts): UsageCounts {
+    this.decided.set(window, counts);
+    const [oldest] = this.decided.keys();
+    if (this.decided.size > KEPT_WINDOWS && oldest !== undefined) {
+      this.decided.delete(oldest);
+    }
+    return counts;
   }
 
   private async sumCounts(window: number): Promise<UsageCounts | undefined> {
--- a/test/usage/usage_reporter_test.ts
+++ b/test/usage/usage_reporter_test.ts
@@ -177,4 +177,54 @@
     b.stopped.abort();
     await clock.advance(10);
   });
+
+  // Guards against a window that is reported twice with different counts: the table has lost
+  // the counts that its first report had.
+  it('reports the same counts after the table was restored from a copy', async () => {
+    const a = start('a');
+    await clock.advance(1000);
+    a.ledger.add('guild', 0);
+    const window = a.ledger.getWindow(clock.now().getTime());
+    const copy = table.takeCopy();
+    await clock.advance(WINDOW_MS + 1000);
+    expect(listFor(window).length).to.equal(1);
+    table.restore(copy);
+    await clock.advance(1500);
+    a.stopped.abort();
+    const b = start('b');
+    b.hostUsage.add('a/1', [{window, counts: {guild: 5}}]);
+    await clock.advance(4 * WINDOW_MS);
+    expect(b.duty.isHeld()).to.equal(true);
+    for (const {counts} of listFor(window)) {
+      expect(counts).to.deep.equal({guild: 1});
+    }
+    expect(listFor(window).length).to.be.above(1);
+    b.stopped.abort();
+    await clock.advance(10);
+  });
+
+  // Guards against usage that is not billed: the table has lost the counts of a host that
+  // cannot reach the holder.
+  it('writes its own counts again after the table was restored from a copy', async () => {
+    const copy = table.takeCopy();
+    const a = start('a');
+    await clock.advance(100);
+    const b = start('b');
+    await clock.advance(200);
+    b.ledger.add('club', 0);
+    const window = b.ledger.getWindow(clock.now().getTime());
+    const key = `usage-counts/${window}/b/1`;
+    const isWritten = async () =>
+      (await table.get(key)).unwrapOr(undefined) !== undefined;
+    while (!(await isWritten())) {
+      await clock.advance(100);
+    }
+    table.restore(copy);
+    await clock.advance(1500);
+    expect(await isWritten()).to.equal(true);
+    for (const host of [a, b]) {
+      host.stopped.abort();
+    }
+    await clock.advance(10);
+  });
 });
