Write quarantine and host rows again that a restored table has lost

Cause: a host remembers which rows it has written, and did not write them again when the table had lost them. A quarantine then ended with the hosts that knew it, a clearing was undone, and a host that started later did not find this one.

--- a/src/quarantine/quarantine_rows.ts
+++ b/src/quarantine/quarantine_rows.ts
@@ -1,6 +1,12 @@
 import {z} from 'zod';
 import {Log} from '../log/index.js';
-import {Row, Step, StepKind, TableService} from '../table/index.js';
+import {
+  RestorationWatch,
+  Row,
+  Step,
+  StepKind,
+  TableService,
+} from '../table/index.js';
 import {Clock} from '../time/index.js';
 import {Quarantine} from './quarantine.js';
 import {ReportedSuspect} from './suspect.js';
@@ -54,8 +60,11 @@
   private lastReadMs = Number.NEGATIVE_INFINITY;
   private writtenVersion = 0;
   private wasIsolated = false;
+  private readonly restorations: RestorationWatch;
 
-  constructor(private readonly options: QuarantineRowsOptions) {}
+  constructor(private readonly options: QuarantineRowsOptions) {
+    this.restorations = new RestorationWatch(options.table);
+  }
 
   /** Reads and writes rows until aborted. */
   async run(signal: AbortSignal): Promise<void> {
@@ -73,6 +82,12 @@
   /** Reads the rows of other hosts if necessary, and writes those that are new here. */
   async step(): Promise<void> {
     const {clock, reachesOthers} = this.options;
+    if (this.restorations.hasRestored()) {
+      // The table may lack rows that this host has written.
+      this.written.clear();
+      this.writtenVersion = 0;
+      this.hasRead = false;
+    }
     const isIsolated = !reachesOthers();
     const isDue = clock.monotonicMs() - this.lastReadMs >= READ_INTERVAL_MS;
     if (!this.hasRead || ((isIsolated || this.wasIsolated) && isDue)) {
--- a/test/quarantine/quarantine_rows_test.ts
+++ b/test/quarantine/quarantine_rows_test.ts
@@ -126,4 +126,28 @@
     await host.rows.step();
     expect(await countRows()).to.equal(3);
   });
+
+  // Guards against a quarantine that ends when all hosts are killed, since the table has lost
+  // its rows.
+  it('writes its rows again after the table was restored from a copy', async () => {
+    const copy = table.takeCopy();
+    const host = createHost();
+    terminateInTurn(host.quarantine, 's1', 's2', 's3');
+    await host.rows.step();
+    table.restore(copy);
+    await host.rows.step();
+    expect(await countRows()).to.equal(3);
+  });
+
+  it('removes the rows that the copy still has but an answer has cleared', async () => {
+    const host = createHost();
+    terminateInTurn(host.quarantine, 's1', 's2', 's3');
+    await host.rows.step();
+    const copy = table.takeCopy();
+    host.quarantine.addSuccess(CONTENT, 3);
+    await host.rows.step();
+    table.restore(copy);
+    await host.rows.step();
+    expect(await countRows()).to.equal(0);
+  });
 });
