Store rollouts again that a restored store has lost

Cause: after a restoration the holder's writes conflicted, and it took the older stored rollout for the present one, or kept conflicting where there was none; a final state was never written again. Under the next holder a completed or rolled-back rollout began anew.

Change: the holder stores the rollouts that it knows again, unless a later order is stored.

--- a/src/rollout/rollout_driver.ts
+++ b/src/rollout/rollout_driver.ts
@@ -1,5 +1,5 @@
 import {Log} from '../log/index.js';
-import {TableFailureKind} from '../table/index.js';
+import {RestorationWatch, TableFailureKind} from '../table/index.js';
 import {Clock} from '../time/index.js';
 import {ActiveRollout} from './active_rollout.js';
 import {
@@ -55,8 +55,13 @@
   /** Numbers of the orders that are ignored; each is logged once. */
   private readonly ignored = new Set<number>();
   private fence: number | undefined;
+  private readonly restorations: RestorationWatch;
+  /** Services whose stored rollout may be lost or outdated. */
+  private readonly lost = new Set<string>();
 
-  constructor(private readonly options: RolloutDriverOptions) {}
+  constructor(private readonly options: RolloutDriverOptions) {
+    this.restorations = new RestorationWatch(options.store);
+  }
 
   /** Runs until aborted. */
   async run(signal: AbortSignal): Promise<void> {
@@ -76,11 +81,14 @@
     if (fence !== this.fence) {
       // Rollouts known under another fence may have advanced without this host.
       this.active.clear();
+      this.lost.clear();
       this.fence = fence;
     }
+    this.checkRestored();
     if (fence === undefined) {
       return;
     }
+    await this.writeLost();
     for (const order of this.options.orders.list()) {
       const active = await this.getActive(order);
       if (active !== undefined && !isFinal(active.rollout)) {
@@ -109,6 +117,46 @@
     return {isHolder: true, word: createDirective(active, fence)};
   }
 
+  /** Returns whether the store was restored from a copy since the last call. */
+  private checkRestored(): boolean {
+    const hasRestored = this.restorations.hasRestored();
+    if (hasRestored) {
+      for (const service of this.active.keys()) {
+        this.lost.add(service);
+      }
+    }
+    return hasRestored;
+  }
+
+  /** Stores rollouts again that the store may have lost when it was restored. */
+  private async writeLost(): Promise<void> {
+    const {store, log} = this.options;
+    for (const service of this.lost) {
+      const active = this.active.get(service);
+      const read = await store.read(service);
+      if (active === undefined || read.isErr) {
+        continue;
+      }
+      if ((read.value?.rollout.order ?? 0) > active.rollout.order) {
+        this.lost.delete(service);
+        continue;
+      }
+      const written = await store.write(
+        active.rollout,
+        read.value?.version ?? 0,
+      );
+      if (written.isOk) {
+        active.version = written.value;
+        this.lost.delete(service);
+        log.info('rollout_written_again', {
+          service,
+          order: active.rollout.order,
+          state: active.rollout.state,
+        });
+      }
+    }
+  }
+
   private async getActive(
     order: RolloutOrder,
   ): Promise<ActiveRollout | undefined> {
@@ -292,6 +340,10 @@
       active.version = written.value;
       return;
     }
+    if (this.checkRestored()) {
+      // What is stored now is older than what this host knows.
+      return;
+    }
     if (written.error.kind !== TableFailureKind.UNREACHED) {
       await this.reload(active);
     }
--- a/src/rollout/rollout_store.ts
+++ b/src/rollout/rollout_store.ts
@@ -11,6 +11,8 @@
 
 /** Stores rollouts beyond the lifetime of their holder and reports them to operators. */
 export interface RolloutStore {
+  /** See `TableService.getEra`. */
+  getEra(): number | undefined;
   /** Reads the rollout of a service; `undefined` if there is none. */
   read(
     service: string,
--- a/test/rollout/rollout_simulation.ts
+++ b/test/rollout/rollout_simulation.ts
@@ -49,6 +49,9 @@
   readonly isBad: boolean;
 }
 
+/** Distance of the versions of a restored store from those before. */
+const RESTORED_VERSIONS = 1000;
+
 /** Store of rollouts that may be unreachable and may lose its replies. */
 export class TestRolloutStore implements RolloutStore {
   isUnreachable = false;
@@ -57,6 +60,18 @@
   /** States that operators could read, in order. */
   readonly reportedStates: RolloutState[] = [];
 
+  private era = 0;
+
+  getEra(): number {
+    return this.era;
+  }
+
+  /** Restores the store from a copy: what was written since is lost. */
+  restore(copy: StoredRollout | undefined): void {
+    this.era++;
+    this.stored = copy && {...copy, version: copy.version + RESTORED_VERSIONS};
+  }
+
   async read(): Promise<Result<StoredRollout | undefined, TableFailure>> {
     return this.isUnreachable
       ? Result.err({kind: TableFailureKind.UNREACHED, detail: 'unreachable'})
@@ -176,6 +191,7 @@
       getFence: () => host.fence,
       orders,
       store: {
+        getEra: () => this.store.getEra(),
         read: () => this.callStore(host, store => store.read()),
         write: (rollout, version) =>
           this.callStore(host, store => store.write(rollout, version)),
--- a/test/rollout/rollout_test.ts
+++ b/test/rollout/rollout_test.ts
@@ -240,4 +240,43 @@
       RolloutState.COMPLETED,
     );
   }).timeout(60_000);
+
+  // Guards against a completed or rolled-back version whose rollout begins again under the
+  // next holder, since the store has lost its end.
+  for (const [name, answer, state] of [
+    ['completed', good, RolloutState.COMPLETED],
+    ['rolled back', badAtOnce, RolloutState.ROLLED_BACK],
+  ] as const) {
+    for (const lost of ['its end', 'all of it'] as const) {
+      it(`stays ${name} after the store has lost ${lost}`, async () => {
+        const simulation = new RolloutSimulation(HOSTS, answer);
+        simulation.order(DURATION_MS);
+        await simulation.run(1500);
+        const copy = simulation.store.stored;
+        await simulation.run(2 * DURATION_MS);
+        expect(simulation.store.stored?.rollout.state).to.equal(state);
+        simulation.store.restore(lost === 'its end' ? copy : undefined);
+        await simulation.run(1000);
+        expect(simulation.store.stored?.rollout.state).to.equal(state);
+        const before = simulation.newRequests.length;
+        simulation.assignDuty(1);
+        await simulation.run(DURATION_MS);
+        expect(simulation.store.stored?.rollout.state).to.equal(state);
+        if (state === RolloutState.ROLLED_BACK) {
+          expect(simulation.newRequests.length).to.equal(before);
+        }
+      }).timeout(60_000);
+    }
+  }
+
+  it('goes on after the store has lost its beginning', async () => {
+    const simulation = new RolloutSimulation(HOSTS, good);
+    simulation.order(DURATION_MS);
+    await simulation.run(DURATION_MS / 2);
+    simulation.store.restore(undefined);
+    await simulation.run(2 * DURATION_MS);
+    expect(simulation.store.reportedStates.at(-1)).to.equal(
+      RolloutState.COMPLETED,
+    );
+  }).timeout(60_000);
 });
