Continue a copied run though no server can be chosen

Cause: an attempt whose server is given, since the copy of the run is there, was given up where the choice for other requests found none: all withheld by limits or backoffs. The stream had been stopped for its relocation by then, and was lost. The test, with all servers asking for a time without requests after the copy was made, failed before and passes.

--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -233,7 +233,7 @@
       this.answer.getLastEventId(),
     );
     const server = copiedRun?.server ?? this.choice.getServer(decision);
-    if (server === undefined || decision.chosen === undefined) {
+    if (server === undefined) {
       return this.failWithoutServer(decision);
     }
     const refusal = this.checkPredictedWait(decision.chosen);
@@ -246,7 +246,8 @@
     if (copiedRun === undefined) {
       this.options.limits.takePermit(server.id);
     }
-    const predictedMs = decision.chosen.firstTokenMs;
+    // A copied run may continue though no server can be chosen for other requests.
+    const predictedMs = decision.chosen?.firstTokenMs ?? 0;
     const result = await this.observer.run(server, () =>
       this.executeAttempt(server, predictedMs, copiedRun),
     );
@@ -415,7 +416,9 @@
    * first-token target must not be sent: its caller would give up, and it would delay
    * other requests. Returns the reason to refuse it; `undefined` to send it.
    */
-  private checkPredictedWait({waitMs = 0}: ScoredServer): Problem | undefined {
+  private checkPredictedWait(
+    chosen: ScoredServer | undefined,
+  ): Problem | undefined {
     const {request, options, answer} = this;
     const isFirstAttempt =
       this.attempts.count() === 1 && this.copiedRun === undefined;
@@ -423,6 +426,7 @@
     if (!request.route.streaming || !isFirstAttempt || isResumed) {
       return undefined;
     }
+    const waitMs = chosen?.waitMs ?? 0;
     return decideByWait(waitMs, request.route.targetMs, options.random);
   }
 
--- a/test/relay/backing_off_servers_test.ts
+++ b/test/relay/backing_off_servers_test.ts
@@ -127,6 +127,38 @@
     expect(states).to.deep.equal([true, false]);
   });
 
+  // Guards against a stream that was stopped for its relocation and is lost, since no server
+  // can be chosen though its copy is at one already.
+  it('continues a copied run also if all servers have asked since', async () => {
+    const stream: Exchange = async ({copy, maySend}) => {
+      if (copy !== undefined) {
+        expect(maySend()).to.equal(true);
+        return createAnswer(200, formatEvents(2, 3));
+      }
+      return createAnswer(
+        200,
+        (async function* () {
+          yield* formatEvents(1, 1);
+          const [from = ''] = fixture.listServers();
+          fixture.fleet.register(
+            {...createServer(from, FleetState.DRAINING), leavesMs: 0},
+            'test',
+          );
+          while (!fixture.copies.some(({stops}) => stops)) {
+            await new Promise(resolve => setTimeout(resolve, 10));
+          }
+          for (const server of ['s1', 's2', 's3']) {
+            askFor(fixture, server);
+          }
+          throw new Error('stopped');
+        })(),
+      );
+    };
+    const fixture = new RelayFixture(stream);
+    const sink = await fixture.serve({streaming: true, repeat: Repeat.ONCE});
+    expect(sink.body).to.equal(formatEvents(1, 3).join(''));
+  });
+
   it('requests no copy of a stream from a server in the time it asked for', async () => {
     const stream: Exchange = async ({server, copy}) => {
       if (copy !== undefined) {
