Send a request to the previous version if none on trial takes requests

Cause: a first attempt that is drawn for a version on trial was refused where all its servers are withheld, by backoffs or limits, although servers of the previous version took requests. The test failed before and passes.

--- a/src/relay/server_choice.ts
+++ b/src/relay/server_choice.ts
@@ -39,6 +39,15 @@
   /** Chooses a server for the next attempt from the current state of the servers. */
   choose(): LimitAwareDecision {
     const isFirst = this.params.attempts.count() <= 1;
+    const decision = this.chooseVersion(isFirst);
+    // During a trial of a version, later attempts go to the previous one. A first attempt does
+    // as well if no server of the version on trial takes requests now.
+    return decision.chosen === undefined && isFirst
+      ? this.chooseVersion(false)
+      : decision;
+  }
+
+  private chooseVersion(isFirst: boolean): LimitAwareDecision {
     const {service} = this.params;
     return this.chooseAllowed(
       this.options.versionSelector.select(service, isFirst),
--- a/test/relay/backing_off_servers_test.ts
+++ b/test/relay/backing_off_servers_test.ts
@@ -159,6 +159,19 @@
     expect(sink.body).to.equal(formatEvents(1, 3).join(''));
   });
 
+  // Guards against requests that are refused since they were drawn for a version on trial
+  // whose servers have all asked, while those of the previous version take requests.
+  it('sends a request to the previous version if all servers on trial have asked', async () => {
+    const fixture = createFixture(answer, 's3');
+    for (const id of ['s1', 's2', 's3']) {
+      const version = id === 's3' ? 'v2' : 'v1';
+      fixture.fleet.register({...createServer(id), version}, 'test');
+    }
+    fixture.selectVersion = isFirst => (isFirst ? 'v2' : 'v1');
+    expect((await fixture.serve(route)).body).to.equal('whole');
+    expect(['s1', 's2']).to.include(fixture.listServers()[0]);
+  });
+
   it('requests no copy of a stream from a server in the time it asked for', async () => {
     const stream: Exchange = async ({server, copy}) => {
       if (copy !== undefined) {
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -114,6 +114,8 @@
   /** Ids of servers that have terminated. */
   readonly terminated = new Set<string>();
   copyResult: Result<string, CopyFailure> = Result.ok('h1');
+  /** Returns the version that an attempt may go to; any if `undefined`. */
+  selectVersion: (isFirst: boolean) => string | undefined = () => undefined;
   /** Called for each requested copy, before its result is returned. */
   onCopy: (params: CopyRunParams) => void = () => undefined;
 
@@ -183,7 +185,14 @@
         this.terminated.has(address.split(':')[0] ?? ''),
       ),
       senderRuns: new SenderRuns(clock),
-      versionSelector: {select: () => undefined},
+      versionSelector: {
+        select: (_service, isFirst) => {
+          const selected = this.selectVersion(isFirst);
+          return selected === undefined
+            ? undefined
+            : ({version}) => version === selected;
+        },
+      },
       versionLedger: new VersionCounter(),
     });
     for (const id of ['s1', 's2', 's3']) {
