--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -1,6 +1,7 @@
 import {
   findChangedCounts,
   findExcessAtLimits,
+  findExcessInBackoffs,
   findExcessRetries,
   findExcessUnits,
   findLowerFences,
@@ -12,7 +13,10 @@
   findIncompleteRecovery,
   findConfigurationRollbacks,
 } from './find_late.js';
-import {findLateArrivals} from './find_late_arrivals.js';
+import {
+  findArrivalsAfterStatement,
+  findLateArrivals,
+} from './find_late_arrivals.js';
 import {
   findDisorderedEvents,
   findRepeatedRuns,
@@ -82,6 +86,16 @@
     hasTimeBound: true,
     find: findRepeatedCrashingRequests,
   },
+  {
+    name: 'servers that state that they leave get nothing',
+    hasTimeBound: true,
+    find: findArrivalsAfterStatement,
+  },
+  {
+    name: 'backoffs of servers',
+    hasTimeBound: true,
+    find: findExcessInBackoffs,
+  },
   {name: 'limits of servers', hasTimeBound: true, find: findExcessAtLimits},
   {name: 'recovery', hasTimeBound: true, find: findIncompleteRecovery},
 ];
--- a/test/soak/checks_test.ts
+++ b/test/soak/checks_test.ts
@@ -83,6 +83,26 @@
 
 /** Changes to a correct history that each violate one guarantee, by name of the check. */
 const VIOLATING_CHANGES = new Map<string, (history: History) => void>([
+  [
+    'servers that state that they leave get nothing',
+    ({sendings, arrivals, leavingAnswers}) => {
+      leavingAnswers.push({id: 'r1', server: SERVER});
+      sendings.push(
+        createSentRequest({id: 'r2', sentMs: 12_100, endMs: 12_150}),
+      );
+      arrivals.push(createArrival({id: 'r2', atMs: 12_110}));
+    },
+  ],
+  [
+    'backoffs of servers',
+    ({sendings, arrivals, backoffs}) => {
+      backoffs.push({id: 'r1', server: SERVER, atMs: 10_010, forMs: 1500});
+      for (const id of ['r2', 'r3', 'r4']) {
+        sendings.push(createSentRequest({id, sentMs: 11_000, endMs: 11_050}));
+        arrivals.push(createArrival({id, atMs: 11_010}));
+      }
+    },
+  ],
   [
     'at most once',
     ({arrivals}) => {
--- a/test/soak/fault_injector.ts
+++ b/test/soak/fault_injector.ts
@@ -76,6 +76,10 @@
         );
       case FaultKind.STORE_FORGETS:
         return this.recordDuring(fault, '', async () => store.dropHistory());
+      case FaultKind.STORE_RESTORED:
+        return this.recordDuring(fault, '', () =>
+          system.restoreStore(fault.forMs),
+        );
       case FaultKind.STORE_LINK_CUT:
         return this.switchOnDuring(fault, name, on => {
           host.storeLink.faults.silent = on;
@@ -138,6 +142,16 @@
         return this.recordDuring(fault, name, () =>
           system.drainServer(server, false),
         );
+      case FaultKind.SERVER_STATES_LEAVING:
+        return this.recordDuring(fault, name, () =>
+          system.drainUnrecordedServer(server),
+        );
+      case FaultKind.SERVER_ASKS_FOR_BACKOFF:
+        return this.switchOnDuring(
+          fault,
+          name,
+          on => (faults.asksForBackoff = on),
+        );
       case FaultKind.SERVER_DARK:
         return this.switchOnDuring(
           fault,
--- a/test/soak/find_excess.ts
+++ b/test/soak/find_excess.ts
@@ -119,6 +119,55 @@
   return hadFault(history, host, isKind, fromMs, atMs);
 }
 
+/** Time after a rejection in which requests may still reach its server, in milliseconds. */
+const BACKOFF_SETTLE_MS = 500;
+/** Requests that may reach a server from one host in the rest of the time it asked for. */
+const MAX_REQUESTS_IN_BACKOFF = 2;
+
+/** Requests from hosts that were restarted, frozen or cut off are excluded. */
+export function* findExcessInBackoffs(history: History): Iterable<string> {
+  const hosts = new Map(history.sendings.map(({id, host}) => [id, host]));
+  for (const {id: rejected, server, atMs, forMs} of history.backoffs) {
+    const host = hosts.get(rejected) ?? '';
+    const count = history.arrivals.filter(
+      arrival =>
+        arrival.server === server &&
+        hosts.get(arrival.id) === host &&
+        arrival.atMs > atMs + BACKOFF_SETTLE_MS &&
+        arrival.atMs < atMs + forMs,
+    ).length;
+    if (
+      count > MAX_REQUESTS_IN_BACKOFF &&
+      !mayIgnoreBackoff(history, host, server, atMs + forMs)
+    ) {
+      yield `${server} got ${count} requests from ${host} in the ${forMs} ms after ${Math.round(atMs)} ms`;
+    }
+  }
+}
+
+/** Faults of a host that excuse requests in a backoff. */
+const BACKOFF_LOSING_FAULTS: ReadonlySet<string> = new Set([
+  ...LIMIT_LOSING_FAULTS,
+  FaultKind.STORE_LINK_CUT,
+]);
+
+/** Returns whether the host, or its link to the server, had a fault recently. */
+function mayIgnoreBackoff(
+  history: History,
+  host: string,
+  server: string,
+  atMs: number,
+): boolean {
+  const fromMs = atMs - history.bounds.contactMs;
+  const isHostFault = (kind: string) => BACKOFF_LOSING_FAULTS.has(kind);
+  const isLinkFault = (kind: string) => kind.startsWith('server-link-');
+  const name = server.split('@')[0] ?? '';
+  return (
+    hadFault(history, host, isHostFault, fromMs, atMs) ||
+    hadFault(history, name, isLinkFault, fromMs, atMs)
+  );
+}
+
 export function* findLowerFences(history: History): Iterable<string> {
   const holders = new Map<number, string>();
   let highest = 0;
--- a/test/soak/find_late_arrivals.ts
+++ b/test/soak/find_late_arrivals.ts
@@ -1,6 +1,6 @@
 /** Finds requests that reach servers after these have started to leave. */
 import {Arrival, FaultSpan, History, LeavingServer} from './history.js';
-import {overlaps, affects} from './history_queries.js';
+import {overlaps, affects, hadFault} from './history_queries.js';
 import {FaultKind} from './schedule.js';
 
 /** A request that reached a leaving server, from a host that no fault excuses. */
@@ -52,6 +52,37 @@
   }
 }
 
+/** Finds requests that hosts sent to servers whose answers had told them that they leave. */
+export function* findArrivalsAfterStatement(
+  history: History,
+): Iterable<string> {
+  const {contactMs, drainMs} = history.bounds;
+  const isFreeze = (kind: string) => kind === FaultKind.HOST_FREEZE;
+  const sent = new Map(history.sendings.map(request => [request.id, request]));
+  const knownMs = new Map<string, number>();
+  for (const {id, server} of history.leavingAnswers) {
+    const answered = sent.get(id);
+    if (answered !== undefined && answered.signed) {
+      const key = `${answered.host}/${answered.start} ${server}`;
+      const before = knownMs.get(key) ?? Infinity;
+      knownMs.set(key, Math.min(before, answered.endMs));
+    }
+  }
+  for (const {id, server, atMs} of history.arrivals) {
+    const request = sent.get(id);
+    if (request === undefined) {
+      continue;
+    }
+    const {host, start, sentMs} = request;
+    const sinceMs = knownMs.get(`${host}/${start} ${server}`) ?? Infinity;
+    const fromMs = atMs - contactMs;
+    const wasFrozen = hadFault(history, host, isFreeze, fromMs, atMs);
+    if (sentMs > sinceMs + drainMs && !wasFrozen) {
+      yield `${id} reached ${server} from ${host}, sent ${Math.round(sentMs - sinceMs)} ms after an answer stated that it leaves`;
+    }
+  }
+}
+
 /**
  * Returns the time from which the drain bound applies to a host: the change in the
  * store or, if a store fault overlaps it, the host's own log line, if there is one.
--- a/test/soak/history.ts
+++ b/test/soak/history.ts
@@ -64,6 +64,22 @@
   readonly atMs: number;
 }
 
+/** An answer in which a server stated that it leaves. */
+export interface LeavingAnswer {
+  /** Request that was answered. */
+  readonly id: string;
+  readonly server: string;
+}
+
+/** A rejection in which a server asked a host for a time without requests. */
+export interface RequestedBackoff {
+  /** Request that was rejected. */
+  readonly id: string;
+  readonly server: string;
+  readonly atMs: number;
+  readonly forMs: number;
+}
+
 /** A limit, and the time for which a server announced it. */
 export interface AnnouncedLimit {
   readonly server: string;
@@ -128,6 +144,8 @@
   /** Log entries of the hosts about leaving servers. */
   readonly words: LoggedLeaving[];
   readonly limits: AnnouncedLimit[];
+  readonly leavingAnswers: LeavingAnswer[];
+  readonly backoffs: RequestedBackoff[];
   readonly changes: Change[];
   readonly duties: DutyCall[];
   readonly faults: FaultSpan[];
@@ -152,6 +170,8 @@
     leavings: [],
     words: [],
     limits: [],
+    leavingAnswers: [],
+    backoffs: [],
     changes: [],
     duties: [],
     faults: [],
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -32,6 +32,9 @@
   ENDING_REQUEST: 'ending-request',
   SERVER_LIMITS: 'server-limits',
   SERVER_REMOVED: 'server-removed',
+  SERVER_ASKS_FOR_BACKOFF: 'server-asks-for-backoff',
+  SERVER_STATES_LEAVING: 'server-states-leaving',
+  STORE_RESTORED: 'store-restored',
 } as const;
 export type FaultKind = (typeof FaultKind)[keyof typeof FaultKind];
 
@@ -39,11 +42,16 @@
 const SEPARATELY_DRAWN: readonly FaultKind[] = [
   FaultKind.SERVER_LIMITS,
   FaultKind.SERVER_REMOVED,
+  FaultKind.SERVER_ASKS_FOR_BACKOFF,
+  FaultKind.SERVER_STATES_LEAVING,
+  FaultKind.STORE_RESTORED,
 ];
 /** Seed offset for server limits, so that other draws stay the same. */
 const LIMITS_SEED_OFFSET = 0x5eed;
 /** Seed offset for series of leaving servers, so that other draws stay the same. */
 const LEAVINGS_SEED_OFFSET = 0x1eaf;
+/** Seed offset for what servers state and for restored stores, so that other draws stay the same. */
+const STATEMENTS_SEED_OFFSET = 0x57a7;
 
 /** A fault in a schedule. */
 export interface Fault {
@@ -81,6 +89,9 @@
 const MAX_LIMIT_MS = 10_000;
 /** Maximum number of servers that announce limits at the same time. */
 const MAX_LIMITED_SERVERS = 3;
+/** Share of schedules with each of: backoffs, servers that state that they leave, a restored store. */
+const STATEMENTS_SHARE = 0.5;
+const MAX_STATING_SERVERS = 3;
 /** Share of faults that come as a series of the same kind. */
 const SERIES_SHARE = 0.2;
 const SERIES_LENGTH = 3;
@@ -134,6 +145,12 @@
       lengthMs,
     ),
   );
+  faults.push(
+    ...drawStatements(
+      new SeededRandom(seed + STATEMENTS_SEED_OFFSET),
+      lengthMs,
+    ),
+  );
   faults.sort((a, b) => a.atMs - b.atMs);
   return {seed, hosts, servers: 2 * hosts, lengthMs, faults};
 }
@@ -168,6 +185,32 @@
   return faults;
 }
 
+/** Draws what servers state about themselves in answers, and a restored store. */
+function drawStatements(random: Random, lengthMs: number): Fault[] {
+  const faults: Fault[] = [];
+  const spanMs = lengthMs - 2 * MARGIN_MS;
+  for (const kind of [
+    FaultKind.SERVER_ASKS_FOR_BACKOFF,
+    FaultKind.SERVER_STATES_LEAVING,
+    FaultKind.STORE_RESTORED,
+  ]) {
+    const isDrawn = random.next() < STATEMENTS_SHARE;
+    const times =
+      kind === FaultKind.STORE_RESTORED
+        ? 1
+        : 1 + Math.floor(random.next() * MAX_STATING_SERVERS);
+    for (let count = 0; isDrawn && count < times; count++) {
+      faults.push({
+        kind,
+        atMs: Math.round(MARGIN_MS + spanMs * random.next()),
+        forMs: drawDurationMs(random),
+        target: Math.floor(random.next() * 64),
+      });
+    }
+  }
+  return faults;
+}
+
 /** Draws the duration of a fault, in milliseconds. */
 function drawDurationMs(random: Random): number {
   return Math.round(
--- a/test/soak/soak_server.ts
+++ b/test/soak/soak_server.ts
@@ -21,6 +21,10 @@
   shedsLoad: boolean;
   /** Announces a limit in its answers. */
   limits: boolean;
+  /** Rejects requests and asks their hosts for a time without requests. */
+  asksForBackoff: boolean;
+  /** States in its answers that it leaves. */
+  isLeaving: boolean;
 }
 
 /** Dependencies of a server. */
@@ -33,6 +37,8 @@
 
 /** Limit that a server announces, in requests per second. */
 export const LIMIT_PER_SECOND = 1;
+/** Time for which a server asks a host to send it no requests, in seconds. */
+const BACKOFF_S = 1.5;
 const EVENT_COUNT = 8;
 const EVENT_INTERVAL_MS = 15;
 const WORK_MS = 15;
@@ -49,6 +55,8 @@
     fails: false,
     shedsLoad: false,
     limits: false,
+    asksForBackoff: false,
+    isLeaving: false,
   };
   readonly link: Link;
   private readonly server: FakeServer;
@@ -114,11 +122,13 @@
     };
     this.options.history.arrivals.push(arrival);
     this.served++;
-    if (this.faults.shedsLoad) {
+    const {shedsLoad, asksForBackoff} = this.faults;
+    if (shedsLoad || asksForBackoff) {
       const headerLines = [
         'Not-Executed: 1',
         'Content-Length: 0',
-        ...this.createLimitHeader(),
+        ...(asksForBackoff ? this.createBackoffHeader(id) : []),
+        ...this.createStatementHeaders(id),
       ];
       socket.write(formatHead(request, 503, headerLines));
       return;
@@ -153,7 +163,7 @@
     const response =
       formatHead(request, status, [
         `Content-Length: ${body.length}`,
-        ...this.createLimitHeader(),
+        ...this.createStatementHeaders(arrival.id),
       ]) + body;
     if (corruptsAnswers && this.served % 2 === 0) {
       socket.write(response.slice(0, -5), () => socket.resetAndDestroy());
@@ -167,8 +177,24 @@
     socket.write(response);
   }
 
-  private createLimitHeader(): string[] {
-    return this.faults.limits ? [`Server-Limit: ${LIMIT_PER_SECOND}`] : [];
+  private createBackoffHeader(id: string): string[] {
+    const {history, getNowMs} = this.options;
+    const forMs = BACKOFF_S * 1000;
+    const server = this.incarnation;
+    history.backoffs.push({id, server, atMs: getNowMs(), forMs});
+    return [`Retry-After: ${BACKOFF_S}`];
+  }
+
+  /** Creates the headers in which the server states its limit and that it leaves. */
+  private createStatementHeaders(id: string): string[] {
+    const {limits, isLeaving} = this.faults;
+    if (isLeaving) {
+      this.options.history.leavingAnswers.push({id, server: this.incarnation});
+    }
+    return [
+      ...(limits ? [`Server-Limit: ${LIMIT_PER_SECOND}`] : []),
+      ...(isLeaving ? ['Server-Leaving: 1'] : []),
+    ];
   }
 
   private stream(
@@ -180,7 +206,7 @@
       formatHead(request, 200, [
         'Content-Type: text/event-stream',
         'Transfer-Encoding: chunked',
-        ...this.createLimitHeader(),
+        ...this.createStatementHeaders(id),
       ]),
     );
     let event = after;
--- a/test/soak/soak_system.ts
+++ b/test/soak/soak_system.ts
@@ -33,6 +33,10 @@
 const LEAVING_SERVER_STOP_MS = 9000;
 /** Time after which the entry of a draining server is removed, in milliseconds. */
 const ENTRY_REMOVAL_MS = 2600;
+/** Time for which a store is away before it is restored from a copy, in milliseconds. */
+const STORE_ABSENCE_MS = 500;
+/** Time after which the operator and the servers write again what is lost, in milliseconds. */
+const REWRITE_MS = 700;
 
 /** Store, cloud, servers and the real hosts in front of them, all on loopback. */
 export class SoakSystem {
@@ -51,6 +55,9 @@
   private extraRoute = '';
   private stopped = false;
   private lastServerStartMs = Date.now();
+  private sequence = 0;
+  /** What the operator and the servers have written last, by key of the row. */
+  private readonly written = new Map<string, () => void>();
 
   constructor(
     private readonly size: SoakSize,
@@ -204,7 +211,7 @@
       return;
     }
     await wait(ENTRY_EXPIRY_MS);
-    this.store.remove('servers', server.name);
+    this.unregister(server.name);
     await wait(SERVER_RESTART_MS - ENTRY_EXPIRY_MS);
     await this.startServer(
       `${server.name.split('.')[0]}.${++this.lastServerStartMs}`,
@@ -226,26 +233,64 @@
       `${server.name.split('.')[0]}.${++this.lastServerStartMs}`,
     );
     if (isAnnounced) {
+      server.faults.isLeaving = true;
       this.register(server, 'draining');
     } else {
-      this.store.remove('servers', server.name);
+      this.unregister(server.name);
     }
     const atMs = this.getNowMs();
     this.history.leavings.push({server: server.incarnation, atMs});
     await wait(ENTRY_REMOVAL_MS);
     if (isAnnounced) {
-      this.store.remove('servers', server.name);
+      this.unregister(server.name);
     }
     await wait(LEAVING_SERVER_STOP_MS - ENTRY_REMOVAL_MS);
     server.crash();
   }
 
+  /**
+   * Makes a server leave that states it in its answers only: its entry stays as it is, as
+   * if the store had not accepted its report. Another server replaces it.
+   */
+  async drainUnrecordedServer(server: SoakServer): Promise<void> {
+    const index = this.servers.indexOf(server);
+    if (index < 0) {
+      return;
+    }
+    this.servers.splice(index, 1);
+    await this.startServer(
+      `${server.name.split('.')[0]}.${++this.lastServerStartMs}`,
+    );
+    server.faults.isLeaving = true;
+    await wait(LEAVING_SERVER_STOP_MS);
+    this.unregister(server.name);
+    server.crash();
+  }
+
+  /**
+   * Takes the store away for a moment, and restores it from a copy. The operator and the
+   * servers then write again what is lost.
+   * @param ageMs - Age of the copy, in milliseconds.
+   */
+  async restoreStore(ageMs: number): Promise<void> {
+    const copy = this.store.takeCopy();
+    await wait(ageMs);
+    this.store.faults.unresponsive = true;
+    await wait(STORE_ABSENCE_MS);
+    this.store.restore(copy);
+    this.store.faults.unresponsive = false;
+    await wait(REWRITE_MS);
+    for (const write of this.written.values()) {
+      write();
+    }
+  }
+
   /** Adds a route and removes the one that was added before. */
   changeRoutes(): void {
     const removed = this.extraRoute;
     this.version += 2;
     this.extraRoute = `/v${this.version}/`;
-    this.store.put('op', 'config', {
+    this.write('op', 'config', () => ({
       version: this.version,
       routes: [
         createRoute('/i/', {kind: 'idempotent'}),
@@ -264,7 +309,7 @@
         },
       ],
       limits: {idle_timeout_ms: 4000},
-    });
+    }));
     this.history.changes.push({
       version: this.version,
       ackMs: this.getNowMs(),
@@ -305,7 +350,7 @@
     address = this.addresses.get(incarnation) ?? '',
   ): void {
     this.addresses.set(incarnation, address);
-    this.store.put('servers', name, {
+    this.write('servers', name, () => ({
       service: SERVICE,
       address,
       zone: this.getDataCentre(Number(/\d+/.exec(name)?.[0] ?? 0)),
@@ -313,9 +358,23 @@
       slots: 16,
       state,
       cold_remaining_ms: 0,
-      sequence: 1,
+      sequence: ++this.sequence,
       born: startedMs,
-    });
+    }));
+  }
+
+  /** Writes a row, and again after the store was restored. */
+  private write(table: string, key: string, create: () => unknown): void {
+    const put = () => this.store.put(table, key, create());
+    this.written.set(key, put);
+    put();
+  }
+
+  /** Removes the entry of a server, and again after the store was restored. */
+  private unregister(name: string): void {
+    const remove = () => this.store.remove('servers', name);
+    this.written.set(name, remove);
+    remove();
   }
 
   private getDataCentre(index: number): string {
