--- a/src/replica/row_replica.ts
+++ b/src/replica/row_replica.ts
@@ -1,4 +1,4 @@
-import {getEra} from '../table/index.js';
+import {getVersionEra} from '../table/index.js';
 import {GetSequence, isNewerAcrossEras} from './is_newer_across_eras.js';
 import {ReplicaState} from './replica_state.js';
 import {RowChanges} from './row_changes.js';
@@ -196,7 +196,7 @@
     if (stored === undefined) {
       return row.version > this.getAbsentVersion();
     }
-    if (getEra(row.version) === getEra(stored.row.version)) {
+    if (getVersionEra(row.version) === getVersionEra(stored.row.version)) {
       return row.version > stored.row.version;
     }
     const {getSequence = () => undefined} = this.options;
--- a/src/table/memory_table_service.ts
+++ b/src/table/memory_table_service.ts
@@ -9,7 +9,7 @@
   TableFailureKind,
   TableService,
 } from './table_service.js';
-import {createVersion, getNumber} from './table_version.js';
+import {createVersion, getVersionNumber} from './table_version.js';
 
 /** Content of a table at one time. */
 export interface TableCopy {
@@ -39,7 +39,7 @@
     this.lastNumber = lastNumber;
     this.rows = new Map();
     for (const [key, row] of rows) {
-      const version = createVersion(this.era, getNumber(row.version));
+      const version = createVersion(this.era, getVersionNumber(row.version));
       this.rows.set(key, {...row, version});
     }
   }
--- a/src/table/table_version.ts
+++ b/src/table/table_version.ts
@@ -20,11 +20,11 @@
 }
 
 /** Returns the era of a version. */
-export function getEra(version: number): number {
+export function getVersionEra(version: number): number {
   return Math.floor(version / VERSIONS_PER_ERA);
 }
 
 /** Returns the number that the table gave out for a version. */
-export function getNumber(version: number): number {
+export function getVersionNumber(version: number): number {
   return version % VERSIONS_PER_ERA;
 }
