Count a server that asks for no further time as having answered its trial

Cause: a rejection with Retry-After: 0 in answer to the trial after a backoff left the trial pending, so that the server got nothing for the rest of a second. The test failed before and passes.

--- a/src/backoff/server_backoffs.ts
+++ b/src/backoff/server_backoffs.ts
@@ -128,13 +128,14 @@
   /** Records the result of sending a request to a server. */
   endAttempt(server: string, report: AttemptReport): void {
     const {isAnswered, stated, sentMs} = report;
-    if (stated?.isOk === true) {
-      this.add(server, stated.value);
-      return;
-    }
     if (stated?.isErr === true) {
       this.logUnusable(server, stated.error);
     }
+    const statedMs = stated?.unwrapOr(0) ?? 0;
+    if (statedMs > 0) {
+      this.add(server, statedMs);
+      return;
+    }
     const backoff = this.backoffs.get(server);
     if (backoff === undefined || sentMs < backoff.untilMs) {
       return;
@@ -150,9 +151,6 @@
   private add(server: string, ms: number): void {
     const {clock, log, metrics, random} = this.options;
     metrics.increment('backoffs', {usable: 'true'});
-    if (ms <= 0) {
-      return;
-    }
     const cappedMs = Math.min(ms, MAX_BACKOFF_MS);
     const jitteredMs = cappedMs * (1 + JITTER_SHARE * random.next());
     const untilMs = clock.monotonicMs() + jitteredMs;
--- a/test/backoff/server_backoffs_test.ts
+++ b/test/backoff/server_backoffs_test.ts
@@ -161,6 +161,13 @@
       expect(isBlocked()).to.equal(true);
     });
 
+    // Guards against a server that gets nothing for a second though it has answered.
+    it('all requests are sent once the server asks for no further time', () => {
+      backoffs.beginAttempt(SERVER);
+      ask(0);
+      expect(isBlocked()).to.equal(false);
+    });
+
     it('an answer to a request from before it does not count', () => {
       backoffs.beginAttempt(SERVER);
       answer(undefined, 0);
