--- a/src/http/http_request.ts
+++ b/src/http/http_request.ts
@@ -6,8 +6,7 @@
 /** Response to an HTTP request, with any status code. */
 export interface HttpResponse {
   readonly status: number;
-  /** Values by name in lower case; several values of one header are joined. */
-  readonly headers: Readonly<Record<string, string | undefined>>;
+  readonly headers: IncomingHttpHeaders;
   readonly body: unknown;
 }
 
@@ -64,7 +63,7 @@
     const response = await call;
     return Result.ok({
       status: response.statusCode,
-      headers: joinValues(response.headers),
+      headers: response.headers,
       body: parseJson(response.body),
     });
   } catch (error) {
@@ -114,16 +113,6 @@
   return {unreached: UNREACHED_CODES.has(code), detail};
 }
 
-function joinValues(
-  headers: IncomingHttpHeaders,
-): Readonly<Record<string, string | undefined>> {
-  const joined: Record<string, string | undefined> = {};
-  for (const [name, value] of Object.entries(headers)) {
-    joined[name] = Array.isArray(value) ? value.join(', ') : value;
-  }
-  return joined;
-}
-
 function parseJson(text: string): unknown {
   if (text === '') {
     return undefined;
