--- a/src/backoff/server_backoffs.ts
+++ b/src/backoff/server_backoffs.ts
@@ -1,4 +1,4 @@
-import {Log} from '../log/index.js';
+import {FirstOccurrences, Log} from '../log/index.js';
 import {Metrics} from '../metrics/index.js';
 import {Random} from '../random/index.js';
 import {Clock} from '../time/index.js';
@@ -50,8 +50,6 @@
 const RETENTION_MS = 60_000;
 /** Maximum number of servers whose backoffs are kept. */
 const MAX_SERVERS = 4096;
-/** Maximum number of servers with unusable backoffs; each is remembered to log it once. */
-const MAX_FAULTY_SERVERS = 1000;
 
 /**
  * Backoffs: times for which servers have asked this host to send them no requests.
@@ -63,7 +61,7 @@
 export class ServerBackoffs {
   /** By server incarnation. */
   private readonly backoffs = new Map<string, Backoff>();
-  private readonly faulty = new Set<string>();
+  private readonly faulty = new FirstOccurrences();
 
   constructor(private readonly options: ServerBackoffsOptions) {
     const {metrics} = options;
@@ -194,10 +192,8 @@
 
   private logUnusable(server: string, detail: string): void {
     this.options.metrics.increment('backoffs', {usable: 'false'});
-    if (this.faulty.has(server) || this.faulty.size >= MAX_FAULTY_SERVERS) {
-      return;
+    if (this.faulty.add(server)) {
+      this.options.log.warn('server_backoff_unusable', {server, detail});
     }
-    this.faulty.add(server);
-    this.options.log.warn('server_backoff_unusable', {server, detail});
   }
 }
--- a/src/limits/server_limits.ts
+++ b/src/limits/server_limits.ts
@@ -1,5 +1,5 @@
 import {listChangedSince} from '../changes/index.js';
-import {Log} from '../log/index.js';
+import {FirstOccurrences, Log} from '../log/index.js';
 import {Metrics} from '../metrics/index.js';
 import {DemandMeter} from '../quota/index.js';
 import {hashText} from '../random/index.js';
@@ -42,8 +42,6 @@
 const TRIM_INTERVAL_MS = 10_000;
 /** Maximum number of servers whose limits are kept. */
 const MAX_TRACKED_SERVERS = 4096;
-/** Maximum number of servers with unusable limits; each is remembered to log it once. */
-const MAX_FAULTY_SERVERS = 1000;
 /** Maximum time after which a caller is asked to retry, in milliseconds. */
 const MAX_RETRY_AFTER_MS = 10_000;
 const MS_PER_SECOND = 1000;
@@ -57,7 +55,7 @@
 export class ServerLimits {
   /** By server incarnation; the least recently changed first. */
   private readonly tracked = new Map<string, TrackedLimit>();
-  private readonly faulty = new Set<string>();
+  private readonly faulty = new FirstOccurrences();
   private readonly listeners: (() => void)[] = [];
   private readonly refused: DemandMeter;
   private readonly demand: RankDemand;
@@ -359,10 +357,8 @@
   }
 
   private logUnusable(server: string, detail: string): void {
-    if (this.faulty.has(server) || this.faulty.size >= MAX_FAULTY_SERVERS) {
-      return;
+    if (this.faulty.add(server)) {
+      this.options.log.warn('server_limit_unusable', {server, detail});
     }
-    this.faulty.add(server);
-    this.options.log.warn('server_limit_unusable', {server, detail});
   }
 }
