--- a/src/changes/index.ts
+++ b/src/changes/index.ts
@@ -5,5 +5,6 @@
   ChangeSource,
   AcknowledgingPage,
 } from './change_messages.js';
+export {changeUpdatesSchema} from './change_updates.js';
 export {listChangedSince} from './list_changed_since.js';
 export type {ChangedEntries, ChangeQuery} from './list_changed_since.js';
--- a/src/limits/limit_updates.ts
+++ b/src/limits/limit_updates.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {changeUpdatesSchema} from '../changes/index.js';
 
 /** Maximum number of limits in one message; the next message carries the rest. */
 export const MAX_LIMITS_PER_MESSAGE = 200;
@@ -19,11 +20,7 @@
 });
 
 /** Limit updates that hosts exchange in heartbeats and in replies to them. */
-export const limitUpdatesSchema = z.object({
-  /** The sender's version up to which these updates are complete. */
-  version: count,
-  /** The last version of the receiver that the sender has received. */
-  heard: count,
+export const limitUpdatesSchema = changeUpdatesSchema.extend({
   limits: z.array(reportedLimitSchema).max(MAX_LIMITS_PER_MESSAGE),
 });
 
--- a/src/quarantine/suspect.ts
+++ b/src/quarantine/suspect.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {changeUpdatesSchema} from '../changes/index.js';
 import {SuspicionRule} from './suspicion_rule.js';
 
 /** Maximum number of suspects in one message; the next message carries the rest. */
@@ -25,11 +26,7 @@
 });
 
 /** Suspect updates that hosts exchange in heartbeats and in replies to them. */
-export const suspectUpdatesSchema = z.object({
-  /** The sender's version up to which these updates are complete. */
-  version: count,
-  /** The last version of the receiver that the sender has received. */
-  heard: count,
+export const suspectUpdatesSchema = changeUpdatesSchema.extend({
   suspects: z.array(reportedSuspectSchema).max(MAX_SUSPECTS_PER_MESSAGE),
 });
 
