--- a/test/platform/fakes/fake_store.ts
+++ b/test/platform/fakes/fake_store.ts
@@ -118,11 +118,6 @@
     this.wake();
   }
 
-  /** Returns the version of the last write. */
-  getVersion(): number {
-    return this.version;
-  }
-
   private set(row: StoreRow): void {
     this.rows.set(`${row.table}|${row.part}|${row.key}`, row);
     if (!this.faults.staleWatches) {
--- a/test/relay/limited_servers_test.ts
+++ b/test/relay/limited_servers_test.ts
@@ -8,9 +8,8 @@
   createAnswer,
   createServer,
   fail,
-  formatEvents,
+  listStatingExchanges,
   lose,
-  refuse,
   RelayFixture,
 } from './relay_fixture.js';
 
@@ -67,13 +66,7 @@
 
   it('learns limits from answers, streams and rejections', async () => {
     const limit = Result.ok<Maybe<number>, string>(Maybe.just(3));
-    const statement = {isLeaving: false, limit};
-    const exchanges: Exchange[] = [
-      async () => ({...createAnswer(200, ['whole']), statement}),
-      async () => ({...createAnswer(200, formatEvents(1, 3)), statement}),
-      async () => ({...createAnswer(500, ['failed']), statement}),
-      async (...params) => ({...(await refuse(...params)), statement}),
-    ];
+    const exchanges = listStatingExchanges({isLeaving: false, limit});
     for (const [index, exchange] of exchanges.entries()) {
       const fixture = createFixture(exchange);
       await fixture.serve({streaming: index === 1, maxAttempts: 1});
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -23,6 +23,7 @@
   ExchangeResult,
   Relay,
   RelayRequest,
+  ServerStatement,
 } from '../../src/relay/index.js';
 import {SharedRetryBudget} from '../../src/routing/index.js';
 import {SystemClock} from '../../src/time/index.js';
@@ -88,6 +89,16 @@
 /** Answers with an error status. */
 export const fail: Exchange = async () => createAnswer(500, ['failed']);
 
+/** Lists an answer, a stream, a failure and a rejection, each with a statement. */
+export function listStatingExchanges(statement: ServerStatement): Exchange[] {
+  return [
+    async () => ({...createAnswer(200, ['whole']), statement}),
+    async () => ({...createAnswer(200, formatEvents(1, 3)), statement}),
+    async () => ({...createAnswer(500, ['failed']), statement}),
+    async (...params) => ({...(await refuse(...params)), statement}),
+  ];
+}
+
 /** Formats events with ids from one number up to another. */
 export function formatEvents(from: number, to: number): string[] {
   const events: string[] = [];
--- a/test/relay/relay_test.ts
+++ b/test/relay/relay_test.ts
@@ -9,6 +9,7 @@
   createServer,
   fail,
   formatEvents,
+  listStatingExchanges,
   lose,
   refuse,
   RelayFixture,
@@ -482,13 +483,7 @@
     });
 
     it('gets no new requests once an answer, failure or rejection states that it leaves', async () => {
-      const statement = {isLeaving: true};
-      const exchanges: Exchange[] = [
-        async () => ({...createAnswer(200, ['whole']), statement}),
-        async () => ({...createAnswer(200, formatEvents(1, 3)), statement}),
-        async () => ({...createAnswer(500, ['failed']), statement}),
-        async (...params) => ({...(await refuse(...params)), statement}),
-      ];
+      const exchanges = listStatingExchanges({isLeaving: true});
       for (const [index, exchange] of exchanges.entries()) {
         const fixture = new RelayFixture(answerInTurn(exchange, answer));
         await fixture.serve({streaming: index === 1, maxAttempts: 1});
--- a/test/soak/soak_system.ts
+++ b/test/soak/soak_system.ts
@@ -199,11 +199,9 @@
 
   /** Crashes a server; it restarts under another name, or under its own. */
   async crashServer(server: SoakServer, keepsName = false): Promise<void> {
-    const index = this.servers.indexOf(server);
-    if (index < 0) {
+    if (!this.withdraw(server)) {
       return;
     }
-    this.servers.splice(index, 1);
     server.crash();
     if (keepsName) {
       await wait(SERVER_RESTART_MS);
@@ -213,9 +211,7 @@
     await wait(ENTRY_EXPIRY_MS);
     this.unregister(server.name);
     await wait(SERVER_RESTART_MS - ENTRY_EXPIRY_MS);
-    await this.startServer(
-      `${server.name.split('.')[0]}.${++this.lastServerStartMs}`,
-    );
+    await this.startReplacement(server);
   }
 
   /**
@@ -224,14 +220,10 @@
    * @param isAnnounced - Whether it is marked as draining before its entry is removed.
    */
   async drainServer(server: SoakServer, isAnnounced = true): Promise<void> {
-    const index = this.servers.indexOf(server);
-    if (index < 0) {
+    if (!this.withdraw(server)) {
       return;
     }
-    this.servers.splice(index, 1);
-    await this.startServer(
-      `${server.name.split('.')[0]}.${++this.lastServerStartMs}`,
-    );
+    await this.startReplacement(server);
     if (isAnnounced) {
       server.faults.isLeaving = true;
       this.register(server, 'draining');
@@ -253,14 +245,10 @@
    * if the store had not accepted its report. Another server replaces it.
    */
   async drainUnrecordedServer(server: SoakServer): Promise<void> {
-    const index = this.servers.indexOf(server);
-    if (index < 0) {
+    if (!this.withdraw(server)) {
       return;
     }
-    this.servers.splice(index, 1);
-    await this.startServer(
-      `${server.name.split('.')[0]}.${++this.lastServerStartMs}`,
-    );
+    await this.startReplacement(server);
     server.faults.isLeaving = true;
     await wait(LEAVING_SERVER_STOP_MS);
     this.unregister(server.name);
@@ -323,6 +311,23 @@
     return this.history.changes.slice(-2).map(({added}) => added);
   }
 
+  /** Takes a server out of those that faults affect; returns whether it was one of them. */
+  private withdraw(server: SoakServer): boolean {
+    const index = this.servers.indexOf(server);
+    if (index < 0) {
+      return false;
+    }
+    this.servers.splice(index, 1);
+    return true;
+  }
+
+  /** Starts a server of another name in place of one that has crashed or leaves. */
+  private startReplacement({name}: SoakServer): Promise<void> {
+    return this.startServer(
+      `${name.split('.')[0]}.${++this.lastServerStartMs}`,
+    );
+  }
+
   private async startServer(name: string): Promise<void> {
     if (this.stopped) {
       return;
