--- a/src/relay_host/bind_cluster_state.ts
+++ b/src/relay_host/bind_cluster_state.ts
@@ -2,6 +2,7 @@
 import {ServerBackoffs} from '../backoff/index.js';
 import {CatalogStore} from '../catalog/index.js';
 import {bind} from '../container/index.js';
+import {Features} from '../features/index.js';
 import {Fleet} from '../fleet/index.js';
 import {ServerLimits} from '../limits/index.js';
 import {Metrics} from '../metrics/index.js';
@@ -11,7 +12,15 @@
 import {SharedRetryBudget} from '../routing/index.js';
 import {ShutdownState} from './shutdown_state.js';
 import {ReferenceTime} from '../usage/index.js';
-import {CLOCK, GET_SETTINGS, LOG, RANDOM, SELF} from './identifiers.js';
+import {createFeatureRules} from './create_feature_rules.js';
+import {
+  CLOCK,
+  FEATURE_MODES,
+  GET_SETTINGS,
+  LOG,
+  RANDOM,
+  SELF,
+} from './identifiers.js';
 import {REPLICA} from './replica_names.js';
 
 /** Age from which the loads that a peer reported no longer count, in milliseconds. */
@@ -31,6 +40,19 @@
   bind(container, ShutdownState, () => new ShutdownState());
   bind(container, CatalogStore, context => new CatalogStore(context.get(LOG)));
   bindHosts(container);
+  bind(
+    container,
+    Features,
+    context =>
+      new Features(
+        context.get(FEATURE_MODES),
+        createFeatureRules({
+          getSettings: context.get(GET_SETTINGS),
+          catalog: context.get(CatalogStore),
+          known: context.get(KnownHosts),
+        }),
+      ),
+  );
   bind(container, Fleet, context => {
     const reports = context.get(HostReports);
     return new Fleet({
--- /dev/null
+++ b/src/relay_host/create_feature_rules.ts
@@ -0,0 +1,48 @@
+import {CatalogStore} from '../catalog/index.js';
+import {Feature, FeatureRules} from '../features/index.js';
+import {KnownHosts} from '../peering/index.js';
+import {RelayHostSettings} from './relay_host_settings.js';
+
+/**
+ * Link speed below which one large configuration takes a considerable part of the time
+ * within which it must be in force, in Mbit/s: 4 MiB take 0.34 s at this speed.
+ */
+const THIN_LINK_MBPS = 100;
+/** Capacity below which a burst of requests can use up a host's processor, in cores. */
+const SMALL_HOST_CORES = 1;
+/** Customers with rates from which they compete for the places of servers. */
+const MIN_COMPETING_CUSTOMERS = 2;
+
+/** Facts about the deployment on which the rules depend. */
+export interface DeploymentFacts {
+  readonly getSettings: () => RelayHostSettings;
+  readonly catalog: Pick<CatalogStore, 'getView'>;
+  readonly known: Pick<KnownHosts, 'isLargeFleet'>;
+}
+
+/** Creates the rules that switch features on where the deployment calls for them. */
+export function createFeatureRules(facts: DeploymentFacts): FeatureRules {
+  const {getSettings, catalog, known} = facts;
+  const isLargeFleet = () => known.isLargeFleet();
+  return {
+    [Feature.CONNECTION_REUSE]: isLargeFleet,
+    [Feature.BULK_TRANSFER]: () => {
+      const {linkMbps} = getSettings();
+      return linkMbps === undefined
+        ? isLargeFleet()
+        : linkMbps < THIN_LINK_MBPS || isLargeFleet();
+    },
+    // In a large fleet, each host sees few answers of each server.
+    [Feature.SERVER_MODEL]: isLargeFleet,
+    [Feature.FAIR_PLACES]: () =>
+      isLargeFleet() &&
+      countLimitedCustomers(catalog) >= MIN_COMPETING_CUSTOMERS,
+    [Feature.HOST_OVERLOAD]: () => getSettings().capacity < SMALL_HOST_CORES,
+    [Feature.DURABLE_COUNTS]: () => getSettings().reportsUsage,
+  };
+}
+
+function countLimitedCustomers(catalog: Pick<CatalogStore, 'getView'>): number {
+  const accounts = catalog.getView()?.catalog.accounts ?? [];
+  return accounts.filter(({rate}) => rate.perSecond > 0).length;
+}
--- a/src/relay_host/identifiers.ts
+++ b/src/relay_host/identifiers.ts
@@ -1,5 +1,6 @@
 /** Container identifiers of components that have no class of their own. */
 import {ServiceIdentifier} from 'inversify';
+import {FeatureModes} from '../features/index.js';
 import {OrderServers} from '../provisioning/index.js';
 import {Log} from '../log/index.js';
 import {HostAddress} from '../peering/index.js';
@@ -21,6 +22,9 @@
 export const RANDOM: ServiceIdentifier<Random> = Symbol('Random');
 export const GET_SETTINGS: ServiceIdentifier<GetSettings> =
   Symbol('GetSettings');
+/** Modes of the features that the operator has set. */
+export const FEATURE_MODES: ServiceIdentifier<FeatureModes> =
+  Symbol('FeatureModes');
 export const SELF: ServiceIdentifier<HostAddress> = Symbol('HostAddress');
 export const INCARNATION: ServiceIdentifier<string> = Symbol('incarnation');
 export const TABLE: ServiceIdentifier<TableService> = Symbol('TableService');
--- a/src/relay_host/relay_host_settings.ts
+++ b/src/relay_host/relay_host_settings.ts
@@ -7,6 +7,8 @@
   readonly dataCentre: string;
   /** Share of the processor that this host may use, in cores. */
   readonly capacity: number;
+  /** Speed of this host's network link in Mbit/s; absent if it is not known. */
+  readonly linkMbps?: number;
   /** IP address and port that callers connect to. */
   readonly callersAddress: string;
   /** IP address and port at which the host reports whether it accepts connections. */
