Keep to connected servers where a host sends few requests to many

Change: in large fleets, idle connections are kept for up to 8 s (and 0.6 of the time that the server announces), and the choice of a server counts the time to open a connection, as long as at least eight servers of the service are connected.

--- a/src/fleet/choose_candidates.ts
+++ b/src/fleet/choose_candidates.ts
@@ -12,9 +12,20 @@
   readonly preferredServer: string | undefined;
   /** Counts the prompt's tokens that a server is assumed to have cached. */
   readonly countCached: (server: TrackedServer) => number;
+  /**
+   * Servers to which requests need no new connection, by id; `undefined` if new connections
+   * are not to be avoided.
+   */
+  readonly connected: ReadonlySet<string> | undefined;
   readonly random: Random;
 }
 
+/**
+ * Number of random draws among the servers that need no new connection. The best of four
+ * is close to the best of the few servers that a host is connected to.
+ */
+const CONNECTED_DRAWS = 4;
+
 /**
  * Chooses the servers to consider for a request. Their number is bounded, so
  * that the cost of a request does not grow with the fleet.
@@ -28,13 +39,32 @@
   if (ready.length <= MAX_UNSAMPLED_SERVERS) {
     return ready;
   }
-  const {excluded, preferredServer, random} = query;
+  const {excluded, preferredServer, connected, random} = query;
   const allowed = ready.filter(({server}) => !excluded.has(server.id));
   const preferred = allowed.filter(({server}) => server.id === preferredServer);
   return [
     ...new Set([
       ...preferred,
       ...drawSample(allowed, query.countCached, random),
+      ...drawConnected(
+        allowed.filter(({server}) => connected?.has(server.id)),
+        random,
+      ),
     ]),
   ];
 }
+
+/** Draws some of the connected servers. */
+function drawConnected(
+  connected: readonly TrackedServer[],
+  random: Random,
+): TrackedServer[] {
+  const drawn: TrackedServer[] = [];
+  for (let draw = 0; draw < CONNECTED_DRAWS; draw++) {
+    const server = connected[Math.floor(random.next() * connected.length)];
+    if (server !== undefined) {
+      drawn.push(server);
+    }
+  }
+  return drawn;
+}
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -6,6 +6,7 @@
 import {Demand, DemandMeter} from '../quota/index.js';
 import {chooseCandidates} from './choose_candidates.js';
 import {choosePreferredServer} from './choose_preferred_server.js';
+import {ConnectionCost} from './connection_cost.js';
 import {FleetServer, FleetState} from './fleet_server.js';
 import {KnowledgeQuery} from './knowledge_query.js';
 import {LeavingServers} from './leaving_servers.js';
@@ -28,6 +29,8 @@
   readonly random: Random;
   /** Returns the work that live peers have in flight at a server. */
   readonly listPeerLoads: (server: string) => readonly HostLoad[];
+  /** Estimates the time to open a connection; if absent, it counts as none. */
+  readonly connectionCost?: ConnectionCost;
 }
 
 /** Additional round-trip time to a server in another data centre. */
@@ -316,10 +319,14 @@
     const ready = this.listAllowed(service, query);
     const shared = parts.slice(0, -1);
     const preferredServer = choosePreferredServer(shared, ready);
+    const connected = this.options.connectionCost?.listConnected(
+      ready.map(({server}) => server.id),
+    );
     const candidates = chooseCandidates(ready, {
       excluded: query.excluded ?? new Set(),
       preferredServer,
       countCached: ({cachedParts}) => cachedParts.countCachedTokens(parts),
+      connected,
       random: this.options.random,
     });
     const isEngine = this.catalog?.services.get(service)?.engine !== undefined;
@@ -358,6 +365,10 @@
           server.dataCentre === this.options.dataCentre
             ? 0
             : CROSS_DATA_CENTRE_ROUND_TRIP_MS,
+        connectMs:
+          connected?.has(server.id) === false
+            ? this.options.connectionCost?.getConnectMs()
+            : 0,
         ejected: this.outliers.isEjected(server.id) || tracked.isStalled(),
       });
     }
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -1,6 +1,8 @@
 /** Fleet: backend servers that register themselves, and their load. */
 export * from './fleet_server.js';
 export {Fleet} from './fleet.js';
+export {ConnectionCost} from './connection_cost.js';
+export type {ConnectionCostOptions} from './connection_cost.js';
 export type {FleetOptions} from './fleet.js';
 export type {KnowledgeQuery} from './knowledge_query.js';
 export {createLeavingMessages} from './leaving_messages.js';
--- a/src/http/connection_pool.ts
+++ b/src/http/connection_pool.ts
@@ -1,8 +1,6 @@
 import {Agent, ClientRequest} from 'node:http';
 import {Socket} from 'node:net';
 
-/** Longest time a connection is kept idle, in milliseconds. */
-const MAX_IDLE_MS = 2000;
 /** Fraction of the idle timeout announced by the server that is used. */
 const IDLE_SHARE = 0.6;
 const MS_PER_SECOND = 1000;
@@ -19,17 +17,25 @@
  * Pool of keep-alive connections to one server.
  *
  * A connection is kept idle for less time than the server announces in its
- * `Keep-Alive` header, so that no request is sent while the server closes the
+ * `Keep-Alive` header, and for no longer than a maximum, so that no request is sent while the server closes the
  * connection. If the server announces no timeout, the connection is not reused. One that
  * receives data while idle is closed, because the data belongs to no request.
  */
 export class ConnectionPool extends Agent {
   private isClosing = false;
 
-  constructor() {
+  /** @param getMaxIdleMs - Returns the longest time a connection is kept idle, in ms. */
+  constructor(private readonly getMaxIdleMs: () => number) {
     super({keepAlive: true, scheduling: 'lifo'});
   }
 
+  /** Returns whether a connection is open and idle. */
+  hasIdle(): boolean {
+    return Object.values(this.freeSockets).some(
+      sockets => (sockets?.length ?? 0) > 0,
+    );
+  }
+
   /** Closes the idle connections; the others are closed after their request. */
   closeIdle(): void {
     this.isClosing = true;
@@ -48,7 +54,7 @@
       return false;
     }
     const idleMs = Number(seconds) * MS_PER_SECOND * IDLE_SHARE;
-    socket.setTimeout(Math.min(MAX_IDLE_MS, idleMs));
+    socket.setTimeout(Math.min(this.getMaxIdleMs(), idleMs));
     socket.on('data', destroySocket);
     socket.unref();
     return true;
--- a/src/relay_host/bind_cluster_state.ts
+++ b/src/relay_host/bind_cluster_state.ts
@@ -2,8 +2,8 @@
 import {ServerBackoffs} from '../backoff/index.js';
 import {CatalogStore} from '../catalog/index.js';
 import {bind} from '../container/index.js';
-import {Features} from '../features/index.js';
-import {Fleet} from '../fleet/index.js';
+import {Feature, Features} from '../features/index.js';
+import {ConnectionCost, Fleet} from '../fleet/index.js';
 import {ServerLimits} from '../limits/index.js';
 import {Metrics} from '../metrics/index.js';
 import {HostReports, KnownHosts, ReadAge} from '../peering/index.js';
@@ -17,6 +17,7 @@
   CLOCK,
   FEATURE_MODES,
   GET_SETTINGS,
+  HAS_IDLE_CONNECTION,
   LOG,
   RANDOM,
   SELF,
@@ -61,6 +62,12 @@
       random: context.get(RANDOM),
       dataCentre: context.get(SELF).dataCentre,
       listPeerLoads: server => reports.listLoadsAt(server),
+      connectionCost: new ConnectionCost({
+        isEnabled: () =>
+          container.get(Features).isEnabled(Feature.CONNECTION_REUSE),
+        hasIdleConnection: context.get(HAS_IDLE_CONNECTION),
+        capacity: context.get(GET_SETTINGS)().capacity,
+      }),
     });
   });
   bind(
--- a/src/relay_host/identifiers.ts
+++ b/src/relay_host/identifiers.ts
@@ -14,6 +14,9 @@
 import {SendUsage} from '../usage/index.js';
 import {RelayHostSettings} from './relay_host_settings.js';
 
+/** Returns whether this host has an idle connection to a server, by the server's id. */
+export type HasIdleConnection = (server: string) => boolean;
+
 /** Returns the current settings. */
 export type GetSettings = () => RelayHostSettings;
 
@@ -29,6 +32,8 @@
 export const INCARNATION: ServiceIdentifier<string> = Symbol('incarnation');
 export const TABLE: ServiceIdentifier<TableService> = Symbol('TableService');
 export const EXCHANGE: ServiceIdentifier<Exchange> = Symbol('Exchange');
+export const HAS_IDLE_CONNECTION: ServiceIdentifier<HasIdleConnection> =
+  Symbol('HasIdleConnection');
 export const COPY_RUN: ServiceIdentifier<CopyRun> = Symbol('CopyRun');
 export const CHECK_TERMINATION: ServiceIdentifier<CheckTermination> =
   Symbol('CheckTermination');
--- a/src/routing/choose_server.ts
+++ b/src/routing/choose_server.ts
@@ -117,7 +117,8 @@
   // `prefillMs` includes `ownPrefillMs`. `waitMs` is the time until the prefill of the
   // request starts, without recently observed delays; it does not enter the cost.
   const {queueMs, prefillMs, ownPrefillMs, waitMs} = prediction;
-  const firstTokenMs = queueMs + prefillMs + knowledge.hopMs;
+  const firstTokenMs =
+    queueMs + prefillMs + knowledge.hopMs + (knowledge.connectMs ?? 0);
   const cost =
     slackMs === undefined
       ? firstTokenMs
--- a/src/routing/server_knowledge.ts
+++ b/src/routing/server_knowledge.ts
@@ -29,6 +29,8 @@
    * Additional cost in milliseconds if the server is in another data centre.
    */
   readonly hopMs: number;
+  /** Time to open a connection to the server; 0 or absent if one is idle. */
+  readonly connectMs?: number | undefined;
   /**
    * Whether the server is ejected after failures, or stalled. It is then used
    * only if no other server is left.
--- a/test/platform/server_exchange_property_test.ts
+++ b/test/platform/server_exchange_property_test.ts
@@ -77,7 +77,9 @@
   beforeEach(async () => {
     server = new FakeServer(answerWith('whole'));
     address = await server.listen();
-    exchange = new ServerExchange(RESPONSE_TIMEOUT_MS);
+    exchange = new ServerExchange({
+      connectTimeoutMs: RESPONSE_TIMEOUT_MS,
+    });
   });
 
   afterEach(() => server.stop());
