--- a/src/peer/peer_link.ts
+++ b/src/peer/peer_link.ts
@@ -11,6 +11,8 @@
   readonly random: Random;
   /** Interval between a heartbeat reply and the next heartbeat, in milliseconds. */
   readonly heartbeatMs: number;
+  /** Returns the interval for one peer; by default, it is `heartbeatMs` for all. */
+  readonly getHeartbeatMs?: (peer: PeerIdentity) => number;
   /** Time limit for the reply to a heartbeat, in milliseconds; then the connection is replaced. */
   readonly heartbeatTimeoutMs: number;
   /**
@@ -133,7 +135,7 @@
     peer: PeerIdentity,
   ): Promise<void> {
     const {clock} = this.options.connection;
-    const {heartbeatMs, heartbeatTimeoutMs} = this.options;
+    const {heartbeatMs, getHeartbeatMs, heartbeatTimeoutMs} = this.options;
     let acknowledged: unknown;
     while (!this.stopped.signal.aborted) {
       const sentMs = clock.monotonicMs();
@@ -147,7 +149,10 @@
       }
       acknowledged = reply.value;
       this.options.receiveReply?.(peer, reply.value, sentMs);
-      await clock.sleep(heartbeatMs, this.heartbeatTrigger.signal);
+      await clock.sleep(
+        getHeartbeatMs?.(peer) ?? heartbeatMs,
+        this.heartbeatTrigger.signal,
+      );
       this.heartbeatTrigger = new AbortController();
     }
   }
--- a/src/peer/peers.ts
+++ b/src/peer/peers.ts
@@ -12,6 +12,8 @@
   readonly random: Random;
   /** See `PeerLinkOptions`. */
   readonly heartbeatMs: number;
+  /** See `PeerLinkOptions`. */
+  readonly getHeartbeatMs?: PeerLinkOptions['getHeartbeatMs'];
   /** See `PeerLinkOptions`; also the longest wait for a connection made for a request. */
   readonly heartbeatTimeoutMs: number;
   /** Addresses to connect to while no peer is connected; their links are then kept. */
@@ -220,8 +222,13 @@
 function pickCallbacks({
   receiveReply,
   onUnreachable,
-}: PeersOptions): Pick<PeerLinkOptions, 'receiveReply' | 'onUnreachable'> {
+  getHeartbeatMs,
+}: PeersOptions): Pick<
+  PeerLinkOptions,
+  'receiveReply' | 'onUnreachable' | 'getHeartbeatMs'
+> {
   return {
+    ...(getHeartbeatMs === undefined ? {} : {getHeartbeatMs}),
     ...(receiveReply === undefined ? {} : {receiveReply}),
     ...(onUnreachable === undefined ? {} : {onUnreachable}),
   };
--- a/src/peering/choose_relay_links.ts
+++ b/src/peering/choose_relay_links.ts
@@ -4,6 +4,17 @@
 /** Aggregators of its data centre that a host reports to: one, and one standby. */
 const AGGREGATORS = 2;
 
+/**
+ * Returns whether a host is the standby aggregator of this host's data centre, which only
+ * needs reports that are recent enough to take over.
+ */
+export function isStandbyAggregator(host: string, known: KnownHosts): boolean {
+  const [, standby] = known.rankAggregators(known.getOwnCentre());
+  return (
+    known.isLargeFleet() && !known.isAggregator() && standby?.host === host
+  );
+}
+
 /**
  * Chooses the hosts to keep a connection to. In a small fleet these are all hosts. In
  * a large one, a host is linked with the aggregators of its data centre, and an
--- a/src/peering/index.ts
+++ b/src/peering/index.ts
@@ -6,7 +6,7 @@
 export {isTableReader} from './is_table_reader.js';
 export {KnownHosts} from './known_hosts.js';
 export type {KnownHostsOptions} from './known_hosts.js';
-export {chooseRelayLinks} from './choose_relay_links.js';
+export {chooseRelayLinks, isStandbyAggregator} from './choose_relay_links.js';
 export {PeerMessages} from './peer_messages.js';
 export type {PeerMessagesOptions} from './peer_messages_options.js';
 export {ReadAge} from './read_age.js';
--- a/src/peering/table_reading.ts
+++ b/src/peering/table_reading.ts
@@ -51,6 +51,13 @@
  */
 const RETRY_MS = 2000;
 
+/**
+ * Shortest and longest time between checks of whether to read, in milliseconds. A host that
+ * becomes a reader must notice it before the reports of the others are too old.
+ */
+const MIN_CHECK_MS = 100;
+const MAX_CHECK_MS = 400;
+
 /**
  * Decides whether a host reads the platform's tables. In a small fleet all hosts do, in
  * turn. In a large one, the aggregators of two data centres do and report to the others;
@@ -88,6 +95,18 @@
     return ageMs < this.spreadMs || this.isPaused(table);
   }
 
+  /**
+   * Returns the time after which to check again whether this host must read a table, in
+   * milliseconds. It ends when the reported age becomes too high, unless another report
+   * arrives; a fixed short interval would wake up each idle host ten times a second.
+   * @param table - Name of the table.
+   */
+  getSkipCheckMs(table: string): number {
+    const remainingMs =
+      this.getMaxReportedMs() - this.options.readAge.getReportedMs(table);
+    return remainingMs > 0 ? Math.min(MAX_CHECK_MS, remainingMs) : MIN_CHECK_MS;
+  }
+
   /**
    * Records a successful request to the store and cancels the pause before the next.
    * @param table - The table that was read.
--- a/src/relay_host/bind_peering.ts
+++ b/src/relay_host/bind_peering.ts
@@ -8,6 +8,7 @@
 import {
   chooseRelayLinks,
   HostReports,
+  isStandbyAggregator,
   KnownHosts,
   PeerMessages,
   ReadAge,
@@ -32,6 +33,11 @@
 
 /** Pause between heartbeats to peers, in milliseconds. */
 const HEARTBEAT_MS = 400;
+/**
+ * The same for the standby aggregator of the data centre, in milliseconds: reports count for
+ * two seconds, so that one may be lost. Heartbeats are most of what an idle host does.
+ */
+const STANDBY_HEARTBEAT_MS = 800;
 /**
  * Time to wait for the reply to a heartbeat until the peer counts as not responding, in
  * milliseconds.
@@ -99,6 +105,10 @@
     },
     random: context.get(RANDOM),
     heartbeatMs: HEARTBEAT_MS,
+    getHeartbeatMs: peer =>
+      isStandbyAggregator(peer.host, knownHosts)
+        ? STANDBY_HEARTBEAT_MS
+        : HEARTBEAT_MS,
     heartbeatTimeoutMs: HEARTBEAT_TIMEOUT_MS,
     seeds: seeds.filter(seed => seed !== self.address),
     listCandidates: () => knownHosts.listAddresses(),
--- a/test/peering/table_reading_test.ts
+++ b/test/peering/table_reading_test.ts
@@ -124,6 +124,19 @@
     expect(reading.canSkip('servers')).to.equal(false);
   });
 
+  it('has the age checked when it becomes too high, and seldom before', async () => {
+    const {readAge, reading} = createReading(60, 30);
+    await clock.advance(5000);
+    readAge.addReported('servers', clock.monotonicMs());
+    let checks = 0;
+    while (reading.canSkip('servers')) {
+      checks++;
+      await clock.advance(reading.getSkipCheckMs('servers'));
+    }
+    expect(readAge.getReportedMs('servers')).to.be.closeTo(NEWS_MS * 0.7, 1);
+    expect(checks).to.be.at.most(7);
+  });
+
   it('spreads the attempts of hosts without reports while the store is down', async () => {
     const {reading} = createReading(60, 30);
     await clock.advance(5000);
