Keep customers within their rate at hosts that do not know each other's demand

Cause: a host's share counted its own demand at once, but that of its peers about a second later, so that each host took most of the rate when a customer began at all of them. A host also ignored what peers spent before the customer's first request reached it, and hosts in a fleet of up to 32 admitted requests larger than their bucket without regard to the global one.

Change: own demand counts as peers can know it; a new host has an even share for a second; spending before the first request is replayed into the global bucket; large requests need the global bucket, less half of the used excess, in a fleet of 2 to 32 hosts.

--- a/src/quota/bucket.ts
+++ b/src/quota/bucket.ts
@@ -1,4 +1,5 @@
 import {Clock} from '../time/index.js';
+import {EarlySpending} from './early_spending.js';
 
 /** Initial level of a bucket, as a share of its depth. */
 const INITIAL_LEVEL_SHARE = 0.5;
@@ -17,12 +18,14 @@
  */
 export class Bucket {
   private level: number | undefined;
+  private readonly early: EarlySpending;
   private refilledMs: number;
   private perSecond = 0;
   private depth = 0;
 
   constructor(private readonly clock: Clock) {
     this.refilledMs = clock.monotonicMs();
+    this.early = new EarlySpending(clock);
   }
 
   /**
@@ -34,7 +37,10 @@
     this.refill();
     this.perSecond = perSecond;
     this.depth = depth;
-    this.level = Math.min(depth, this.level ?? depth * INITIAL_LEVEL_SHARE);
+    const level =
+      this.level ??
+      this.early.getLevel(depth * INITIAL_LEVEL_SHARE, perSecond, depth);
+    this.level = Math.min(depth, level);
   }
 
   /**
@@ -62,12 +68,18 @@
   /** Subtracts units, whether they are available or not. */
   spend(units: number): void {
     this.refill();
-    if (this.level !== undefined) {
-      // The initial level already accounts for units spent before `setLimits`.
+    if (this.level === undefined) {
+      this.early.add(units);
+    } else {
       this.level -= units;
     }
   }
 
+  /** Returns whether the limits have been set. */
+  hasLimits(): boolean {
+    return this.level !== undefined;
+  }
+
   private getNeeded(units: number): number {
     return Math.min(units, this.depth * LARGE_REQUEST_LEVEL_SHARE);
   }
--- a/src/quota/peer_spending.ts
+++ b/src/quota/peer_spending.ts
@@ -64,6 +64,11 @@
     return counted;
   }
 
+  /** Returns whether an origin has reported. */
+  has(origin: string): boolean {
+    return this.origins.has(origin);
+  }
+
   /** Returns the counted units of one origin, by customer. */
   get(origin: string): Map<string, number> {
     const sums = new Map<string, number>();
--- a/src/quota/quota.ts
+++ b/src/quota/quota.ts
@@ -4,6 +4,7 @@
 import {Demand} from './demand.js';
 import {DemandMeter} from './demand_meter.js';
 import {CountingMode, PeerSpending} from './peer_spending.js';
+import {ReportedDemand} from './reported_demand.js';
 import {Spending} from './spending.js';
 
 /**
@@ -56,7 +57,7 @@
  * Fraction of the rate that is divided evenly among hosts, whatever the demand.
  */
 const EVEN_FRACTION = 0.4;
-/** Minimum demand assumed for a customer; avoids a division by 0. */
+/** Demand below which none is known, in units per second; avoids a division by 0. */
 const MIN_DEMAND = 1e-6;
 const MIN_RETRY_MS = 50;
 /**
@@ -76,10 +77,16 @@
  */
 const MAX_UNREACHABLE_FRACTION = 0.1;
 /**
- * Number of hosts above which the bucket of one host holds fewer units than a
- * large request needs.
+ * Number of hosts above which too many may admit a large request before they know of each
+ * other's to use the allowed excess for it.
  */
 const MANY_HOSTS = 32;
+/**
+ * Fraction of the used excess by which up to `MANY_HOSTS` hosts may exceed the global
+ * bucket with requests larger than their own. The rest is for what they admit before they
+ * know of each other. Without it, small requests could starve large ones.
+ */
+const OVERDRAFT_FRACTION = 0.5;
 const MS_PER_SECOND = 1000;
 const SHARE_DIGITS = 3;
 
@@ -103,11 +110,13 @@
   private readonly balances = new Map<string, Balance>();
   private readonly peers = new PeerSpending();
   private readonly demand: DemandMeter;
+  private readonly reportedDemand: ReportedDemand;
   private readonly createdMs: number;
 
   constructor(private readonly options: QuotaOptions) {
     this.createdMs = options.clock.monotonicMs();
     this.demand = new DemandMeter(options.clock);
+    this.reportedDemand = new ReportedDemand(options.clock);
   }
 
   /** Returns this host's demand, as reported to peers. */
@@ -157,9 +166,14 @@
     spending: readonly Spending[],
     counting: CountingMode = CountingMode.ALL,
   ): void {
+    const hasReported = this.peers.has(origin);
     const counted = this.peers.add(origin, spending, counting);
     for (const {customer, units} of counted) {
-      this.getBalance(customer).globalBucket.spend(units);
+      const {globalBucket} = this.getBalance(customer);
+      // The first totals of an origin may be of hours; the initial level stands for them.
+      if (hasReported || globalBucket.hasLimits()) {
+        globalBucket.spend(units);
+      }
     }
   }
 
@@ -178,9 +192,11 @@
       return 0;
     }
     this.demand.add(name, units);
+    this.reportedDemand.add(name, this.demand.get(name));
     const balance = this.getBalance(name);
     const share = this.getShare(name);
-    const depth = rate.burst + this.getUsedExcess(rate);
+    const excess = this.getUsedExcess(rate);
+    const depth = rate.burst + excess;
     // While too many hosts are unreachable, the global bucket decides on no request.
     const reachableFraction = this.reachesMostHosts()
       ? this.getReachableFraction()
@@ -192,7 +208,7 @@
     );
     const isWithin =
       (balance.hostBucket.covers(units) &&
-        !this.refusesOverdraft(balance, depth * share, units)) ||
+        !this.refusesOverdraft(balance, depth * share, units, excess)) ||
       this.isWithinGlobalRate(balance, name, rate, units);
     if (!isWithin) {
       return Math.max(MIN_RETRY_MS, balance.hostBucket.getWaitMs(units));
@@ -206,11 +222,9 @@
   /** Returns the share of a customer's rate that this host may spend, 0 to 1. */
   getShare(customer: string): number {
     const hosts = Math.max(1, this.options.countHosts());
-    const own = Math.max(MIN_DEMAND, this.demand.get(customer));
-    const all = own + this.options.sumPeerDemand(customer);
     return (
       EVEN_FRACTION / hosts +
-      (1 - EVEN_FRACTION) * (own / all) * this.getDemandCoverage()
+      (1 - EVEN_FRACTION) * this.getDemandShare(customer, hosts)
     );
   }
 
@@ -269,22 +283,24 @@
   /**
    * Returns whether a request is refused although this host's bucket admits it. A
    * bucket admits a request larger than itself when half full, and its level
-   * becomes negative. With many hosts, each could do so, and the sum would exceed
+   * becomes negative. With several hosts, each could do so, and the sum would exceed
    * the rate. Such a request is then admitted only if the global bucket covers
    * it, unless too many hosts are unreachable.
+   * @param excess - Part of the allowed excess that may be used, in units.
    */
   private refusesOverdraft(
     balance: Balance,
     shareDepth: number,
     units: number,
+    excess: number,
   ): boolean {
-    const isMany = this.options.countHosts() > MANY_HOSTS;
-    const isLarge = units > shareDepth;
+    const hosts = this.options.countHosts();
+    const overdraft = hosts > MANY_HOSTS ? 0 : excess * OVERDRAFT_FRACTION;
     return (
-      isMany &&
-      isLarge &&
+      hosts > 1 &&
+      units > shareDepth &&
       this.reachesMostHosts() &&
-      !balance.globalBucket.covers(units)
+      !balance.globalBucket.covers(units, -overdraft)
     );
   }
 
@@ -315,6 +331,23 @@
     return (overage * inWindow + slack) * USED_EXCESS_FRACTION;
   }
 
+  /**
+   * Returns this host's part of the rate that is divided by demand, 0 to 1. While no
+   * demand can be known, all hosts have the same part. What the peers cannot know yet of
+   * this host's demand counts only up to the mean of theirs: the shares of all hosts would
+   * else add up to more than 1 when a customer begins to send at all of them at once.
+   */
+  private getDemandShare(customer: string, hosts: number): number {
+    const peers = this.options.sumPeerDemand(customer);
+    const mean = peers / Math.max(1, hosts - 1);
+    const known = Math.max(mean, this.reportedDemand.get(customer));
+    const own = Math.min(this.demand.get(customer), known);
+    const all = own + peers;
+    return !this.isWarmedUp() || all < MIN_DEMAND
+      ? 1 / hosts
+      : (own / all) * this.getDemandCoverage();
+  }
+
   /**
    * Returns the fraction of hosts whose demand is known. While not every peer has
    * reported its demand, only the evenly divided part of the rate is certain.
