Store usage counts and spending so that they outlive all hosts

Cause: the counts of a window that was not decided yet, and the buckets of quotas, were only in the memory of hosts. When all were killed, the windows of the last 6 s were reported without them, and a new holder of the lease could decide before it knew any other host.

Change: with the feature durable-counts, the aggregator of each data centre (the holder of the lease in a small fleet) writes the counts by window and origin, and the spending of the last 10 s, to one row; a host reads all rows before it is ready (1 s at most); the holder reads them before it decides, and decides on nothing in its first 2 s unless the window is old.

--- a/src/quota/bucket.ts
+++ b/src/quota/bucket.ts
@@ -1,5 +1,5 @@
 import {Clock} from '../time/index.js';
-import {EarlySpending} from './early_spending.js';
+import {PastSpending, SpendingHistory} from './spending_history.js';
 
 /** Initial level of a bucket, as a share of its depth. */
 const INITIAL_LEVEL_SHARE = 0.5;
@@ -18,14 +18,14 @@
  */
 export class Bucket {
   private level: number | undefined;
-  private readonly early: EarlySpending;
+  private readonly early: SpendingHistory;
   private refilledMs: number;
   private perSecond = 0;
   private depth = 0;
 
   constructor(private readonly clock: Clock) {
     this.refilledMs = clock.monotonicMs();
-    this.early = new EarlySpending(clock);
+    this.early = new SpendingHistory(clock);
   }
 
   /**
@@ -75,6 +75,18 @@
     }
   }
 
+  /** Subtracts what was spent some time ago, less what has been refilled since. */
+  spendPast(spending: readonly PastSpending[]): void {
+    const history =
+      this.level === undefined ? this.early : new SpendingHistory(this.clock);
+    for (const {units, agoMs} of spending) {
+      history.add(units, agoMs);
+    }
+    if (this.level !== undefined) {
+      this.level += history.getLevel(0, this.perSecond, 0);
+    }
+  }
+
   /** Returns whether the limits have been set. */
   hasLimits(): boolean {
     return this.level !== undefined;
--- a/src/quota/quota.ts
+++ b/src/quota/quota.ts
@@ -6,6 +6,7 @@
 import {CountingMode, PeerSpending} from './peer_spending.js';
 import {ReportedDemand} from './reported_demand.js';
 import {Spending} from './spending.js';
+import {PastSpending, SpendingHistory} from './spending_history.js';
 
 /**
  * How far all hosts together may exceed a customer's rate in a window. The
@@ -49,6 +50,10 @@
    * taken.
    */
   readonly globalBucket: Bucket;
+  /** What all hosts have admitted in the last seconds, as far as it is known. */
+  readonly recent: SpendingHistory;
+  /** The part of it that was restored when this host started. */
+  readonly restored: SpendingHistory;
   /** Units this host has admitted. */
   spent: number;
 }
@@ -150,6 +155,25 @@
     return [...sums].map(([customer, units]) => ({customer, units}));
   }
 
+  /** Lists what all hosts have admitted in the last seconds, as far as it is known. */
+  listRecentSpending(): ReadonlyMap<string, readonly PastSpending[]> {
+    const recent = new Map<string, readonly PastSpending[]>();
+    for (const [customer, balance] of this.balances) {
+      recent.set(customer, balance.recent.list());
+    }
+    return recent;
+  }
+
+  /** Subtracts what hosts admitted before this one started; called once for a customer. */
+  restoreSpending(customer: string, spending: readonly PastSpending[]): void {
+    const balance = this.getBalance(customer);
+    balance.globalBucket.spendPast(spending);
+    for (const {units, agoMs} of spending) {
+      balance.recent.add(units, agoMs);
+      balance.restored.add(units, agoMs);
+    }
+  }
+
   /** Returns the counted units of one origin, by customer. */
   listSpendingOf(origin: string): ReadonlyMap<string, number> {
     return this.peers.get(origin);
@@ -169,11 +193,14 @@
     const hasReported = this.peers.has(origin);
     const counted = this.peers.add(origin, spending, counting);
     for (const {customer, units} of counted) {
-      const {globalBucket} = this.getBalance(customer);
+      const {globalBucket, recent} = this.getBalance(customer);
       // The first totals of an origin may be of hours; the initial level stands for them.
       if (hasReported || globalBucket.hasLimits()) {
         globalBucket.spend(units);
       }
+      if (hasReported) {
+        recent.add(units);
+      }
     }
   }
 
@@ -201,6 +228,13 @@
     const reachableFraction = this.reachesMostHosts()
       ? this.getReachableFraction()
       : 1;
+    if (!balance.hostBucket.hasLimits()) {
+      // Of what was spent before this host started, its share is taken from its bucket.
+      const restored = balance.restored.list();
+      balance.hostBucket.spendPast(
+        restored.map(({agoMs, units}) => ({agoMs, units: units * share})),
+      );
+    }
     balance.hostBucket.setLimits(rate.perSecond * share, depth * share);
     balance.globalBucket.setLimits(
       rate.perSecond * reachableFraction,
@@ -215,6 +249,7 @@
     }
     balance.hostBucket.spend(units);
     balance.globalBucket.spend(units);
+    balance.recent.add(units);
     balance.spent += units;
     return 0;
   }
@@ -366,6 +401,8 @@
     const balance = {
       hostBucket: new Bucket(clock),
       globalBucket: new Bucket(clock),
+      recent: new SpendingHistory(clock),
+      restored: new SpendingHistory(clock),
       spent: 0,
     };
     this.balances.set(customer, balance);
--- a/src/quota/early_spending.ts
+++ b/src/quota/spending_history.ts
@@ -6,29 +6,46 @@
 const KEPT_MS = 10_000;
 const MS_PER_SECOND = 1000;
 
+/** Units that were spent some time ago. */
+export interface PastSpending {
+  readonly agoMs: number;
+  readonly units: number;
+}
+
 /**
- * Remembers what was spent from a bucket before its limits are known. A host learns of the
- * spending of others before the first request of the customer reaches it.
+ * Remembers what was spent in the last seconds: of a bucket whose limits are not known yet,
+ * and of a customer, for hosts that start later.
  */
-export class EarlySpending {
+export class SpendingHistory {
+  /** In the order of time, monotonic milliseconds. */
   private readonly samples: {readonly atMs: number; units: number}[] = [];
 
   constructor(private readonly clock: Clock) {}
 
-  /** Adds units that were spent now. */
-  add(units: number): void {
+  /** Adds units that were spent now, or some time ago. */
+  add(units: number, agoMs = 0): void {
     const nowMs = this.clock.monotonicMs();
-    const last = this.samples.at(-1);
-    if (last !== undefined && nowMs - last.atMs < SAMPLE_MS) {
-      last.units += units;
-      return;
+    const atMs = nowMs - agoMs;
+    const index = this.samples.findLastIndex(sample => sample.atMs <= atMs);
+    const sample = this.samples[index];
+    if (sample !== undefined && atMs - sample.atMs < SAMPLE_MS) {
+      sample.units += units;
+    } else {
+      this.samples.splice(index + 1, 0, {atMs, units});
     }
-    this.samples.push({atMs: nowMs, units});
     while ((this.samples[0]?.atMs ?? nowMs) < nowMs - KEPT_MS) {
       this.samples.shift();
     }
   }
 
+  /** Lists what was spent within the kept time, the oldest first. */
+  list(): PastSpending[] {
+    const nowMs = this.clock.monotonicMs();
+    return this.samples
+      .map(({atMs, units}) => ({agoMs: nowMs - atMs, units}))
+      .filter(({agoMs}) => agoMs <= KEPT_MS);
+  }
+
   /**
    * Returns the level that a bucket would have now.
    * @param level - Level before the first remembered spending.
--- a/src/relay_host/bind_duties.ts
+++ b/src/relay_host/bind_duties.ts
@@ -2,10 +2,14 @@
 import {Provisioner, ServiceWork} from '../provisioning/index.js';
 import {CatalogStore} from '../catalog/index.js';
 import {bind} from '../container/index.js';
+import {chooseInterval, DurableCounts} from '../durable_counts/index.js';
+import {Feature, Features} from '../features/index.js';
 import {Fleet} from '../fleet/index.js';
 import {Duty, Lease} from '../lease/index.js';
 import {ServerLimits} from '../limits/index.js';
+import {Metrics} from '../metrics/index.js';
 import {HostReports, KnownHosts, PeerMessages} from '../peering/index.js';
+import {Quota} from '../quota/index.js';
 import {
   HostUsage,
   ReferenceTime,
@@ -43,6 +47,7 @@
 export function bindDuties(container: Container): void {
   bindLease(container);
   bindUsage(container);
+  bindDurableCounts(container);
   bindProvisioning(container);
 }
 
@@ -101,6 +106,41 @@
       windowMs: usageWindowMs,
       deadlineMs: usageLateMs,
       send: context.get(SEND_USAGE),
+      mayDecide: () => container.get(DurableCounts).mayDecide(),
+      readStored: () => container.get(DurableCounts).readCounts(),
+    });
+  });
+}
+
+function bindDurableCounts(container: Container): void {
+  bind(container, DurableCounts, context => {
+    const known = context.get(KnownHosts);
+    const referenceTime = context.get(ReferenceTime);
+    const {usageWindowMs, usageLateMs} = context.get(GET_SETTINGS)();
+    return new DurableCounts({
+      clock: context.get(CLOCK),
+      log: context.get(LOG),
+      metrics: context.get(Metrics),
+      table: context.get(TABLE),
+      ledger: context.get(UsageLedger),
+      hostUsage: context.get(HostUsage),
+      quota: context.get(Quota),
+      origin: createOrigin(context),
+      dataCentre: context.get(SELF).dataCentre,
+      isEnabled: () => context.get(Features).isEnabled(Feature.DURABLE_COUNTS),
+      isWriter: () =>
+        known.isLargeFleet()
+          ? known.isAggregator()
+          : context.get(Duty).isHeld(),
+      getIntervalMs: () =>
+        chooseInterval(
+          known.countHosts(),
+          known.isLargeFleet() ? known.listDataCentres().length : 1,
+        ),
+      readSharedMs: () => referenceTime.readSharedMs(),
+      getReferenceMs: () => referenceTime.getMs(),
+      windowMs: usageWindowMs,
+      deadlineMs: usageLateMs,
     });
   });
 }
--- a/src/usage/usage_reporter.ts
+++ b/src/usage/usage_reporter.ts
@@ -40,6 +40,16 @@
   /** Time after the end of a window from which its report is too late, in milliseconds. */
   readonly deadlineMs: number;
   readonly send: SendUsage;
+  /**
+   * Returns whether this host has run long enough to know the hosts that have counts; if
+   * omitted, it has.
+   */
+  readonly mayDecide?: () => boolean;
+  /**
+   * Reads the counts that other hosts have stored into `hostUsage`. Returns false if they
+   * cannot be read now, and then no counts are decided; if omitted, there are none.
+   */
+  readonly readStored?: () => Promise<boolean>;
 }
 
 /** Interval between checks at the holder of the duty, in milliseconds. */
@@ -169,7 +179,8 @@
     ) {
       const ageMs = nowMs - (window + 1) * windowMs;
       const isComplete =
-        this.options.reachesAll() || ageMs > UNREACHABLE_HOST_TIMEOUT_MS;
+        (this.mayDecide() && this.options.reachesAll()) ||
+        ageMs > UNREACHABLE_HOST_TIMEOUT_MS;
       if (duty.getFence() === undefined || !isComplete) {
         return;
       }
@@ -180,6 +191,10 @@
     }
   }
 
+  private mayDecide(): boolean {
+    return this.options.mayDecide?.() ?? true;
+  }
+
   private async reportWindow(window: number): Promise<boolean> {
     const {duty, log, send} = this.options;
     const counts = await this.decideCounts(window);
@@ -254,7 +269,10 @@
       hostUsage.add(row.key.slice(prefix.length), [{window, counts}]);
     }
     hostUsage.add(origin, [{window, counts: ledger.getCounts(window)}]);
-    await this.options.gather(window);
-    return hostUsage.sum(window);
+    const [hasRead] = await Promise.all([
+      this.options.readStored?.() ?? true,
+      this.options.gather(window),
+    ]);
+    return hasRead ? hostUsage.sum(window) : undefined;
   }
 }
