Write stored counts when all hosts have told those of the last window

Writes are spread evenly over a usage window, one of them 0.6 s after its end, so that a kill of all hosts later than that loses nothing of the window before.

--- a/src/durable_counts/durable_counts.ts
+++ b/src/durable_counts/durable_counts.ts
@@ -36,7 +36,7 @@
   readonly isEnabled: () => boolean;
   /** Returns whether this host writes the row of its data centre. */
   readonly isWriter: () => boolean;
-  /** Returns the interval between writes, in milliseconds. */
+  /** Returns the longest interval between writes, in milliseconds. */
   readonly getIntervalMs: () => number;
   /** Returns the time of the table's clock; `undefined` if it is not known. */
   readonly readSharedMs: () => number | undefined;
@@ -59,6 +59,13 @@
  * until then, it may not know the hosts that can tell it their counts.
  */
 const LEARNING_MS = 2000;
+/**
+ * Time after the end of a window until every host has told its counts, in milliseconds: a
+ * heartbeat interval, and the message.
+ */
+const SETTLE_MS = 600;
+/** Shortest pause between writes, in milliseconds: a timer may fire a little early. */
+const MIN_PAUSE_MS = 50;
 /** Age from which spending no longer matters, in milliseconds; see `SpendingHistory`. */
 const MAX_SPENDING_AGE_MS = 10_000;
 const PREFIX = 'durable-counts/';
@@ -78,6 +85,7 @@
   private writtenVersion: number | undefined;
   private writtenText = '';
   private bytes = 0;
+  private writtenBytes = 0;
 
   constructor(private readonly options: DurableCountsOptions) {
     const {clock, metrics} = options;
@@ -91,6 +99,11 @@
       'Length of the row of durable counts as last written',
       () => this.bytes,
     );
+    metrics.addGauge(
+      'durable_counts_written_bytes',
+      'Length of all rows of durable counts that were written',
+      () => this.writtenBytes,
+    );
   }
 
   /** Returns whether this host may serve: the counts are restored, or cannot be in time. */
@@ -109,7 +122,7 @@
 
   /** Restores the counts, then writes them at intervals, until aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    const {clock, isEnabled, isWriter, getIntervalMs} = this.options;
+    const {clock, isEnabled, isWriter} = this.options;
     while (!signal.aborted) {
       if (isEnabled() && !this.hasRestored) {
         await this.readCounts();
@@ -117,7 +130,7 @@
         await this.write();
       }
       const isRetry = isEnabled() && !this.hasRestored;
-      await clock.sleep(isRetry ? RETRY_MS : getIntervalMs(), signal);
+      await clock.sleep(isRetry ? RETRY_MS : this.getPauseMs(), signal);
     }
   }
 
@@ -147,6 +160,18 @@
     return true;
   }
 
+  /**
+   * Returns the time until the next write, in milliseconds. One of the writes of a window
+   * is when all hosts have told their counts of the previous one.
+   */
+  private getPauseMs(): number {
+    const {windowMs, getIntervalMs, getReferenceMs} = this.options;
+    const stepMs = windowMs / Math.ceil(windowMs / getIntervalMs());
+    const passedMs = (getReferenceMs() - SETTLE_MS) % stepMs;
+    const pauseMs = stepMs - passedMs;
+    return pauseMs < MIN_PAUSE_MS ? pauseMs + stepMs : pauseMs;
+  }
+
   private getRunningMs(): number {
     return this.options.clock.monotonicMs() - this.startMs;
   }
@@ -246,6 +271,7 @@
     this.writtenVersion = written.value;
     this.writtenText = text;
     this.bytes = encoding.bytes;
+    this.writtenBytes += encoding.bytes;
     log.info('counts_stored', {
       origins: encoding.value.usage.length,
       omitted: encoding.omitted,
--- a/test/durable_counts/durable_counts_test.ts
+++ b/test/durable_counts/durable_counts_test.ts
@@ -195,4 +195,19 @@
     expect(table.maxBytes).to.be.lessThan(65_536 / 4);
     expect(perHostAndSecond).to.be.lessThan(0.11);
   });
+
+  it('keeps a row below the limit of the table with 400 incarnations of hosts', async () => {
+    const a = await start('a/1');
+    for (let host = 0; host < 400; host++) {
+      const counts = Object.fromEntries(
+        Array.from({length: CUSTOMERS}, (_value, n) => [`customer-${n}`, 1000]),
+      );
+      const usages = [window - 1, window].map(open => ({window: open, counts}));
+      a.hostUsage.add(`front-${host}/0123456789abcdef`, usages);
+    }
+    a.ledger.add('guild', 0);
+    await clock.advance(INTERVAL_MS);
+    expect(table.maxBytes).to.be.within(50_000, 65_536);
+    expect((await start('b/1')).sum(window)).to.equal(1);
+  });
 });
