Estimate what a customer spent between the last stored counts and a kill of all hosts

Cause: stored spending is up to an interval and a heartbeat old, in which a customer at six times its rate spends much.

--- a/src/quota/quota.ts
+++ b/src/quota/quota.ts
@@ -5,6 +5,7 @@
 import {DemandMeter} from './demand_meter.js';
 import {CountingMode, PeerSpending} from './peer_spending.js';
 import {ReportedDemand} from './reported_demand.js';
+import {estimateUnknown} from './estimate_unknown.js';
 import {Spending} from './spending.js';
 import {PastSpending, SpendingHistory} from './spending_history.js';
 
@@ -164,12 +165,18 @@
     return recent;
   }
 
-  /** Subtracts what hosts admitted before this one started; called once for a customer. */
+  /**
+   * Subtracts what hosts admitted before this one started; called once for a customer.
+   * What they admitted after the last known spending is estimated by its rate.
+   */
   restoreSpending(customer: string, spending: readonly PastSpending[]): void {
     const balance = this.getBalance(customer);
-    balance.globalBucket.spendPast(spending);
     for (const {units, agoMs} of spending) {
       balance.recent.add(units, agoMs);
+    }
+    const all = [...spending, ...estimateUnknown(spending)];
+    balance.globalBucket.spendPast(all);
+    for (const {units, agoMs} of all) {
       balance.restored.add(units, agoMs);
     }
   }
--- a/test/quota/delayed_hosts.ts
+++ b/test/quota/delayed_hosts.ts
@@ -20,6 +20,7 @@
   readonly clock = new VirtualClock();
   readonly admitted: {atMs: number; units: number}[] = [];
   refused = 0;
+  private incarnation = 1;
   readonly quotas: Quota[] = [];
   private readonly known: Map<number, number>[] = [];
   private reports: Report[] = [];
@@ -78,6 +79,23 @@
     return most;
   }
 
+  /**
+   * Replaces all hosts by new ones.
+   * @param storedMs - Age of the stored spending that they read; none if absent.
+   */
+  killAll(storedMs?: number): void {
+    const nowMs = this.clock.monotonicMs();
+    this.incarnation++;
+    this.reports = [];
+    const spending = this.admitted
+      .map(({atMs, units}) => ({agoMs: nowMs - atMs, units}))
+      .filter(({agoMs}) => agoMs >= (storedMs ?? Infinity) && agoMs < 10_000);
+    for (let index = 0; index < this.count; index++) {
+      this.start(index);
+      this.quotas[index]?.restoreSpending(CUSTOMER, spending);
+    }
+  }
+
   private start(index: number): void {
     const known = new Map<number, number>();
     this.known[index] = known;
@@ -117,7 +135,9 @@
       for (const [to, quota] of this.quotas.entries()) {
         if (to !== from) {
           this.known[to]?.set(from, demand);
-          quota.addPeerSpending(`${from}`, [{customer: CUSTOMER, units}]);
+          quota.addPeerSpending(`${from}/${this.incarnation}`, [
+            {customer: CUSTOMER, units},
+          ]);
         }
       }
     }
--- a/test/quota/quota_start_test.ts
+++ b/test/quota/quota_start_test.ts
@@ -5,6 +5,11 @@
 const BOUND = {windowMs: 8000, overage: 0.1, slack: 140_000};
 /** Time in which reports arrive from every host that has started. */
 const KNOWN_MS = 5000;
+/** Times of the kill after the load began, and ages of what is stored then. */
+const KILLS = [
+  {killMs: 1500, storedMs: 700},
+  {killMs: 4000, storedMs: 2000},
+];
 
 function createAccount(perSecond: number): Account {
   return {
@@ -41,6 +46,18 @@
           expect(hosts.getMaxInWindow()).to.be.lessThan(getAllowed(rate));
         });
 
+        // Guards against buckets that are filled again by hosts that know no spending.
+        for (const {killMs, storedMs} of KILLS) {
+          it(`the same customer stays within the bound when all hosts are killed after ${killMs} ms`, async () => {
+            const hosts = new DelayedHosts(count, BOUND, seed);
+            await hosts.clock.advance(KNOWN_MS);
+            await hosts.load(account, rate * 6, killMs);
+            hosts.killAll(storedMs);
+            await hosts.load(account, rate * 6, 10_000);
+            expect(hosts.getMaxInWindow()).to.be.lessThan(getAllowed(rate));
+          });
+        }
+
         // A burst of lower rates holds less than three requests, and is exceeded by chance.
         if (rate < 100_000) {
           return;
@@ -54,6 +71,18 @@
           const all = later + hosts.admitted.length - admitted;
           expect(later / all).to.be.lessThan(0.02);
         });
+
+        // Guards against stored spending that is counted for more than it was.
+        it('a customer at 0.6 of its rate is hardly refused after all hosts were killed', async () => {
+          const hosts = new DelayedHosts(count, BOUND, seed);
+          await hosts.load(account, rate * 0.6, 8000);
+          const [refused, admitted] = [hosts.refused, hosts.admitted.length];
+          hosts.killAll(700);
+          await hosts.load(account, rate * 0.6, 8000);
+          const later = hosts.refused - refused;
+          const all = later + hosts.admitted.length - admitted;
+          expect(later / all).to.be.lessThan(0.05);
+        });
       });
     }
   }
