--- a/src/admission/decide_place.ts
+++ b/src/admission/decide_place.ts
@@ -1,11 +1,12 @@
 import {Problem, problems} from '../errors/index.js';
 import {Random} from '../random/index.js';
-import {isOverShare} from './is_over_share.js';
+import {exceedsShare} from './exceeds_share.js';
 import {getRankLimitMs} from './rank_limit.js';
 import {spreadRetry} from './spread_retry.js';
 
 /** Input of the decision to send a stream to a server. */
 export interface PlaceContext {
+  readonly service: string;
   /** Name of the customer; empty on routes that need no key. */
   readonly customer: string;
   /** Predicted wait until the best server starts with the prompt, in milliseconds. */
@@ -129,7 +130,7 @@
 /** Returns the part of its rank's limit that the customer has; 1 within its share. */
 function getShareFactor(context: PlaceContext): number {
   const {inFlight, share} = context;
-  if (!isOverShare(inFlight, share)) {
+  if (!exceedsShare(inFlight, share)) {
     return 1;
   }
   return usesMostPlaces(context)
@@ -143,15 +144,24 @@
   context: PlaceContext,
   random: Random,
 ): PlaceDecision {
-  const {waitMs, customer} = context;
-  const exceedsShare = reason === PlaceReason.SHARE;
-  const retryMs = spreadRetry(
-    {...context, roomMs: waitMs - limitMs, isOverShare: exceedsShare},
-    random,
-  );
-  const retryS = retryMs / MS_PER_SECOND;
-  const problem = exceedsShare
-    ? problems.customerOverShare(customer, retryS)
-    : problems.deadlineUnreachable(waitMs, retryS);
+  const isOverShare = reason === PlaceReason.SHARE;
+  const roomMs = context.waitMs - limitMs;
+  const retryMs = spreadRetry({...context, roomMs, isOverShare}, random);
+  const problem = createProblem(reason, context, retryMs / MS_PER_SECOND);
   return {reason, limitMs, problem};
 }
+
+function createProblem(
+  reason: PlaceReason,
+  {waitMs, customer, service}: PlaceContext,
+  retryS: number,
+): Problem {
+  switch (reason) {
+    case PlaceReason.SHARE:
+      return problems.customerOverShare(customer, retryS);
+    case PlaceReason.RANK:
+      return problems.noRoom(service, retryS);
+    default:
+      return problems.deadlineUnreachable(waitMs, retryS);
+  }
+}
--- a/src/admission/is_over_share.ts
+++ b/src/admission/exceeds_share.ts
@@ -11,6 +11,6 @@
  * @param inFlight - Requests of the customer in flight, with the one to decide on.
  * @param share - Fair number of its requests in flight.
  */
-export function isOverShare(inFlight: number, share: number): boolean {
+export function exceedsShare(inFlight: number, share: number): boolean {
   return inFlight > share + TOLERATED_ROOTS * Math.sqrt(share);
 }
--- a/src/relay/place_admission.ts
+++ b/src/relay/place_admission.ts
@@ -98,6 +98,7 @@
     const inFlight = (own?.inFlight ?? 0) + 1;
     const share = getPlaceShare(customer, this.getWeights(), usage);
     return {
+      service,
       customer,
       waitMs,
       remainingMs,
--- a/test/admission/decide_place_test.ts
+++ b/test/admission/decide_place_test.ts
@@ -12,6 +12,7 @@
 import {SeededRandom} from '../../src/random/index.js';
 
 const CALM: PlaceContext = {
+  service: 's',
   customer: 'a',
   waitMs: 0,
   targetMs: 519,
--- a/test/admission/place_load_test.ts
+++ b/test/admission/place_load_test.ts
@@ -102,6 +102,7 @@
     }
     return decidePlace(
       {
+        service: 's',
         customer: call.customer,
         waitMs,
         targetMs,
--- a/test/peering/peer_host.ts
+++ b/test/peering/peer_host.ts
@@ -1,3 +1,4 @@
+import {PlacesInUse} from '../../src/admission/index.js';
 import {Fleet, FleetServer, FleetState} from '../../src/fleet/index.js';
 import {ServerLimits} from '../../src/limits/index.js';
 import {SilentLog} from '../../src/log/index.js';
@@ -42,6 +43,8 @@
   readonly limits: ServerLimits;
   readonly messages: PeerMessages;
   holdsDuties = false;
+  /** Requests in flight of this host; `undefined` if it does not report them. */
+  places: readonly PlacesInUse[] | undefined;
 
   constructor(
     readonly self: HostAddress,
@@ -101,6 +104,7 @@
       readAge: this.readAge,
       fleet: this.fleet,
       quota: this.quota,
+      listPlaces: () => this.places ?? [],
       limits: this.limits,
       quarantine: this.quarantine,
       ledger: this.ledger,
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -21,6 +21,7 @@
   ExchangeKind,
   ExchangeParams,
   ExchangeResult,
+  PlaceAdmission,
   Relay,
   RelayRequest,
   ServerStatement,
@@ -130,7 +131,10 @@
   /** Called for each requested copy, before its result is returned. */
   onCopy: (params: CopyRunParams) => void = () => undefined;
 
-  constructor(exchange: Exchange) {
+  constructor(
+    exchange: Exchange,
+    createPlaceAdmission?: (fixture: RelayFixture) => PlaceAdmission,
+  ) {
     const log = new SilentLog();
     const {clock} = this;
     this.fleet = new Fleet({
@@ -205,6 +209,9 @@
         },
       },
       versionLedger: new VersionCounter(),
+      ...(createPlaceAdmission === undefined
+        ? {}
+        : {placeAdmission: createPlaceAdmission(this)}),
     });
     for (const id of ['s1', 's2', 's3']) {
       this.fleet.register(createServer(id), 'test');
