Export places in use by customer, and bound what is left to silent hosts

Killed hosts are known for 30 s; with their part of the places left idle, the survivors of a kill of two thirds would have refused less urgent requests at a third of the places. At most half is left to hosts that are not heard.

--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -6,7 +6,8 @@
 /** A metric whose value is read when the metrics are formatted. */
 interface Gauge {
   readonly help: string;
-  readonly read: () => number;
+  /** Returns a value for each set of labels. */
+  readonly list: () => readonly (readonly [Labels, number])[];
 }
 
 /** A metric that only increases; one value per set of labels. */
@@ -38,7 +39,12 @@
 
   /** Declares a gauge. */
   addGauge(name: string, help: string, read: () => number): void {
-    this.gauges.set(name, {help, read});
+    this.addLabelledGauge(name, help, () => [[{}, read()]]);
+  }
+
+  /** Declares a gauge with a value for each set of labels. */
+  addLabelledGauge(name: string, help: string, list: Gauge['list']): void {
+    this.gauges.set(name, {help, list});
   }
 
   /** Declares a histogram of durations. */
@@ -86,7 +92,10 @@
     }
     for (const [name, gauge] of this.gauges) {
       lines.push(...formatMetadata(name, gauge.help, 'gauge'));
-      lines.push(`${PREFIX}${name} ${gauge.read()}`);
+      for (const [labels, value] of gauge.list()) {
+        const text = wrapLabels(formatLabels(labels));
+        lines.push(`${PREFIX}${name}${text} ${value}`);
+      }
     }
     for (const [name, distribution] of this.distributions) {
       lines.push(...formatMetadata(name, distribution.help, 'histogram'));
--- a/src/relay/place_admission.ts
+++ b/src/relay/place_admission.ts
@@ -39,6 +39,11 @@
   readonly remainingMs: number;
 }
 
+/**
+ * Least part of the places that a host and those it hears use. Hosts that are cut off and
+ * hosts that were killed look the same; places left to killed hosts would be idle.
+ */
+const MIN_PLACES_FRACTION = 0.5;
 const SHARE_DIGITS = 1;
 
 /** Decides which streams are sent to the servers of a service, where places are scarce. */
@@ -54,8 +59,16 @@
       'place_decisions',
       'Streams admitted and refused by reason and rank',
     );
-    metrics.addGauge('places_in_use', 'Requests of this host at servers', () =>
-      counter.listOwn().reduce((sum, [, , inFlight]) => sum + inFlight, 0),
+    metrics.addLabelledGauge(
+      'places_in_use',
+      'Requests of this host at servers by service and customer',
+      () =>
+        counter
+          .listOwn()
+          .map(([service, customer, inFlight]) => [
+            {service, customer},
+            inFlight,
+          ]),
     );
   }
 
@@ -137,7 +150,8 @@
     for (const {slots, state} of this.options.fleet.listServers(service)) {
       places += state === FleetState.READY ? slots : 0;
     }
-    return places * this.options.getKnownFraction();
+    const fraction = this.options.getKnownFraction();
+    return places * Math.max(MIN_PLACES_FRACTION, fraction);
   }
 
   /**
--- a/test/relay/place_admission_test.ts
+++ b/test/relay/place_admission_test.ts
@@ -111,6 +111,14 @@
     expect(refuse(admission, TAGS)).to.equal('rank');
   });
 
+  // Guards against places that stay idle for hosts that were killed.
+  it('leaves at most half of the places to hosts that are not heard', () => {
+    const admission = create(new RelayFixture(answer));
+    take('large', 6);
+    known = 0.02;
+    expect(refuse(admission, TAGS)).to.equal(undefined);
+  });
+
   describe('a refused stream', () => {
     it('is not sent to a server', async () => {
       take('', 24);
@@ -133,6 +141,9 @@
       const fixture = new RelayFixture(
         (...params) => {
           expect(counter.listOwn()).to.deep.equal([['desk', '', 1]]);
+          expect(fixture.metrics.format()).to.include(
+            'sedgefall_places_in_use{service="desk",customer=""} 1',
+          );
           return answer(...params);
         },
         relay => create(relay),
