--- a/src/bin/measure.ts
+++ b/src/bin/measure.ts
@@ -11,6 +11,7 @@
   listExperiments,
   measureProvisioning,
   measureRecording,
+  measurePlaces,
   measureReuse,
   PolicyResult,
   runExperiment,
@@ -63,6 +64,11 @@
       print(formatLine(line));
     }
   }
+  if ('places'.startsWith(options.only ?? '')) {
+    for (const line of measurePlaces(seeds)) {
+      print(formatLine(line));
+    }
+  }
   if (options.only === undefined) {
     for (const line of [
       ...measureProvisioning(),
--- a/src/measure/index.ts
+++ b/src/measure/index.ts
@@ -10,5 +10,8 @@
 export {measureProvisioning} from './measure_provisioning.js';
 export {EmulatedServer} from './emulated_server.js';
 export type {EmulatedRun} from './emulated_server.js';
+export {measurePlaces} from './measure_places.js';
+export {bursts, flood, PlaceLoad, usualRate} from './place_load.js';
+export type {PlaceRate} from './place_load.js';
 export {measureReuse} from './measure_reuse.js';
 export {measureRecording} from './measure_recording.js';
