--- a/test/relay/place_admission_test.ts
+++ b/test/relay/place_admission_test.ts
@@ -119,6 +119,17 @@
     expect(refuse(admission, TAGS)).to.equal(undefined);
   });
 
+  it('lets callers who wait for the rate of their customer return by rank', () => {
+    const admission = create(new RelayFixture(answer));
+    const [chatMs = 0, tagsMs = 0] = [CHAT, TAGS].map(route => {
+      const request = {id: 'r', route} as unknown as RelayRequest;
+      const place = {request, service: 'desk', waitMs: 60, remainingMs: 5000};
+      return admission.spreadRetry(place);
+    });
+    expect(chatMs).to.be.within(60, 200);
+    expect(tagsMs).to.be.within(200, 1500);
+  });
+
   describe('a refused stream', () => {
     it('is not sent to a server', async () => {
       take('', 24);
