--- a/src/admission/rank_limit.ts
+++ b/src/admission/rank_limit.ts
@@ -14,8 +14,8 @@
 
 /**
  * Longest predicted wait of each rank under contention, in multiples of the shortest
- * target. An urgent request finds a queue of less urgent ones that leaves it half of its
- * target, or a quarter where two ranks come before it.
+ * target. The queue that the second rank may build leaves an urgent request a quarter of
+ * its target, and that of the third rank half of it.
  */
 const LIMIT_TARGETS_BY_RANK = [1, 0.75, 0.5, 0.4] as const;
 const LAST_LIMIT_TARGETS = 0.3;
