--- a/src/relay_host/bind_cluster_state.ts
+++ b/src/relay_host/bind_cluster_state.ts
@@ -1,4 +1,5 @@
 import {Container} from 'inversify';
+import {PlaceCounter} from '../admission/index.js';
 import {ServerBackoffs} from '../backoff/index.js';
 import {CatalogStore} from '../catalog/index.js';
 import {bind} from '../container/index.js';
@@ -107,6 +108,7 @@
   bind(container, Quota, context => {
     const reports = context.get(HostReports);
     const knownHosts = context.get(KnownHosts);
+    const features = context.get(Features);
     return new Quota({
       clock: context.get(CLOCK),
       sumPeerDemand: customer => reports.sumDemand(customer),
@@ -114,8 +116,13 @@
       countHosts: () => knownHosts.countHosts(),
       countReachableHosts: () => knownHosts.countAlive(),
       getBound: () => context.get(GET_SETTINGS)().quota,
+      reservesForUrgent: () => features.isEnabled(Feature.FAIR_PLACES),
     });
   });
+  bind(container, PlaceCounter, context => {
+    const reports = context.get(HostReports);
+    return new PlaceCounter(() => reports.listPlaces());
+  });
   bind(container, SharedRetryBudget, context => {
     const knownHosts = context.get(KnownHosts);
     const getSettings = context.get(GET_SETTINGS);
--- a/test/quota/delayed_hosts.ts
+++ b/test/quota/delayed_hosts.ts
@@ -30,6 +30,7 @@
     private readonly count: number,
     private readonly bound: QuotaBound,
     seed: number,
+    private readonly reservesForUrgent = false,
   ) {
     this.random = new SeededRandom(seed);
     for (let index = 0; index < count; index++) {
@@ -106,6 +107,7 @@
       countHosts: () => this.count,
       countReachableHosts: () => this.count,
       getBound: () => this.bound,
+      reservesForUrgent: () => this.reservesForUrgent,
     });
   }
 
--- a/test/quota/quota_start_test.ts
+++ b/test/quota/quota_start_test.ts
@@ -31,6 +31,14 @@
       describe(`${count} hosts, ${rate} a second, seed ${seed}`, () => {
         const account = createAccount(rate);
 
+        // Guards against an excess that is used both by shares and by the global bucket.
+        it('a customer that begins at six times its rate stays within the bound where hosts reserve for urgent requests', async () => {
+          const hosts = new DelayedHosts(count, BOUND, seed, true);
+          await hosts.clock.advance(KNOWN_MS);
+          await hosts.load(account, rate * 6, 16_000, rate);
+          expect(hosts.getMaxInWindow()).to.be.lessThan(getAllowed(rate));
+        });
+
         // Guards against hosts that each take themselves for the only one, while the
         // others' demand is not yet known.
         it('a customer that begins at six times its rate stays within the bound', async () => {
