Do not send a request whose deadline has passed while the event loop was late

The relay now reads the clock directly before the first byte is sent, and the time that is stated to the server is that of sending, not of the start of the attempt.

--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -6,15 +6,24 @@
 export interface ExchangeParams {
   readonly request: RelayRequest;
   readonly server: FleetServer;
-  /** Time that the server may take, in milliseconds. */
+  /**
+   * Time that the server may take, in milliseconds. It decreases while a connection is
+   * opened: read it when the request is sent.
+   */
   readonly remainingMs: number;
   /** Rank at the server; 0 is the most urgent. */
   readonly urgency: number;
   /**
-   * Tells whether the server still accepts the request; called on an open connection,
-   * immediately before the first byte is written.
+   * Tells whether the request is still to be sent: the server accepts it, the caller waits
+   * and the deadline has not passed. Called on an open connection, immediately before the
+   * first byte is written.
    */
   readonly maySend: () => boolean;
+  /**
+   * Lets events that wait in the kernel be handled, such as that a caller has closed its
+   * connection; called before `maySend`. Returns `undefined` if the event loop is on time.
+   */
+  readonly handlePendingEvents?: () => Promise<void> | undefined;
   /** Id of the event after which the server continues a stream. */
   readonly lastEventId?: string;
   /** Copy of the run's memory from which the server continues. */
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -61,8 +61,6 @@
   readonly predictedMs: number;
   /** Index of the attempt, from 0, for the log. */
   readonly number: number;
-  /** Time until the deadline, in milliseconds. */
-  readonly remainingMs: number;
   /** Rank of the request at the server, from 0 (most urgent) to 9; see `rankUrgency`. */
   readonly urgency: number;
   /** Copy of the run's KV cache from which the server continues. */
@@ -125,6 +123,8 @@
    * Time until the first byte of the answer, in milliseconds; absent before it arrives.
    */
   private firstMs: number | undefined;
+  /** Why the request was not sent although the server accepts it; absent if it was. */
+  private withheldDetail: string | undefined;
 
   constructor(
     private readonly options: RelayOptions,
@@ -148,15 +148,19 @@
   /** Sends the request and relays the answer. */
   async execute(): Promise<AttemptResult> {
     const {request, answer} = this.context;
-    const {server, remainingMs, urgency, copy} = this.params;
+    const {server, urgency, copy} = this.params;
+    const {clock, handlePendingEvents} = this.options;
     const lastEventId = answer.getLastEventId();
     const result = await this.options.exchange(
       {
         request,
         server,
-        remainingMs,
+        get remainingMs() {
+          return request.deadlineMs - clock.monotonicMs();
+        },
         urgency,
-        maySend: () => this.acceptsRequest(),
+        maySend: () => this.maySend(),
+        ...(handlePendingEvents === undefined ? {} : {handlePendingEvents}),
         ...(copy === undefined ? {} : {copy}),
         ...(lastEventId === undefined ? {} : {lastEventId}),
       },
@@ -189,6 +193,27 @@
     });
   }
 
+  /**
+   * Tells whether the request is to be sent now. The clock is read, since the timer of the
+   * deadline fires late on a busy event loop.
+   */
+  private maySend(): boolean {
+    const {request, cancelled} = this.context;
+    if (cancelled.aborted) {
+      this.withheldDetail = 'not sent: the caller left or the deadline passed';
+      return false;
+    }
+    if (request.deadlineMs <= this.options.clock.monotonicMs()) {
+      this.withheldDetail = 'not sent: the deadline has passed';
+      return false;
+    }
+    if (!this.acceptsRequest()) {
+      return false;
+    }
+    request.onSend?.();
+    return true;
+  }
+
   /** Tells whether the server accepts the request in its current state. */
   private acceptsRequest(): boolean {
     const {backoffs, fleet} = this.options;
@@ -307,7 +332,8 @@
 
   private fail(failure: ExchangeFailure): AttemptResult {
     const {server, number} = this.params;
-    const {kind, detail} = failure;
+    const {kind} = failure;
+    const detail = this.withheldDetail ?? failure.detail;
     this.context.record.logFailure(server.id, number, kind, detail);
     return this.finish(this.getServerOutcome(failure), {
       // Both kinds of failed exchange have the value of an `AttemptOutcome`.
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -38,4 +38,9 @@
   readonly senderRuns: SenderRuns;
   readonly versionSelector: Pick<VersionSelector, 'select'>;
   readonly versionLedger: VersionCounter;
+  /**
+   * Lets events that wait in the kernel be handled; returns `undefined` if the event loop
+   * is on time. By default, nothing is awaited.
+   */
+  readonly handlePendingEvents?: () => Promise<void> | undefined;
 }
--- a/src/relay/relay_request.ts
+++ b/src/relay/relay_request.ts
@@ -28,10 +28,12 @@
   readonly account?: Account;
   /** Has no parts and zero tokens if the request has no prompt. */
   readonly prompt: Prompt;
-  /** Time of arrival, in monotonic milliseconds. */
+  /** Estimated time of arrival, in monotonic milliseconds. */
   readonly arrivedMs: number;
   /** Earlier of the deadlines of the caller and the route, in monotonic milliseconds. */
   readonly deadlineMs: number;
+  /** Called immediately before the first byte is sent to a server, at each attempt. */
+  readonly onSend?: () => void;
   /** Id of the last event that the caller already has of a stream. */
   readonly lastEventId?: string;
 }
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -279,7 +279,6 @@
         server,
         predictedMs,
         number: this.attempts.count() - 1,
-        remainingMs: this.getRemainingMs(),
         urgency: rankUrgency(request),
         mayRetry: this.attempts.mayRetryAfterFailure(),
         ...(copiedRun === undefined ? {} : {copy: copiedRun.copy}),
--- a/test/platform/server_exchange_test.ts
+++ b/test/platform/server_exchange_test.ts
@@ -85,6 +85,21 @@
       });
     }
 
+    it('is not written if it is cancelled by an event that was pending', async () => {
+      const controller = new AbortController();
+      const params = {
+        ...createExchangeParams('late', address),
+        handlePendingEvents: async () => controller.abort(),
+      };
+      const result = await exchange.send(params, controller.signal);
+      expect(result).to.deep.include({
+        kind: ExchangeKind.NOT_RUN,
+        unsent: true,
+      });
+      await read(await send());
+      expect(server.requests.length).to.equal(1);
+    });
+
     it('reuses a connection while its server keeps it open', async () => {
       await read(await send());
       await read(await send());
