--- a/src/errors/problem.ts
+++ b/src/errors/problem.ts
@@ -23,6 +23,7 @@
   DEPLOYMENT_UNKNOWN: 'deployment-unknown',
   HEADER_INVALID: 'header-invalid',
   HOST_DRAINING: 'host-draining',
+  HOST_OVERLOADED: 'host-overloaded',
   KEY_INVALID: 'key-invalid',
   KEY_REUSED: 'key-reused',
   NO_ROOM: 'no-room',
--- a/src/errors/problems.ts
+++ b/src/errors/problems.ts
@@ -116,6 +116,16 @@
   retryAfterSeconds: 1,
 });
 
+export const hostOverloaded = (retryAfterSeconds: number): Problem => ({
+  kind: ProblemKind.HOST_OVERLOADED,
+  status: 503,
+  detail: 'This host has more requests than it can pass on in time.',
+  remedy:
+    'Retry after the given time on a new connection; the load balancer will choose another host.',
+  ran: ExecutionStatus.NOT_EXECUTED,
+  retryAfterSeconds,
+});
+
 export const noServer = (deployment: string): Problem => ({
   kind: ProblemKind.NO_SERVER,
   status: 503,
--- /dev/null
+++ b/src/host_load/index.ts
@@ -0,0 +1,7 @@
+/** Load of this host itself: its measurement, and which requests are refused because of it. */
+export {afterPoll} from './after_poll.js';
+export {decideAcceptance, RefusalReason} from './decide_acceptance.js';
+export type {ArrivingRequest, HostLoadFigures} from './decide_acceptance.js';
+export {HostLoad} from './host_load.js';
+export type {Arrival, HostLoadOptions, HostRefusal} from './host_load.js';
+export type {UnsentRequest} from './unsent_requests.js';
--- /dev/null
+++ b/src/host_load/overload_state.ts
@@ -0,0 +1,98 @@
+import {Clock} from '../time/index.js';
+import {LoopDelayMeter} from './loop_delay_meter.js';
+import {UnsentRequests} from './unsent_requests.js';
+
+/** Dependencies of an `OverloadState`. */
+export interface OverloadStateOptions {
+  readonly clock: Clock;
+  readonly meter: Pick<LoopDelayMeter, 'getStandingMs' | 'isBusy'>;
+  readonly unsent: Pick<UnsentRequests, 'count' | 'countSent'>;
+}
+
+/**
+ * Time without a standing queue after which an overload is over, in milliseconds. Refusals
+ * shorten the queue below what can be measured while callers still send too much.
+ */
+const HOLD_MS = 1000;
+/** Time over which the time per sent request is measured, in milliseconds. */
+const WINDOW_MS = 150;
+/** Weight of the newest measurement of the time per sent request. */
+const NEWEST_WEIGHT = 0.5;
+
+/** Tells whether this host is overloaded, and how long accepted requests wait in it. */
+export class OverloadState {
+  /** Start of the overload; absent if there is none. */
+  private sinceMs: number | undefined;
+  private standingMs = 0;
+  private lastStandingMs = 0;
+  /**
+   * Time between requests sent while the event loop was never idle, in milliseconds: then
+   * the host sends as fast as it can.
+   */
+  private perSendMs = 0;
+  private windowStartMs: number | undefined;
+  private sentAtWindowStart = 0;
+
+  constructor(private readonly options: OverloadStateOptions) {}
+
+  /** Updates the state; to be called after each measurement of the event loop's delay. */
+  update(): void {
+    const {clock, meter} = this.options;
+    const nowMs = clock.monotonicMs();
+    this.standingMs = meter.getStandingMs();
+    if (meter.isBusy()) {
+      this.measureSending(nowMs);
+    } else {
+      this.windowStartMs = undefined;
+    }
+    if (this.standingMs > 0) {
+      this.sinceMs ??= nowMs;
+      this.lastStandingMs = nowMs;
+    } else if (nowMs - this.lastStandingMs >= HOLD_MS) {
+      this.sinceMs = undefined;
+    }
+  }
+
+  /** Returns whether this host is overloaded. */
+  isOverloaded(): boolean {
+    return this.sinceMs !== undefined;
+  }
+
+  /** Returns the duration of the overload so far, in milliseconds; 0 without one. */
+  getDurationMs(): number {
+    const nowMs = this.options.clock.monotonicMs();
+    return nowMs - (this.sinceMs ?? nowMs);
+  }
+
+  /**
+   * Returns how long a request that is accepted now is expected to wait until it is sent,
+   * in milliseconds; 0 if this host is not overloaded.
+   */
+  getOwnDelayMs(): number {
+    if (!this.isOverloaded()) {
+      return 0;
+    }
+    const backlogMs = this.options.unsent.count() * this.perSendMs;
+    return Math.max(this.standingMs, backlogMs);
+  }
+
+  private measureSending(nowMs: number): void {
+    const sent = this.options.unsent.countSent();
+    if (this.windowStartMs === undefined) {
+      this.windowStartMs = nowMs;
+      this.sentAtWindowStart = sent;
+      return;
+    }
+    const elapsedMs = nowMs - this.windowStartMs;
+    if (elapsedMs < WINDOW_MS) {
+      return;
+    }
+    const measuredMs = elapsedMs / Math.max(1, sent - this.sentAtWindowStart);
+    this.perSendMs =
+      this.perSendMs === 0
+        ? measuredMs
+        : this.perSendMs + NEWEST_WEIGHT * (measuredMs - this.perSendMs);
+    this.windowStartMs = nowMs;
+    this.sentAtWindowStart = sent;
+  }
+}
