Refuse requests at an overloaded host before their bodies are read

The frontend now estimates when a request arrived while the event loop was late, asks the decision after the head, and lets pending socket events be handled before the body is handled and before the first byte goes to a server.

--- a/src/host_load/host_load.ts
+++ b/src/host_load/host_load.ts
@@ -9,6 +9,7 @@
 import {OverloadState} from './overload_state.js';
 import {ProcessorMeter} from './processor_meter.js';
 import {UnsentRequest, UnsentRequests} from './unsent_requests.js';
+import {WeightedCustomer} from './weigh_customer.js';
 
 /** Dependencies of a `HostLoad`. */
 export interface HostLoadOptions {
@@ -40,8 +41,8 @@
   readonly rank: number;
   /** Latency target in milliseconds. */
   readonly targetMs: number;
-  /** Its customer; absent on routes that need no key. */
-  readonly customer?: {readonly name: string; readonly weight: number};
+  /** Its customer; absent without a key or a rate. */
+  readonly customer?: WeightedCustomer;
 }
 
 /** Refusal of a request by an overloaded host. */
--- a/src/host_load/index.ts
+++ b/src/host_load/index.ts
@@ -5,3 +5,5 @@
 export {HostLoad} from './host_load.js';
 export type {Arrival, HostLoadOptions, HostRefusal} from './host_load.js';
 export type {UnsentRequest} from './unsent_requests.js';
+export {weighCustomer} from './weigh_customer.js';
+export type {WeightedCustomer} from './weigh_customer.js';
--- a/src/relay_host/bind_relay_host.ts
+++ b/src/relay_host/bind_relay_host.ts
@@ -16,8 +16,10 @@
 import {Relay} from '../relay/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
 import {UsageLedger} from '../usage/index.js';
+import {HostLoad} from '../host_load/index.js';
 import {bindDuties} from './bind_duties.js';
 import {bindClusterState} from './bind_cluster_state.js';
+import {bindHostLoad} from './bind_host_load.js';
 import {bindRollouts} from './bind_rollouts.js';
 import {bindPeering} from './bind_peering.js';
 import {
@@ -32,35 +34,35 @@
 /** Binds every component that does not depend on the platform. */
 export function bindRelayHost(container: Container): void {
   bindClusterState(container);
+  bindHostLoad(container);
   bindDuties(container);
   bindPeering(container);
   bindRollouts(container);
-  bind(
-    container,
-    Relay,
-    context =>
-      new Relay({
-        clock: context.get(CLOCK),
-        log: context.get(LOG),
-        random: context.get(RANDOM),
-        metrics: context.get(Metrics),
-        catalog: context.get(CatalogStore),
-        fleet: context.get(Fleet),
-        quota: context.get(Quota),
-        limits: context.get(ServerLimits),
-        backoffs: context.get(ServerBackoffs),
-        quarantine: context.get(Quarantine),
-        retryBudget: context.get(SharedRetryBudget),
-        usageLedger: context.get(UsageLedger),
-        exchange: context.get(EXCHANGE),
-        copyRun: context.get(COPY_RUN),
-        terminatedServers: new TerminatedServers(
-          context.get(CLOCK),
-          context.get(CHECK_TERMINATION),
-        ),
-        senderRuns: new SenderRuns(context.get(CLOCK)),
-        versionSelector: context.get(VersionSelector),
-        versionLedger: context.get(VersionCounter),
-      }),
-  );
+  bind(container, Relay, context => {
+    const hostLoad = context.get(HostLoad);
+    return new Relay({
+      clock: context.get(CLOCK),
+      log: context.get(LOG),
+      random: context.get(RANDOM),
+      metrics: context.get(Metrics),
+      catalog: context.get(CatalogStore),
+      fleet: context.get(Fleet),
+      quota: context.get(Quota),
+      limits: context.get(ServerLimits),
+      backoffs: context.get(ServerBackoffs),
+      quarantine: context.get(Quarantine),
+      retryBudget: context.get(SharedRetryBudget),
+      usageLedger: context.get(UsageLedger),
+      exchange: context.get(EXCHANGE),
+      copyRun: context.get(COPY_RUN),
+      terminatedServers: new TerminatedServers(
+        context.get(CLOCK),
+        context.get(CHECK_TERMINATION),
+      ),
+      senderRuns: new SenderRuns(context.get(CLOCK)),
+      versionSelector: context.get(VersionSelector),
+      versionLedger: context.get(VersionCounter),
+      handlePendingEvents: () => hostLoad.handlePendingEvents(),
+    });
+  });
 }
