Accept all waiting connections before requests are handled on a busy host

Node 20 accepts one connection per turn of the event loop. Requests now wait until a turn brings no new connection.

The time per sent request is measured over five of them at least, since few are sent while the first heads are read.

--- a/src/host_load/host_load.ts
+++ b/src/host_load/host_load.ts
@@ -7,6 +7,7 @@
 import {decideAcceptance} from './decide_acceptance.js';
 import {LoopDelayMeter} from './loop_delay_meter.js';
 import {OverloadState} from './overload_state.js';
+import {PendingConnections} from './pending_connections.js';
 import {ProcessorMeter} from './processor_meter.js';
 import {UnsentRequest, UnsentRequests} from './unsent_requests.js';
 import {WeightedCustomer} from './weigh_customer.js';
@@ -69,6 +70,7 @@
   private readonly processor: ProcessorMeter;
   private readonly shares: CustomerShares;
   private readonly state: OverloadState;
+  private readonly connections: PendingConnections;
   private wasOverloaded = false;
   /** Requests refused since the start of the overload. */
   private refused = 0;
@@ -86,6 +88,10 @@
       meter: this.meter,
       unsent: this.unsent,
     });
+    this.connections = new PendingConnections({
+      isBusy: () => this.meter.isBusy(),
+      afterPoll: options.afterPoll,
+    });
     this.addMetrics();
   }
 
@@ -119,6 +125,16 @@
       : new Promise(resolve => this.options.afterPoll(resolve));
   }
 
+  /** Records that a connection of a caller was accepted. */
+  addConnection(): void {
+    this.connections.add();
+  }
+
+  /** See `PendingConnections.accept`. */
+  acceptConnections(): Promise<void> | undefined {
+    return this.connections.accept();
+  }
+
   /** Tracks an accepted request until it is sent to a server. */
   track(arrivedMs: number): UnsentRequest {
     return this.unsent.add(arrivedMs);
--- a/src/host_load/overload_state.ts
+++ b/src/host_load/overload_state.ts
@@ -16,6 +16,12 @@
 const HOLD_MS = 1000;
 /** Time over which the time per sent request is measured, in milliseconds. */
 const WINDOW_MS = 150;
+/**
+ * Requests sent within a measurement, unless it takes `MAX_WINDOW_MS`: at the start of an
+ * overload, few are sent at first, since many heads are read before.
+ */
+const MIN_SENT = 5;
+const MAX_WINDOW_MS = 1000;
 /** Weight of the newest measurement of the time per sent request. */
 const NEWEST_WEIGHT = 0.5;
 
@@ -84,10 +90,12 @@
       return;
     }
     const elapsedMs = nowMs - this.windowStartMs;
-    if (elapsedMs < WINDOW_MS) {
+    const sentInWindow = sent - this.sentAtWindowStart;
+    const isLongEnough = elapsedMs >= WINDOW_MS && sentInWindow >= MIN_SENT;
+    if (!isLongEnough && elapsedMs < MAX_WINDOW_MS) {
       return;
     }
-    const measuredMs = elapsedMs / Math.max(1, sent - this.sentAtWindowStart);
+    const measuredMs = elapsedMs / Math.max(1, sentInWindow);
     this.perSendMs =
       this.perSendMs === 0
         ? measuredMs
--- a/test/platform/overloaded_host_test.ts
+++ b/test/platform/overloaded_host_test.ts
@@ -50,6 +50,8 @@
         estimateArrivalMs: () => clock.monotonicMs() - READ_DELAY_MS,
         handlePendingEvents: () =>
           isLate ? new Promise(resolve => afterPoll(resolve)) : undefined,
+        addConnection: () => undefined,
+        acceptConnections: () => undefined,
         refuse: () =>
           isRefusing
             ? {problem: problems.hostOverloaded(0.3), fields: {}}
