--- a/src/host_load/loop_delay_meter.ts
+++ b/src/host_load/loop_delay_meter.ts
@@ -29,6 +29,10 @@
  * wakes up the process.
  */
 const INTERVAL_MS = 50;
+/** Interval while the event loop is mostly idle, in milliseconds. */
+const IDLE_INTERVAL_MS = 100;
+/** Share of idle time from which the event loop is mostly idle. */
+const MOSTLY_IDLE_SHARE = 0.5;
 /** Interval between checks whether to measure, in milliseconds. */
 const DISABLED_INTERVAL_MS = 1000;
 /**
@@ -60,6 +64,8 @@
   private last: Sample | undefined;
   /** Time at which the next measurement is due; absent while nothing is measured. */
   private dueMs: number | undefined;
+  /** Interval until the next measurement, in milliseconds. */
+  private intervalMs = INTERVAL_MS;
   /** Whether what waited when the last measurement was made may still be unread. */
   private isReading = false;
   private cancel: CancelTimer = () => undefined;
@@ -129,7 +135,7 @@
 
   private schedule(): void {
     const {clock, isEnabled} = this.options;
-    const intervalMs = isEnabled() ? INTERVAL_MS : DISABLED_INTERVAL_MS;
+    const intervalMs = isEnabled() ? this.intervalMs : DISABLED_INTERVAL_MS;
     this.dueMs = isEnabled() ? clock.monotonicMs() + intervalMs : undefined;
     this.cancel = clock.startTimer(intervalMs, () => this.measure());
   }
@@ -151,10 +157,13 @@
   private add(sample: Sample): void {
     const {last} = this;
     this.last = sample;
-    const isIdle =
-      last === undefined ||
-      sample.idleMs - last.idleMs > (sample.atMs - last.atMs) * BUSY_IDLE_SHARE;
-    this.busy = isIdle ? [sample] : [...this.busy, sample];
+    const idleShare =
+      last === undefined
+        ? 1
+        : (sample.idleMs - last.idleMs) / (sample.atMs - last.atMs);
+    this.intervalMs =
+      idleShare > MOSTLY_IDLE_SHARE ? IDLE_INTERVAL_MS : INTERVAL_MS;
+    this.busy = idleShare > BUSY_IDLE_SHARE ? [sample] : [...this.busy, sample];
     while (
       this.busy.length > MIN_BUSY_INTERVALS + 1 &&
       sample.atMs - (this.busy[1]?.atMs ?? 0) >= STANDING_MS
