--- a/src/host_load/host_load.ts
+++ b/src/host_load/host_load.ts
@@ -9,7 +9,7 @@
 import {OverloadState} from './overload_state.js';
 import {PendingConnections} from './pending_connections.js';
 import {ProcessorMeter} from './processor_meter.js';
-import {UnsentRequest, UnsentRequests} from './unsent_requests.js';
+import {UnsentRequests} from './unsent_requests.js';
 import {WeightedCustomer} from './weigh_customer.js';
 
 /** Dependencies of a `HostLoad`. */
@@ -46,6 +46,14 @@
   readonly customer?: WeightedCustomer;
 }
 
+/** An accepted request until it is sent to a server. */
+export interface TrackedArrival {
+  /** Records that it is sent to a server; has no effect after the first call. */
+  addSend(): void;
+  /** Records that it has ended, sent or not. */
+  end(): void;
+}
+
 /** Refusal of a request by an overloaded host. */
 export interface HostRefusal {
   readonly problem: Problem;
@@ -136,8 +144,19 @@
   }
 
   /** Tracks an accepted request until it is sent to a server. */
-  track(arrivedMs: number): UnsentRequest {
-    return this.unsent.add(arrivedMs);
+  track(arrivedMs: number): TrackedArrival {
+    const {clock} = this.options;
+    const acceptedMs = clock.monotonicMs();
+    const expectedMs = this.state.getUncorrectedMs();
+    const request = this.unsent.add(arrivedMs);
+    return {
+      ...request,
+      addSend: () => {
+        if (request.addSend()) {
+          this.state.addSend(expectedMs, clock.monotonicMs() - acceptedMs);
+        }
+      },
+    };
   }
 
   /** Decides on a request; returns why it is refused, or `undefined` to accept it. */
--- a/src/host_load/index.ts
+++ b/src/host_load/index.ts
@@ -3,8 +3,12 @@
 export {decideAcceptance, RefusalReason} from './decide_acceptance.js';
 export type {ArrivingRequest, HostLoadFigures} from './decide_acceptance.js';
 export {HostLoad} from './host_load.js';
-export type {Arrival, HostLoadOptions, HostRefusal} from './host_load.js';
+export type {
+  Arrival,
+  HostLoadOptions,
+  HostRefusal,
+  TrackedArrival,
+} from './host_load.js';
 export {PendingConnections} from './pending_connections.js';
-export type {UnsentRequest} from './unsent_requests.js';
 export {weighCustomer} from './weigh_customer.js';
 export type {WeightedCustomer} from './weigh_customer.js';
--- a/src/host_load/overload_state.ts
+++ b/src/host_load/overload_state.ts
@@ -22,6 +22,13 @@
  */
 const MIN_SENT = 5;
 const MAX_WINDOW_MS = 1000;
+/** Weight of one request in the mean error of the expected delay. */
+const ERROR_WEIGHT = 0.05;
+/** Bounds of the error by which the expected delay is corrected. */
+const MIN_ERROR = 1;
+const MAX_ERROR = 3;
+/** Expected delay below which an error says nothing, in milliseconds. */
+const MIN_EXPECTED_MS = 10;
 /** Weight of the newest measurement of the time per sent request. */
 const NEWEST_WEIGHT = 0.5;
 
@@ -37,6 +44,8 @@
    */
   private perSendMs = 0;
   private windowStartMs: number | undefined;
+  /** Mean of the actual delays, as a multiple of the expected ones. */
+  private error = 1;
   private sentAtWindowStart = 0;
 
   constructor(private readonly options: OverloadStateOptions) {}
@@ -75,6 +84,11 @@
    * in milliseconds; 0 if this host is not overloaded.
    */
   getOwnDelayMs(): number {
+    return this.getUncorrectedMs() * this.error;
+  }
+
+  /** Returns the expected delay before its correction, in milliseconds. */
+  getUncorrectedMs(): number {
     if (!this.isOverloaded()) {
       return 0;
     }
@@ -82,6 +96,23 @@
     return Math.max(this.standingMs, backlogMs);
   }
 
+  /**
+   * Learns from a request that is sent: reading bodies and accepting connections take time
+   * as well, which depends on what callers send.
+   * @param expectedMs - Uncorrected delay when the request was accepted.
+   * @param actualMs - Time from its acceptance until it was sent.
+   */
+  addSend(expectedMs: number, actualMs: number): void {
+    if (expectedMs < MIN_EXPECTED_MS) {
+      return;
+    }
+    const error = Math.min(
+      MAX_ERROR,
+      Math.max(MIN_ERROR, actualMs / expectedMs),
+    );
+    this.error += ERROR_WEIGHT * (error - this.error);
+  }
+
   private measureSending(nowMs: number): void {
     const sent = this.options.unsent.countSent();
     if (this.windowStartMs === undefined) {
--- a/src/host_load/unsent_requests.ts
+++ b/src/host_load/unsent_requests.ts
@@ -1,7 +1,7 @@
 /** A request that is accepted and not yet sent to a server. */
 export interface UnsentRequest {
-  /** Records that it is sent to a server; has no effect after the first call. */
-  addSend(): void;
+  /** Records that it is sent to a server; returns whether it was unsent. */
+  addSend(): boolean;
   /** Records that it has ended, sent or not. */
   end(): void;
 }
@@ -18,7 +18,9 @@
     this.arrivals.set(key, arrivedMs);
     return {
       addSend: () => {
-        this.sent += this.arrivals.delete(key) ? 1 : 0;
+        const wasUnsent = this.arrivals.delete(key);
+        this.sent += wasUnsent ? 1 : 0;
+        return wasUnsent;
       },
       end: () => {
         this.arrivals.delete(key);
