--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -41,4 +41,9 @@
   readonly versionLedger: VersionCounter;
   /** Shares scarce places of servers; if absent, only the predicted wait decides. */
   readonly placeAdmission?: PlaceAdmission;
+  /**
+   * Lets events that wait in the kernel be handled; returns `undefined` if the event loop
+   * is on time. By default, nothing is awaited.
+   */
+  readonly handlePendingEvents?: () => Promise<void> | undefined;
 }
