Transfer large rows compressed, as differences and in segments

A configuration of one row of 420 KB is sent in full by an aggregator to each of 15 members for every version, and requests for it are aborted after 1 s although bytes are arriving. On links of 10 Mbit/s, the versions and the heartbeats queue behind each other.

Hosts with the feature bulk-transfer announce long rows instead of pushing them, request them with the hashes of the texts that they hold, and get a difference or the compressed text in segments of 32 KiB that the receiver requests a few at a time and the sender paces. Readings of the store are aborted when no bytes arrive, rather than by their total time, and a host does not fetch a table from the store and a peer at once.

--- a/src/bin/slopes.ts
+++ b/src/bin/slopes.ts
@@ -6,6 +6,7 @@
   measureLeaving,
   measureLimits,
   measureSlopes,
+  measureTransfer,
   measureIdleAtCurrentSize,
 } from '../slopes/index.js';
 
@@ -15,6 +16,9 @@
 for (const count of [10, 72]) {
   process.stdout.write(`${formatLine(measureLeaving(count))}\n`);
 }
+for (const line of await measureTransfer()) {
+  process.stdout.write(`${formatLine(line)}\n`);
+}
 for (const line of await measureDaemon()) {
   process.stdout.write(`${formatLine(line)}\n`);
 }
--- a/src/http/http_request.ts
+++ b/src/http/http_request.ts
@@ -17,14 +17,32 @@
   readonly detail: string;
 }
 
+/** Timeouts of a response that may take long because it is large. */
+export interface ProgressTimeouts {
+  /** Longest time without further bytes once the body has begun, in milliseconds. */
+  readonly silenceMs: number;
+  /** Timeout for the complete response, in milliseconds. */
+  readonly maxMs: number;
+  /**
+   * Called whenever bytes of the body arrive.
+   * @param bytes - Bytes of the body received so far.
+   */
+  readonly onBytes?: (bytes: number) => void;
+}
+
 /** An HTTP request with an optional JSON body. */
 export interface HttpRequest {
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   readonly url: string;
   readonly json?: unknown;
   readonly headers?: Readonly<Record<string, string>>;
-  /** Timeout for the complete response, in milliseconds. */
+  /**
+   * Timeout for the complete response, in milliseconds; with `progress`, for the first
+   * bytes of its body.
+   */
   readonly timeoutMs: number;
+  /** Limits the time without received bytes, rather than the time of the whole body. */
+  readonly progress?: ProgressTimeouts;
   /**
    * Whether a request must not reach the server after it has timed out; its connection is
    * then reset. A connection that is closed normally still delivers data that was held
@@ -49,17 +67,27 @@
   request: HttpRequest,
 ): Promise<Result<HttpResponse, HttpFailure>> {
   const timeoutReset = new TimeoutReset(request);
+  const progressTimeout = new ProgressTimeout(request);
   try {
     const call = got(request.url, {
       method: request.method,
       ...(request.json === undefined ? {} : {json: request.json}),
       headers: {...request.headers},
-      timeout: request.recalls === true ? {} : {request: request.timeoutMs},
+      timeout: getTimeout(request),
+      ...(request.progress === undefined
+        ? {}
+        : {signal: progressTimeout.signal}),
       retry: {limit: 0},
       throwHttpErrors: false,
       followRedirect: false,
     });
     void call.on('request', sent => timeoutReset.start(sent));
+    if (request.progress !== undefined) {
+      progressTimeout.start();
+      void call.on('downloadProgress', ({transferred}) =>
+        progressTimeout.addBytes(transferred),
+      );
+    }
     const response = await call;
     return Result.ok({
       status: response.statusCode,
@@ -67,9 +95,62 @@
       body: parseJson(response.body),
     });
   } catch (error) {
-    return Result.err(timeoutReset.failure ?? toHttpFailure(error));
+    return Result.err(
+      timeoutReset.failure ?? progressTimeout.failure ?? toHttpFailure(error),
+    );
   } finally {
     timeoutReset.stop();
+    progressTimeout.stop();
+  }
+}
+
+function getTimeout(request: HttpRequest): {request?: number} {
+  if (request.recalls === true) {
+    return {};
+  }
+  return {request: request.progress?.maxMs ?? request.timeoutMs};
+}
+
+/** Aborts a request whose response has not begun or does not continue in time. */
+class ProgressTimeout {
+  /** Set once the request has timed out. */
+  failure: HttpFailure | undefined;
+  private readonly controller = new AbortController();
+  private timer: NodeJS.Timeout | undefined;
+  private receivedBytes = 0;
+
+  constructor(private readonly request: HttpRequest) {}
+
+  /** Aborted on a timeout. */
+  get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  start(): void {
+    this.wait(this.request.timeoutMs);
+  }
+
+  addBytes(receivedBytes: number): void {
+    const {progress} = this.request;
+    if (progress === undefined || receivedBytes <= this.receivedBytes) {
+      return;
+    }
+    this.receivedBytes = receivedBytes;
+    this.wait(progress.silenceMs);
+    progress.onBytes?.(receivedBytes);
+  }
+
+  stop(): void {
+    clearTimeout(this.timer);
+  }
+
+  private wait(ms: number): void {
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => {
+      const detail = `no bytes received for ${ms} ms after ${this.receivedBytes} bytes`;
+      this.failure = {unreached: false, detail};
+      this.controller.abort();
+    }, ms);
   }
 }
 
--- a/src/peer/frame.ts
+++ b/src/peer/frame.ts
@@ -18,6 +18,9 @@
   return frame;
 }
 
+/** Body size from which a frame counts as long, in bytes: 52 ms at 10 Mbit/s. */
+const LONG_FRAME_BYTES = 65_536;
+
 /** Splits a byte stream into frames and decodes them. */
 export class FrameReader {
   private buffered: Buffer[] = [];
@@ -67,6 +70,16 @@
     }
   }
 
+  /** Returns whether a long frame has been received in part. */
+  isReadingLongFrame(): boolean {
+    const first = this.buffered[0];
+    return (
+      first !== undefined &&
+      first.length >= HEADER_BYTES &&
+      first.readUInt32BE(0) >= LONG_FRAME_BYTES
+    );
+  }
+
   private join(): Buffer {
     if (this.buffered.length === 1 && this.buffered[0] !== undefined) {
       return this.buffered[0];
--- a/src/peer/peer_connection.ts
+++ b/src/peer/peer_connection.ts
@@ -19,6 +19,11 @@
 /** Largest frame accepted before the peer is authenticated, in bytes. */
 const HANDSHAKE_MAX_FRAME_BYTES = 1024;
 const HANDSHAKE_TIMEOUT_MS = 2000;
+/**
+ * Time by which the timeout of a request is extended at most while a long frame arrives
+ * before its reply, in milliseconds: 4 MiB take 3.4 s at 10 Mbit/s.
+ */
+const MAX_EXTENSION_MS = 5000;
 
 /**
  * Handles one request of a peer. It may send parts before it returns the reply;
@@ -108,7 +113,8 @@
   /**
    * Sends a request and waits for its reply.
    * @param body - The request.
-   * @param timeoutMs - How long to wait for the reply, in milliseconds.
+   * @param timeoutMs - How long to wait for the reply, in milliseconds. While bytes of a
+   *   long frame arrive, the time counts from the last ones, up to `MAX_EXTENSION_MS`.
    * @param onPart - Called for each part that arrives before the reply.
    * @param signal - Cancels the request, also at the peer.
    */
@@ -138,7 +144,7 @@
         once: true,
         signal: done.signal,
       });
-      void this.options.clock.sleep(timeoutMs, done.signal).then(() => {
+      void this.waitWithoutProgress(timeoutMs, done.signal).then(() => {
         if (!done.signal.aborted) {
           abandon(`no reply within ${timeoutMs} ms`);
         }
@@ -151,6 +157,25 @@
     return result;
   }
 
+  /** Waits until a time has passed in which no bytes of a long frame arrived. */
+  private async waitWithoutProgress(
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clock} = this.options;
+    const endMs = clock.monotonicMs() + timeoutMs;
+    await clock.sleep(timeoutMs, signal);
+    while (!signal.aborted && this.reader.isReadingLongFrame()) {
+      const silentMs = this.lastReceivedMs + timeoutMs;
+      const leftMs =
+        Math.min(silentMs, endMs + MAX_EXTENSION_MS) - clock.monotonicMs();
+      if (leftMs <= 0) {
+        return;
+      }
+      await clock.sleep(leftMs, signal);
+    }
+  }
+
   /**
    * Closes the connection. Requests without a reply fail with
    * `PeerFailureKind.SENT`; requests of the peer are aborted.
--- a/src/peering/index.ts
+++ b/src/peering/index.ts
@@ -12,3 +12,4 @@
 export {ReadAge} from './read_age.js';
 export {TableReading} from './table_reading.js';
 export type {TableReadingOptions} from './table_reading.js';
+export {RowMessages, rowsSchema} from './row_messages.js';
--- a/src/peering/peer_messages.ts
+++ b/src/peering/peer_messages.ts
@@ -5,6 +5,7 @@
 import {PeerIdentity} from '../peer/index.js';
 import {createSuspectMessages, SuspectPage} from '../quarantine/index.js';
 import {rolloutReportSchema} from '../rollout/index.js';
+import {bulkAbilitySchema, segmentRequestSchema} from '../transfer/index.js';
 import {ReportReceiver} from './report_receiver.js';
 import {
   Acknowledgement,
@@ -32,7 +33,10 @@
     replica: z.string(),
     /** Version up to which the sender has all changes. */
     after: z.number().int().min(0),
+    /** What the sender understands in the reply; absent for the previous release. */
+    ability: bulkAbilitySchema.optional(),
   }),
+  segmentRequestSchema,
   // Requests the counts of requests that began in a window, of all known hosts.
   z.object({kind: z.literal('usage'), window: z.number().int().min(0)}),
   rowsSchema,
@@ -164,7 +168,13 @@
       case 'usage':
         return this.usage.list(message.window);
       case 'news':
-        return this.rows.listUpdates(message.replica, message.after);
+        return this.rows.listUpdates(
+          message.replica,
+          message.after,
+          message.ability,
+        );
+      case 'segment':
+        return this.options.bulk?.outgoing.readSegment(message) ?? {};
       case 'rows':
         this.rows.receive(from.host, message);
         return {};
--- a/src/peering/peer_messages_options.ts
+++ b/src/peering/peer_messages_options.ts
@@ -8,6 +8,7 @@
 import {RowReplica} from '../replica/index.js';
 import {RolloutReply, RolloutReport} from '../rollout/index.js';
 import {Clock} from '../time/index.js';
+import {BulkTransfer} from '../transfer/index.js';
 import {HostUsage, ReferenceTime, UsageLedger} from '../usage/index.js';
 import {HostAddress} from './host_address.js';
 import {HostReports} from './host_reports.js';
@@ -48,4 +49,6 @@
   readonly holdsDuties: () => boolean;
   readonly requestPeer: Peers['request'];
   readonly listConnected: Peers['listConnected'];
+  /** Transfers large rows; absent if this host does not. */
+  readonly bulk?: BulkTransfer;
 }
--- a/src/peering/row_messages.ts
+++ b/src/peering/row_messages.ts
@@ -1,3 +1,4 @@
+import {Result} from 'true-myth';
 import {z} from 'zod';
 import {Log} from '../log/index.js';
 import {Metrics} from '../metrics/index.js';
@@ -11,6 +12,12 @@
   ForwardPosition,
 } from '../replica/index.js';
 import {Clock} from '../time/index.js';
+import {
+  BulkAbility,
+  BulkChanges,
+  BulkTransfer,
+  FetchSource,
+} from '../transfer/index.js';
 import {ReadAge} from './read_age.js';
 
 /** Reply to a request for a replica that does not exist. */
@@ -38,6 +45,12 @@
   replicaStateSchema,
 );
 
+/** A peer that has rows which this host lacks. */
+interface WaitingPeer {
+  readonly host: string;
+  readonly state: ReplicaState;
+}
+
 /** Dependencies of the messages with table rows. */
 export interface RowMessagesOptions {
   readonly clock: Clock;
@@ -48,6 +61,8 @@
   /** Times at which the replicas last matched the tables. */
   readonly readAge: ReadAge;
   readonly requestPeer: Peers['request'];
+  /** Transfers large rows; absent if this host does not. */
+  readonly bulk?: BulkTransfer;
   /**
    * Returns the connected peers that are sent new rows at once.
    * @param isFirst - Whether this host has read the rows from the table, so that no
@@ -63,7 +78,10 @@
  * requests the missing rows. In addition, new rows are forwarded at once.
  */
 export class RowMessages {
-  private readonly pulling = new Set<string>();
+  /** Peer that is being asked, by replica. */
+  private readonly pulling = new Map<string, string>();
+  /** Last peer found ahead during a request, preferably to another one, by replica. */
+  private readonly waiting = new Map<string, WaitingPeer>();
   /** Position up to which changes were forwarded, by replica. */
   private readonly forwarded = new Map<string, ForwardPosition>();
   /** Replicas whose changes are being collected, and whether this host read any of them. */
@@ -100,14 +118,22 @@
    * Answers a peer's request for updates.
    * @param name - Name of the replica.
    * @param after - Version up to which the peer is complete.
+   * @param ability - What the peer understands; `undefined` for the previous release.
    */
-  listUpdates(name: string, after: number): RowChanges {
+  async listUpdates(
+    name: string,
+    after: number,
+    ability: BulkAbility | undefined,
+  ): Promise<BulkChanges> {
     const replica = this.options.replicas.get(name);
     if (replica === undefined) {
       return NO_CHANGES;
     }
-    const changes = replica.listChangesSince(after);
-    return {...changes, state: this.getStateWithAge(name, replica)};
+    const changes = {
+      ...replica.listChangesSince(after),
+      state: this.getStateWithAge(name, replica),
+    };
+    return this.getBulk()?.outgoing.pack(name, changes, ability) ?? changes;
   }
 
   /**
@@ -130,7 +156,7 @@
       this.reportDifference(name, replica, state, host);
       this.adoptAge(name, replica, state, sentMs);
       if (isBehind(replica, state)) {
-        void this.pull(name, replica, host);
+        void this.pull(name, replica, {host, state});
       }
     }
   }
@@ -146,7 +172,7 @@
     }
     const isComplete = replica.addPeerChanges(changes, `peer:${host}`);
     if (!isComplete && isBehind(replica, changes.state)) {
-      void this.pull(name, replica, host);
+      void this.pull(name, replica, {host, state: changes.state});
     }
   }
 
@@ -175,7 +201,7 @@
     const body: z.input<typeof rowsSchema> = {
       kind: 'rows',
       replica: name,
-      changes,
+      changes: this.getBulk()?.outgoing.announce(name, changes) ?? changes,
     };
     for (const host of this.options.listReceivers(isFirst)) {
       void this.options.requestPeer(host, body, PULL_TIMEOUT_MS);
@@ -213,29 +239,74 @@
   private async pull(
     name: string,
     replica: RowReplica,
-    host: string,
+    peer: WaitingPeer,
   ): Promise<void> {
-    if (this.pulling.has(name)) {
+    const bulk = this.getBulk();
+    const asked = this.pulling.get(name);
+    if (asked !== undefined) {
+      if (peer.host !== asked || !this.waiting.has(name)) {
+        this.waiting.set(name, peer);
+      }
       return;
     }
-    this.pulling.add(name);
-    const body = {kind: 'news', replica: name, after: replica.getVersion()};
+    if (bulk?.progress.isProgressing(name, FetchSource.STORE) === true) {
+      // Later heartbeats cause a request if the store does not give what the peer has.
+      return;
+    }
+    const {host} = peer;
+    this.pulling.set(name, host);
+    this.waiting.delete(name);
     const sentMs = this.options.clock.monotonicMs();
-    const reply = await this.options.requestPeer(host, body, PULL_TIMEOUT_MS);
+    const changes =
+      bulk === undefined
+        ? await this.pullPlain(name, replica, host)
+        : await bulk.incoming.pull(host, name, replica);
     this.pulling.delete(name);
-    const changes = rowChangesSchema.safeParse(reply.unwrapOr(undefined));
-    if (!changes.success) {
-      this.options.log.warn('pull_failed', {
-        peer: host,
-        table: name,
-        detail: reply.isErr
-          ? reply.error.message
-          : 'reply does not match the schema',
-      });
-      return;
+    if (changes.isErr) {
+      const {error: detail} = changes;
+      this.options.log.warn('pull_failed', {peer: host, table: name, detail});
+    } else {
+      replica.addPeerChanges(changes.value, `peer:${host}`);
+      this.adoptAge(name, replica, changes.value.state, sentMs);
     }
-    replica.addPeerChanges(changes.data, `peer:${host}`);
-    this.adoptAge(name, replica, changes.data.state, sentMs);
+    const next = this.waiting.get(name);
+    if (bulk !== undefined && next !== undefined) {
+      this.pullFromNext(name, replica, next);
+    }
+  }
+
+  /** Requests what a peer has announced during a request that did not give it. */
+  private pullFromNext(
+    name: string,
+    replica: RowReplica,
+    next: WaitingPeer,
+  ): void {
+    this.waiting.delete(name);
+    if (isBehind(replica, next.state)) {
+      void this.pull(name, replica, next);
+    }
+  }
+
+  private async pullPlain(
+    name: string,
+    replica: RowReplica,
+    host: string,
+  ): Promise<Result<RowChanges, string>> {
+    const body = {kind: 'news', replica: name, after: replica.getVersion()};
+    const reply = await this.options.requestPeer(host, body, PULL_TIMEOUT_MS);
+    if (reply.isErr) {
+      return Result.err(reply.error.message);
+    }
+    const changes = rowChangesSchema.safeParse(reply.value);
+    return changes.success
+      ? Result.ok(changes.data)
+      : Result.err('reply does not match the schema');
+  }
+
+  /** Returns the transfer of large rows if it is on. */
+  private getBulk(): BulkTransfer | undefined {
+    const {bulk} = this.options;
+    return bulk?.isEnabled() === true ? bulk : undefined;
   }
 
   private getStateWithAge(name: string, replica: RowReplica): ReplicaState {
--- a/src/peering/table_reading.ts
+++ b/src/peering/table_reading.ts
@@ -14,6 +14,8 @@
   readonly knowsOthers: () => boolean;
   /** Time within which a table's content must be known on every host, in ms. */
   readonly getPropagationMs: () => number;
+  /** Returns whether rows of a table are arriving from a peer; by default, none are. */
+  readonly isReceiving?: (table: string) => boolean;
 }
 
 /**
@@ -85,6 +87,9 @@
     if (readAge.getReportedMs(table) < this.getMaxReportedMs()) {
       return true;
     }
+    if (this.options.isReceiving?.(table) === true) {
+      return true;
+    }
     return ageMs < this.spreadMs || this.isPaused(table);
   }
 
--- a/src/relay_host/bind_peering.ts
+++ b/src/relay_host/bind_peering.ts
@@ -1,5 +1,6 @@
 import {Container, ResolutionContext} from 'inversify';
 import {bind} from '../container/index.js';
+import {Feature, Features} from '../features/index.js';
 import {Fleet} from '../fleet/index.js';
 import {Duty} from '../lease/index.js';
 import {ServerLimits} from '../limits/index.js';
@@ -15,6 +16,7 @@
 import {Quarantine} from '../quarantine/index.js';
 import {RolloutDriver} from '../rollout/index.js';
 import {Quota} from '../quota/index.js';
+import {BulkTransfer, FetchProgress} from '../transfer/index.js';
 import {HostUsage, ReferenceTime, UsageLedger} from '../usage/index.js';
 import {createPeerKey} from './create_peer_key.js';
 import {ShutdownState} from './shutdown_state.js';
@@ -37,7 +39,11 @@
  * milliseconds.
  */
 const HEARTBEAT_TIMEOUT_MS = 1200;
-const MAX_FRAME_BYTES = 4_194_304;
+/**
+ * Largest frame accepted, in bytes. Hosts of the previous release send a row of up to
+ * 4 MiB in one frame.
+ */
+const MAX_FRAME_BYTES = 8_388_608;
 
 /** Binds the connections to other hosts and the messages exchanged on them. */
 export function bindPeering(container: Container): void {
@@ -76,11 +82,34 @@
       holdsDuties: () => container.get(Duty).isHeld(),
       requestPeer: (...request) => container.get(Peers).request(...request),
       listConnected: () => container.get(Peers).listConnected(),
+      bulk: context.get(BulkTransfer),
     });
   });
+  bindTransfer(container);
   bind(container, Peers, context => createPeers(container, context));
 }
 
+/** Binds the transfer of large rows. */
+function bindTransfer(container: Container): void {
+  bind(
+    container,
+    FetchProgress,
+    context => new FetchProgress(context.get(CLOCK)),
+  );
+  bind(container, BulkTransfer, context => {
+    const features = context.get(Features);
+    return new BulkTransfer({
+      clock: context.get(CLOCK),
+      log: context.get(LOG),
+      metrics: context.get(Metrics),
+      progress: context.get(FetchProgress),
+      isEnabled: () => features.isEnabled(Feature.BULK_TRANSFER),
+      getLinkMbps: () => container.get(GET_SETTINGS)().linkMbps,
+      requestPeer: (...request) => container.get(Peers).request(...request),
+    });
+  });
+}
+
 function createPeers(container: Container, context: ResolutionContext): Peers {
   const self = context.get(SELF);
   const knownHosts = context.get(KnownHosts);
--- a/src/replica/row_replica.ts
+++ b/src/replica/row_replica.ts
@@ -127,6 +127,21 @@
     return this.rows.get(key)?.row.text;
   }
 
+  /**
+   * Lists the rows whose text has a minimum length.
+   * @param minLength - The length, in UTF-16 code units.
+   */
+  listLongTexts(minLength: number): {key: string; text: string}[] {
+    const long: {key: string; text: string}[] = [];
+    for (const {row} of this.rows.values()) {
+      const {key, text} = row;
+      if (text !== undefined && text.length >= minLength) {
+        long.push({key, text});
+      }
+    }
+    return long;
+  }
+
   /**
    * Lists the rows whose significant content changed after a version, or the whole table
    * if removals after that version may have been missed or dropped.
