Test the transfer of large rows and each of its failures

Frames are joined once rather than for every received chunk, and the sender logs and counts what it encodes.

--- a/src/peer/frame.ts
+++ b/src/peer/frame.ts
@@ -49,16 +49,17 @@
     if (this.bufferedBytes < HEADER_BYTES) {
       return Result.ok(undefined);
     }
-    const all = this.join();
-    const length = all.readUInt32BE(0);
+    const length = this.readHeader();
     if (length > this.limitBytes) {
       return Result.err(
         `frame of ${length} bytes exceeds the limit of ${this.limitBytes} bytes`,
       );
     }
-    if (all.length < HEADER_BYTES + length) {
+    if (this.bufferedBytes < HEADER_BYTES + length) {
       return Result.ok(undefined);
     }
+    // Joined once for each frame: for each chunk, a frame of 4 MiB would be copied 64 times.
+    const all = this.join();
     const body = all.subarray(HEADER_BYTES, HEADER_BYTES + length);
     const rest = all.subarray(HEADER_BYTES + length);
     this.buffered = rest.length === 0 ? [] : [rest];
@@ -80,6 +81,13 @@
     );
   }
 
+  private readHeader(): number {
+    const first = this.buffered[0];
+    return first !== undefined && first.length >= HEADER_BYTES
+      ? first.readUInt32BE(0)
+      : this.join().readUInt32BE(0);
+  }
+
   private join(): Buffer {
     if (this.buffered.length === 1 && this.buffered[0] !== undefined) {
       return this.buffered[0];
--- a/src/slopes/index.ts
+++ b/src/slopes/index.ts
@@ -6,3 +6,5 @@
 export {measureLimits} from './measure_limits.js';
 export {measureLeaving, measureSlopes} from './measure_slopes.js';
 export {measureTransfer} from './measure_transfer.js';
+export {SimulatedHosts, SIMULATED_TABLE} from './simulated_hosts.js';
+export type {SimulatedHost, SimulatedMessage} from './simulated_hosts.js';
--- a/src/transfer/outgoing_rows.ts
+++ b/src/transfer/outgoing_rows.ts
@@ -1,3 +1,5 @@
+import {Log} from '../log/index.js';
+import {Metrics} from '../metrics/index.js';
 import {RowChanges, VersionedRow} from '../replica/index.js';
 import {Clock} from '../time/index.js';
 import {
@@ -22,6 +24,8 @@
 /** Dependencies of the rows that a host sends. */
 export interface OutgoingRowsOptions {
   readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
   readonly compression: Compression;
   readonly texts: RetainedTexts;
   /** Returns the speed of this host's link in Mbit/s; `undefined` if unknown. */
@@ -37,14 +41,25 @@
  * closes the connection, and with it that host's heartbeats fail.
  */
 const MAX_PLAIN_LENGTH = 4_000_000;
+const DELAYED_METRIC = 'segments_delayed';
 
 /** Encodes the long texts of rows, once for all receivers, and sends them in segments. */
 export class OutgoingRows {
   private readonly contents = new ContentCache();
   private readonly pacer: SegmentPacer;
+  private sentBytes = 0;
 
   constructor(private readonly options: OutgoingRowsOptions) {
     this.pacer = new SegmentPacer(options.clock, options.getLinkMbps);
+    options.metrics.addCounter(
+      DELAYED_METRIC,
+      'Segments that peers were told to request later, as the link is busy',
+    );
+    options.metrics.addGauge(
+      'long_rows_sent_bytes',
+      'Bytes of the encoded long rows sent to peers since the start',
+      () => this.sentBytes,
+    );
   }
 
   /**
@@ -74,6 +89,7 @@
       const {data, ...described} = await this.encode(table, row, held);
       const isInline = data.length <= inlineBytes;
       inlineBytes -= isInline ? data.length : 0;
+      this.sentBytes += isInline ? data.length : 0;
       encoded.push(isInline ? {...described, data} : described);
     }
     const rows = changes.rows.filter(row => !isLong(row));
@@ -111,11 +127,13 @@
     }
     const {delayMs, isReserved} = this.pacer.reserve(data.length);
     if (!isReserved) {
+      this.options.metrics.increment(DELAYED_METRIC);
       return {waitMs: delayMs};
     }
     if (delayMs > 0) {
       await this.options.clock.sleep(delayMs);
     }
+    this.sentBytes += data.length;
     return {data};
   }
 
@@ -131,7 +149,9 @@
     if (held !== undefined && base !== undefined) {
       const content = `${hash}-${held}`;
       const data = await this.contents.getOrMake(content, () =>
-        encodeDifference(compression, base, text),
+        this.logMade(name, 'difference', text, () =>
+          encodeDifference(compression, base, text),
+        ),
       );
       if (data !== undefined) {
         const bytes = data.length;
@@ -139,13 +159,33 @@
       }
     }
     const data = await this.contents.getOrMake(hash, () =>
-      encodeWhole(compression, text),
+      this.logMade(name, 'whole', text, () => encodeWhole(compression, text)),
     );
     if (data === undefined || data.length > MAX_CONTENT_BYTES) {
       throw new Error(`row ${key} is too large to be sent`);
     }
     return {key, version, hash, content: hash, bytes: data.length, data};
   }
+
+  private async logMade(
+    row: string,
+    encoding: string,
+    text: string,
+    make: () => Promise<Uint8Array | undefined>,
+  ): Promise<Uint8Array | undefined> {
+    const {clock, log} = this.options;
+    const startMs = clock.monotonicMs();
+    const content = await make();
+    log.info('long_row_encoded', {
+      row,
+      encoding,
+      characters: text.length,
+      // Without bytes, the texts have too little in common for a difference.
+      bytes: content?.length,
+      ms: Math.round(clock.monotonicMs() - startMs),
+    });
+    return content;
+  }
 }
 
 /** Rows beyond the receiver's limit are sent plain, as by the previous release. */
--- a/test/http/http_request_test.ts
+++ b/test/http/http_request_test.ts
@@ -60,4 +60,41 @@
     });
     expect(answer.isErr && answer.error.unreached).to.equal(true);
   });
+
+  describe('with timeouts of progress', () => {
+    /** Sends a piece of a body every 20 ms; returns the answer to a request for it. */
+    async function send(pieces: number, maxMs: number): Promise<string> {
+      const {port} = server.address() as AddressInfo;
+      const call = sendJson({
+        method: 'GET',
+        url: `http://127.0.0.1:${port}/`,
+        timeoutMs: 80,
+        progress: {silenceMs: 80, maxMs},
+      });
+      const socket = await accepted;
+      socket.on('error', () => undefined);
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n"');
+      for (let piece = 0; piece < pieces; piece++) {
+        await new Promise(resolve => setTimeout(resolve, 20));
+        socket.write('x');
+      }
+      if (pieces === 10) {
+        socket.write('"');
+      }
+      const answer = await call;
+      return answer.isErr ? answer.error.detail : String(answer.value.body);
+    }
+
+    it('waits for a large body while bytes arrive', async () => {
+      expect(await send(10, 5000)).to.equal('x'.repeat(10));
+    });
+
+    it('fails if the body stops midway', async () => {
+      expect(await send(3, 5000)).to.match(/no bytes received for 80 ms/);
+    });
+
+    it('fails after the time for the whole response, though bytes arrive', async () => {
+      expect(await send(9, 100)).to.match(/100ms|100 ms/);
+    });
+  });
 });
--- a/test/peering/table_reading_test.ts
+++ b/test/peering/table_reading_test.ts
@@ -25,9 +25,12 @@
 
 describe('TableReading', () => {
   let clock: VirtualClock;
+  /** Tables whose rows are arriving from a peer. */
+  let receiving: Set<string>;
 
   beforeEach(() => {
     clock = new VirtualClock();
+    receiving = new Set();
   });
 
   function createReading(count: number, index: number) {
@@ -54,6 +57,7 @@
       readAge,
       knowsOthers: () => true,
       getPropagationMs: () => NEWS_MS,
+      isReceiving: table => receiving.has(table),
     });
     return {known, readAge, reading};
   }
@@ -113,6 +117,16 @@
     expect(reading.canSkip('catalog')).to.equal(false);
   });
 
+  it('does not read a table that arrives from a peer, but reads once all peers are behind', async () => {
+    const {reading} = createReading(60, 30);
+    await clock.advance(5000);
+    receiving.add('catalog');
+    expect(reading.canSkip('catalog')).to.equal(true);
+    expect(reading.canSkip('servers')).to.equal(false);
+    receiving.clear();
+    expect(reading.canSkip('catalog')).to.equal(false);
+  });
+
   it('does not delay the next reading after a successful one when the age from peers expires', async () => {
     const {readAge, reading} = createReading(60, 30);
     await clock.advance(5000);
--- a/test/platform/fakes/test_system.ts
+++ b/test/platform/fakes/test_system.ts
@@ -1,6 +1,7 @@
 import {request as openRequest} from 'node:http';
 import {createServer, Server} from 'node:http';
 import {AddressInfo} from 'node:net';
+import {FeatureModes} from '../../../src/features/index.js';
 import {SilentLog} from '../../../src/log/index.js';
 import {RelayHost} from '../../../src/relay_host/index.js';
 import {SystemClock} from '../../../src/time/index.js';
@@ -34,6 +35,8 @@
   readonly callers: string;
   readonly ready: string;
   readonly metrics: string;
+  /** Address for other hosts. */
+  readonly peers: string;
 }
 
 /** Creates the script of a server. */
@@ -147,6 +150,7 @@
   async startHost(
     name: string,
     seeds: readonly string[] = [],
+    featureModes: FeatureModes = new Map(),
   ): Promise<RunningHost> {
     const [front, ready, control, first, last] = await findFreePorts(5);
     const text = `
@@ -185,12 +189,14 @@
       log,
       source: new SettingsSource('/nonexistent', settings, clock, log),
       incarnation: `${name}-1`,
+      featureModes,
     });
     await host.start();
     const running = {
       host,
       callers: settings.callersAddress,
       ready: settings.readyAddress,
+      peers: settings.peersAddress,
       metrics: settings.metricsAddress,
     };
     this.hosts.push(running);
