--- a/src/transfer/text_difference.ts
+++ b/src/transfer/text_difference.ts
@@ -3,29 +3,47 @@
 
 /** Characters that are compared at once. */
 const STRIDE = 4096;
-/** Ends a piece; in JSON, pieces are then about as long as the innermost objects. */
+/** Place after which a common range may begin again; in JSON, the end of an object. */
 const SEPARATOR = '}';
-/** Most pieces compared; beyond that, memory use and time are no longer small. */
-const MAX_PIECES = 50_000;
-/** Shortest range worth copying, in characters. */
-const MIN_COPY_LENGTH = 24;
+/**
+ * Length of the text that must be the same for a range to count as common again. Shorter
+ * ones occur in many objects of the same kind.
+ */
+const ANCHOR_LENGTH = 64;
+/** How far ahead in the base a common range is searched, in characters. */
+const SEARCH_LENGTH = 262_144;
+/**
+ * Most searches in all. Texts that need more have little in common, and the searches
+ * block the event loop.
+ */
+const MAX_SEARCHES = 1000;
 
 /**
- * Describes a text by what it has in common with a base: the common start and end, and
- * in between the pieces that occur in the base.
+ * Describes a text by the ranges that it has in common with a base, in the same order.
+ * Texts that differ in few places give short descriptions.
  */
 export function createDifference(base: string, text: string): DifferencePart[] {
-  const start = countCommonStart(base, text);
+  const start = countCommonStart(base, 0, text, 0);
   const end = countCommonEnd(base, text, start);
   const parts = new PartList();
   parts.addCopy(0, start);
-  const basePieces = split(base, start, base.length - end);
-  const textPieces = split(text, start, text.length - end);
-  if (basePieces === undefined || textPieces === undefined) {
-    parts.addText(text.slice(start, text.length - end));
-  } else {
-    addPieces(parts, base, basePieces, textPieces);
+  const search = new RangeSearch(base, text, base.length - end);
+  const textEnd = text.length - end;
+  let position: RangePosition = {base: start, text: start};
+  while (position.text < textEnd) {
+    const next = search.findNext(position);
+    if (next === undefined || next.text >= textEnd) {
+      break;
+    }
+    parts.addText(text.slice(position.text, next.text));
+    const length = Math.min(
+      countCommonStart(base, next.base, text, next.text),
+      textEnd - next.text,
+    );
+    parts.addCopy(next.base, length);
+    position = {base: next.base + length, text: next.text + length};
   }
+  parts.addText(text.slice(position.text, textEnd));
   parts.addCopy(base.length - end, end);
   return parts.list;
 }
@@ -62,16 +80,71 @@
     : base.slice(offset, offset + length);
 }
 
-function countCommonStart(a: string, b: string): number {
-  const limit = Math.min(a.length, b.length);
+/** Offsets in both texts. */
+interface RangePosition {
+  readonly base: number;
+  readonly text: number;
+}
+
+/** Finds where the next range begins that two texts have in common. */
+class RangeSearch {
+  private searches = 0;
+
+  /**
+   * @param base - Base of the difference.
+   * @param text - The text.
+   * @param baseEnd - Offset in the base at which the search ends.
+   */
+  constructor(
+    private readonly base: string,
+    private readonly text: string,
+    private readonly baseEnd: number,
+  ) {}
+
+  /** Returns the next common range; `undefined` if none was found. */
+  findNext(from: RangePosition): RangePosition | undefined {
+    const {base, text} = this;
+    const end = Math.min(from.base + SEARCH_LENGTH, this.baseEnd);
+    const searched = base.slice(from.base, end);
+    let offset = from.text;
+    while (offset + ANCHOR_LENGTH <= text.length) {
+      if (++this.searches > MAX_SEARCHES) {
+        return undefined;
+      }
+      const anchor = text.slice(offset, offset + ANCHOR_LENGTH);
+      const found = searched.indexOf(anchor);
+      if (found >= 0) {
+        return {base: from.base + found, text: offset};
+      }
+      const separator = text.indexOf(SEPARATOR, offset);
+      if (separator < 0) {
+        return undefined;
+      }
+      offset = separator + 1;
+    }
+    return undefined;
+  }
+}
+
+function countCommonStart(
+  a: string,
+  aStart: number,
+  b: string,
+  bStart: number,
+): number {
+  const limit = Math.min(a.length - aStart, b.length - bStart);
   let count = 0;
   while (
     count + STRIDE <= limit &&
-    a.slice(count, count + STRIDE) === b.slice(count, count + STRIDE)
+    a.slice(aStart + count, aStart + count + STRIDE) ===
+      b.slice(bStart + count, bStart + count + STRIDE)
   ) {
     count += STRIDE;
   }
-  while (count < limit && a.charCodeAt(count) === b.charCodeAt(count)) {
+  while (
+    count < limit &&
+    a.charCodeAt(aStart + count) === b.charCodeAt(bStart + count)
+  ) {
     count++;
   }
   return count;
@@ -97,62 +170,10 @@
   return count;
 }
 
-/** A piece of a text and its offset. */
-interface Piece {
-  readonly offset: number;
-  readonly text: string;
-}
-
-/** Splits a range after each separator; `undefined` if there are too many pieces. */
-function split(text: string, from: number, to: number): Piece[] | undefined {
-  const pieces: Piece[] = [];
-  let offset = from;
-  while (offset < to) {
-    if (pieces.length === MAX_PIECES) {
-      return undefined;
-    }
-    const found = text.indexOf(SEPARATOR, offset);
-    const end = found < 0 ? to : Math.min(found + 1, to);
-    pieces.push({offset, text: text.slice(offset, end)});
-    offset = end;
-  }
-  return pieces;
-}
-
-function addPieces(
-  parts: PartList,
-  base: string,
-  basePieces: readonly Piece[],
-  textPieces: readonly Piece[],
-): void {
-  const offsets = new Map(basePieces.map(piece => [piece.text, piece.offset]));
-  for (const {text} of textPieces) {
-    const next = parts.getNextOffset();
-    if (next !== undefined && base.startsWith(text, next)) {
-      parts.addCopy(next, text.length);
-      continue;
-    }
-    const offset = offsets.get(text);
-    if (offset === undefined || text.length < MIN_COPY_LENGTH) {
-      parts.addText(text);
-    } else {
-      parts.addCopy(offset, text.length);
-    }
-  }
-}
-
 /** Collects parts and joins adjacent ones. */
 class PartList {
   readonly list: DifferencePart[] = [];
 
-  /** Returns the offset after the last part; `undefined` if that is not a range. */
-  getNextOffset(): number | undefined {
-    const last = this.list.at(-1);
-    return last === undefined || typeof last === 'string'
-      ? undefined
-      : last[0] + last[1];
-  }
-
   addCopy(offset: number, length: number): void {
     const last = this.list.at(-1);
     if (length === 0) {
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -15,6 +15,7 @@
   readonly runs: number;
   readonly minutes?: number;
   readonly hosts: number;
+  readonly routes: number;
   readonly seconds: number;
   readonly schedule?: string;
   readonly print?: boolean;
@@ -48,6 +49,9 @@
   })
   .option('--minutes <n>', 'Run seeds for this number of minutes instead')
   .option('--hosts <n>', 'Number of entry hosts, from 1 to 60', {default: 3})
+  .option('--routes <n>', 'Unused routes that make the configuration large', {
+    default: 0,
+  })
   .option('--seconds <n>', 'Duration of the traffic in a run', {default: 15})
   .option('--schedule <file>', 'Run the schedule that a failed run saved')
   .option('--print', 'Print the schedule of the seed without running it')
@@ -110,7 +114,9 @@
     return JSON.parse(await readFile(options.schedule, 'utf8')) as Schedule;
   }
   const lengthMs = Number(options.seconds) * MS_PER_SECOND;
-  return drawSchedule(seed, Number(options.hosts), lengthMs);
+  const schedule = drawSchedule(seed, Number(options.hosts), lengthMs);
+  const routes = Number(options.routes);
+  return routes > 0 ? {...schedule, routes} : schedule;
 }
 
 /** Runs one schedule; returns whether a guarantee was violated. */
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -68,6 +68,8 @@
   readonly seed: number;
   readonly hosts: number;
   readonly servers: number;
+  /** Routes in addition, which make the configuration large; by default none. */
+  readonly routes?: number;
   /** Duration of the traffic, in milliseconds. */
   readonly lengthMs: number;
   readonly faults: readonly Fault[];
--- a/test/soak/soak_system.ts
+++ b/test/soak/soak_system.ts
@@ -10,6 +10,7 @@
 export interface SoakSize {
   readonly hosts: number;
   readonly servers: number;
+  readonly routes?: number;
 }
 
 export const CUSTOMER = 'guild';
@@ -285,6 +286,9 @@
         createRoute('/o/', {kind: 'non_idempotent', max_attempts: 1}),
         createRoute('/s/', {kind: 'streaming', resumable: true}),
         createRoute(this.extraRoute, {kind: 'idempotent'}),
+        ...Array.from({length: this.size.routes ?? 0}, (_unused, index) =>
+          createRoute(`/unused-${index}/`, {kind: 'idempotent'}),
+        ),
       ],
       services: [{name: SERVICE, max_connections: 500}],
       tenants: [
--- a/test/transfer/text_codec_test.ts
+++ b/test/transfer/text_codec_test.ts
@@ -16,7 +16,9 @@
 
 describe('text difference', () => {
   const text = fc
-    .array(fc.constantFrom('{"a":1}', '{"name":"a long route name"}', '}', 'é'))
+    .array(
+      fc.constantFrom('{"a":1}', `{"name":"${'long '.repeat(20)}"}`, '}', 'é'),
+    )
     .map(pieces => pieces.join(','));
 
   it('gives the text again, whatever the base', () => {
@@ -28,6 +30,20 @@
     );
   });
 
+  it('is short if few objects are changed, added or removed', () => {
+    const list = Array.from({length: 5000}, (_unused, index) =>
+      JSON.stringify({name: `r-${index}`, path: `/v1/${index}/`, rank: 1}),
+    );
+    const base = list.join(',');
+    list[100] = '{"name":"other","path":"/v2/","rank":2}';
+    list.splice(1000, 50);
+    list.splice(3000, 0, '{"name":"new"}');
+    const changed = list.join(',');
+    const parts = createDifference(base, changed);
+    expect(applyDifference(base, parts, 1_000_000)).to.equal(changed);
+    expect(JSON.stringify(parts).length).to.be.lessThan(400);
+  });
+
   it('is refused if it is no range of the base, or its text is too long', () => {
     expect(applyDifference('base', [[2, 3]], 100)).to.equal(undefined);
     expect(applyDifference('base', [[0, 4], 'x'], 4)).to.equal(undefined);
