Do not request a segment again while a slow link transmits it

Requests for segments ended with the time without progress. On links below about 1 Mbit/s, the three segments of a window take longer, so they were requested again; and with eight hosts that restart behind one sender of 10 Mbit/s, transfers were given up while the sender was busy. A time limit of the transfer now detects a stuck sender, and a busy reply counts as a reply.

--- a/src/transfer/segment_fetch.ts
+++ b/src/transfer/segment_fetch.ts
@@ -24,10 +24,15 @@
  */
 const WINDOW = 3;
 /**
- * Time without a segment after which the sender counts as stuck, in milliseconds. Within
+ * Time without a reply after which the sender counts as stuck, in milliseconds. Within
  * the 3 s of a configuration, that leaves the time for another source.
  */
 const STALL_MS = 800;
+/**
+ * Time limit of one request, in milliseconds. It is longer than `STALL_MS`, since a slow
+ * link transmits the segments of the window one after the other.
+ */
+const REQUEST_TIMEOUT_MS = 3000;
 /** Pause after a failed request, in ms; one on a closed connection fails at once. */
 const RETRY_MS = 50;
 /** Time limit of the whole content, in ms: 8 MiB at 10 Mbit/s take 6.7 s. */
@@ -49,7 +54,12 @@
 
   /** Returns the content, or why it was not received. */
   async run(): Promise<Result<Uint8Array, string>> {
-    await Promise.all(Array.from({length: WINDOW}, () => this.fetchSegments()));
+    const done = new AbortController();
+    const segments = Promise.all(
+      Array.from({length: WINDOW}, () => this.fetchSegments()),
+    );
+    await Promise.race([segments, this.failWithoutProgress(done.signal)]);
+    done.abort();
     return this.failure === undefined
       ? Result.ok(this.buffer)
       : Result.err(this.failure);
@@ -65,17 +75,16 @@
 
   private async fetchSegment(offset: number): Promise<void> {
     const {clock, content, request} = this.options;
+    const body = {kind: 'segment', content, offset} as const;
     while (this.failure === undefined) {
-      const leftMs = this.getTimeLeftMs();
-      if (leftMs <= 0) {
-        this.fail('no segment arrived in time');
-        return;
-      }
-      const reply = await request({kind: 'segment', content, offset}, leftMs);
+      const reply = await request(body, REQUEST_TIMEOUT_MS);
       if (reply.isErr) {
-        await this.handleFailure(reply.error.message);
+        await clock.sleep(RETRY_MS);
         continue;
       }
+      if (this.failure !== undefined) {
+        return;
+      }
       const parsed = segmentReplySchema.safeParse(reply.value);
       const {data, waitMs} = parsed.data ?? {};
       if (data !== undefined) {
@@ -86,7 +95,9 @@
         this.fail('the sender no longer has the content');
         return;
       }
-      await clock.sleep(Math.min(waitMs, this.getTimeLeftMs()));
+      // A busy sender is not stuck. To start over elsewhere would lose what has arrived.
+      this.lastProgressMs = clock.monotonicMs();
+      await clock.sleep(Math.min(waitMs, STALL_MS));
     }
   }
 
@@ -110,13 +121,16 @@
     return endMs - this.options.clock.monotonicMs();
   }
 
-  /** Fails the transfer unless segments of other requests have arrived in the meantime. */
-  private async handleFailure(detail: string): Promise<void> {
-    if (this.getTimeLeftMs() <= 0) {
-      this.fail(detail);
-      return;
+  /** Fails the transfer once no segment has arrived for too long. */
+  private async failWithoutProgress(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const leftMs = this.getTimeLeftMs();
+      if (leftMs <= 0) {
+        this.fail('no segment arrived in time');
+        return;
+      }
+      await this.options.clock.sleep(leftMs, signal);
     }
-    await this.options.clock.sleep(RETRY_MS);
   }
 
   private fail(detail: string): void {
--- a/test/transfer/bulk_transfer_test.ts
+++ b/test/transfer/bulk_transfer_test.ts
@@ -94,6 +94,17 @@
     expect(getText()).not.to.equal(undefined);
   });
 
+  it('requests no segment twice on a link on which the window takes longer than a stall', async () => {
+    receiver = fleet.start({...receiver, linkMbps: 0.6});
+    write(sender, 1, createNoise(200_000));
+    await fleet.clock.advance(6000);
+    expect(getText()).not.to.equal(undefined);
+    const offsets = sent
+      .map(({body}) => (body as {offset?: number}).offset)
+      .filter(offset => offset !== undefined);
+    expect(offsets.length).to.equal(new Set(offsets).size);
+  });
+
   it('asks the next peer if a sender stops midway', async () => {
     const other = start('other', true);
     const text = createNoise(300_000);
