Learn the times of servers from the answers of all hosts

Cause: predictions used constants (100 prompt tokens per millisecond, no fixed delay, 80 ms for a plain request), and each of 61 hosts sees few answers of each of 42 engines.

Change: src/server_model fits the times of each service by decayed least squares, the speed of each server relative to its service, and the lateness of the last answers. Reports and summaries carry the sums; routing, trackRequest and the need for servers use the model where the feature server-model is on.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,7 +1,17 @@
 import {Catalog} from '../catalog/index.js';
 import {Log} from '../log/index.js';
+import {
+  ModelSums,
+  RequestFeatures,
+  RequestKind,
+  ServerModels,
+} from '../server_model/index.js';
 import {Random} from '../random/index.js';
-import {OutlierDetector, ServerKnowledge} from '../routing/index.js';
+import {
+  LearnedTimes,
+  OutlierDetector,
+  ServerKnowledge,
+} from '../routing/index.js';
 import {Clock} from '../time/index.js';
 import {Demand, DemandMeter} from '../quota/index.js';
 import {chooseCandidates} from './choose_candidates.js';
@@ -11,6 +21,7 @@
 import {LeavingServers} from './leaving_servers.js';
 import {HostLoad, PREFILL_TOKENS_PER_MS, sumPeerWork} from './peer_work.js';
 import {
+  LearnedRequest,
   TrackedRequest,
   RequestOutcome,
   TrackedServer,
@@ -28,6 +39,8 @@
   readonly random: Random;
   /** Returns the work that live peers have in flight at a server. */
   readonly listPeerLoads: (server: string) => readonly HostLoad[];
+  /** Learned times of the servers; if absent, constants are used. */
+  readonly models?: ServerModels;
 }
 
 /** Additional round-trip time to a server in another data centre. */
@@ -47,6 +60,8 @@
 /** Cache size assumed for an engine if the catalog does not specify it. */
 const DEFAULT_CACHE_TOKENS = 500_000;
 const MS_PER_SECOND = 1000;
+/** Decayed count of recent answers from which their lateness is reported to peers. */
+const MIN_REPORTED_COUNT = 0.2;
 
 /**
  * Time after the end of its registration from which a server counts as leaving.
@@ -280,6 +295,25 @@
     return loads;
   }
 
+  /**
+   * Returns the sums of this host's observations of servers, as reported to peers;
+   * `undefined` if none are learned from.
+   */
+  listModelSums(): ModelSums | undefined {
+    const models = this.getModels();
+    if (models === undefined) {
+      return undefined;
+    }
+    const late = new Map<string, readonly number[]>();
+    for (const [server, tracked] of this.servers) {
+      const {count, shares} = tracked.getLateness();
+      if (count >= MIN_REPORTED_COUNT) {
+        late.set(server, [count, shares]);
+      }
+    }
+    return {...models.listSums(), late};
+  }
+
   /**
    * Returns the rate, in tokens per second, at which this host sends each service
    * prompt tokens that are not assumed to be cached. Unlike the pending prefill of
@@ -323,10 +357,22 @@
       random: this.options.random,
     });
     const isEngine = this.catalog?.services.get(service)?.engine !== undefined;
+    const prefillRate =
+      this.getModels()?.getPrefillRate(service) ??
+      PREFILL_TOKENS_PER_MS * MS_PER_SECOND;
     const knowledge: ServerKnowledge[] = [];
     for (const tracked of candidates) {
       const {server} = tracked;
-      const peers = sumPeerWork(this.options.listPeerLoads(server.id), urgency);
+      const peers = sumPeerWork(
+        this.options.listPeerLoads(server.id),
+        urgency,
+        prefillRate / MS_PER_SECOND,
+      );
+      const running = tracked.inFlight + peers.running;
+      const learned = this.getLearnedTimes(tracked, running, {
+        kind: query.kind,
+        isEngine,
+      });
       const cached = tracked.cachedParts.countCachedTokens(parts);
       const assumedCached =
         server.id === preferredServer
@@ -337,13 +383,15 @@
         dataCentre: server.dataCentre,
         load: {
           // All known requests in flight, including those that wait for a slot.
-          running: tracked.inFlight + peers.running,
+          running,
           waiting: 0,
           capacity: server.slots,
-          prefillRate: PREFILL_TOKENS_PER_MS * MS_PER_SECOND,
+          prefillRate,
           // At a plain service, whose requests count as one token each, this is the
           // time of a whole request.
-          decodeMs: isEngine ? DECODE_MS : PLAIN_REQUEST_MS,
+          decodeMs: isEngine
+            ? DECODE_MS
+            : (learned?.fixedMs ?? PLAIN_REQUEST_MS),
           // Not used in the choice of a server.
           models: [],
         },
@@ -354,6 +402,7 @@
         pendingPrefillTokens:
           sumAhead(tracked.prefill.list(), urgency) + peers.prefillAhead,
         excessMs: tracked.getExcessMs(),
+        learned,
         hopMs:
           server.dataCentre === this.options.dataCentre
             ? 0
@@ -364,6 +413,37 @@
     return knowledge;
   }
 
+  /** Returns the models of the servers; `undefined` if constants are used. */
+  private getModels(): ServerModels | undefined {
+    const {models} = this.options;
+    return models?.isEnabled() === true ? models : undefined;
+  }
+
+  private getLearnedTimes(
+    tracked: TrackedServer,
+    running: number,
+    request: {
+      readonly kind: RequestKind | undefined;
+      readonly isEngine: boolean;
+    },
+  ): LearnedTimes | undefined {
+    const models = this.getModels();
+    if (models === undefined || request.kind === undefined) {
+      return undefined;
+    }
+    const {id, service, slots} = tracked.server;
+    const hasPrefill = request.isEngine && request.kind.hasPrefill;
+    const kind = {...request.kind, hasPrefill};
+    const times = models.getTimes({
+      service,
+      server: id,
+      kind,
+      occupancy: running / Math.max(1, slots),
+      ownLateness: tracked.getLateness(),
+    });
+    return {kind, ...times};
+  }
+
   /**
    * Records that a request is sent to a server.
    * @param id - The server.
@@ -371,12 +451,14 @@
    * @param predictedMs - Predicted time to the first byte of the answer.
    * @param urgency - Rank of the request at its server; 0, the default, is the
    *   most urgent.
+   * @param features - The request as known at the prediction, if its time is learned.
    */
   trackRequest(
     id: string,
     parts: readonly PromptPart[],
     predictedMs: number,
     urgency = 0,
+    features?: RequestFeatures,
   ): TrackedRequest {
     const tracked = this.servers.get(id);
     if (tracked === undefined) {
@@ -385,11 +467,31 @@
     const tokens = tracked.countUncached(parts);
     this.prefillRates.add(tracked.server.service, tokens);
     this.partUpdates.add(id, parts);
-    return tracked.trackRequest(parts, predictedMs, urgency, outcome =>
-      this.recordOutcome(id, outcome),
+    return tracked.trackRequest(
+      parts,
+      predictedMs,
+      urgency,
+      outcome => this.recordOutcome(id, outcome),
+      this.createLearnedRequest(tracked.server, predictedMs, features),
     );
   }
 
+  private createLearnedRequest(
+    {id, service}: FleetServer,
+    predictedMs: number,
+    features: RequestFeatures | undefined,
+  ): LearnedRequest | undefined {
+    const models = this.getModels();
+    if (models === undefined || features === undefined) {
+      return undefined;
+    }
+    return {
+      features,
+      onFirstByte: tookMs =>
+        models.observe(service, id, features, predictedMs, tookMs),
+    };
+  }
+
   private recordOutcome(id: string, outcome: RequestOutcome): void {
     if (outcome === RequestOutcome.NEUTRAL) {
       return;
--- a/src/fleet/knowledge_query.ts
+++ b/src/fleet/knowledge_query.ts
@@ -1,3 +1,4 @@
+import {RequestKind} from '../server_model/index.js';
 import {FleetServer} from './fleet_server.js';
 import {PromptPart} from './part_cache.js';
 
@@ -16,6 +17,10 @@
    * Returns whether a server may get the request at all; if absent, all may.
    */
   readonly allows?: ((server: FleetServer) => boolean) | undefined;
+  /**
+   * Kind of the request, for its learned times; if absent, these are not used.
+   */
+  readonly kind?: RequestKind;
   /** Servers that must not get the request again. */
   readonly excluded?: ReadonlySet<string>;
 }
--- a/src/fleet/peer_work.ts
+++ b/src/fleet/peer_work.ts
@@ -35,10 +35,12 @@
  * Sums the work of all peers at one server.
  * @param loads - Work of each peer at the server.
  * @param urgency - Rank of the request in question.
+ * @param tokensPerMs - Prompt tokens that the server computes per millisecond.
  */
 export function sumPeerWork(
   loads: readonly HostLoad[],
   urgency: number,
+  tokensPerMs = PREFILL_TOKENS_PER_MS,
 ): PeerWork {
   let running = 0;
   let prefillAhead = 0;
@@ -47,7 +49,7 @@
     // The server has computed part of this since the report, the most urgent
     // first.
     const remaining =
-      sumAhead(load.prefill, urgency) - load.ageMs * PREFILL_TOKENS_PER_MS;
+      sumAhead(load.prefill, urgency) - load.ageMs * tokensPerMs;
     prefillAhead += Math.max(0, remaining);
   }
   return {running, prefillAhead};
--- a/src/fleet/tracked_server.ts
+++ b/src/fleet/tracked_server.ts
@@ -2,17 +2,30 @@
 import {FleetServer, FleetState} from './fleet_server.js';
 import {PartCache, PromptPart} from './part_cache.js';
 import {PendingPrefill} from './pending_prefill.js';
+import {Lateness, LateWatch, RequestFeatures} from '../server_model/index.js';
 
 /** An in-flight request at a server. Only the first call of `finish` counts. */
 export interface TrackedRequest {
-  /** Records the time to the first byte of the answer, in milliseconds. */
-  addFirstByte(tookMs: number): void;
+  /**
+   * Records the time to the first byte of the answer.
+   * @param tookMs - The time, in milliseconds.
+   * @param wasServed - Whether the server has processed the request; an error response
+   *   says nothing about the time that this takes. By default, it has.
+   */
+  addFirstByte(tookMs: number, wasServed?: boolean): void;
   /** Records that more of the answer was received. */
   addProgress(): void;
   /** Ends the request and records its outcome. */
   finish(outcome: RequestOutcome): void;
 }
 
+/** A request whose time to the first byte is learned. */
+export interface LearnedRequest {
+  readonly features: RequestFeatures;
+  /** Receives the time to the first byte, in milliseconds. */
+  readonly onFirstByte: (tookMs: number) => void;
+}
+
 /** How a request ended, as far as it indicates the health of its server. */
 export const RequestOutcome = {
   SUCCEEDED: 'succeeded',
@@ -54,6 +67,7 @@
   /** When an answer last made progress, in monotonic milliseconds. */
   private lastProgressMs = 0;
   private excessMs = 0;
+  private readonly lateWatch: LateWatch;
   private excessUpdatedMs: number;
 
   /** When its state last changed, in monotonic milliseconds. */
@@ -67,6 +81,7 @@
     private readonly clock: Clock,
   ) {
     this.cachedParts = new PartCache(cacheTokens);
+    this.lateWatch = new LateWatch(clock);
     this.excessUpdatedMs = clock.monotonicMs();
     this.stateSinceMs = clock.monotonicMs();
     this.unavailableSinceMs = clock.monotonicMs();
@@ -103,6 +118,11 @@
     return this.excessMs * 0.5 ** (ageMs / EXCESS_HALF_LIFE_MS);
   }
 
+  /** Returns by how much its answers are late now. */
+  getLateness(): Lateness {
+    return this.lateWatch.getLateness();
+  }
+
   /** Returns whether all started answers have stopped making progress. */
   isStalled(): boolean {
     const idleMs = this.clock.monotonicMs() - this.lastProgressMs;
@@ -126,10 +146,13 @@
     predictedMs: number,
     urgency: number,
     onFinish: (outcome: RequestOutcome) => void,
+    learned?: LearnedRequest,
   ): TrackedRequest {
     let pending = this.countUncached(parts);
     let open = true;
     let hasStarted = false;
+    const sentMs = this.clock.monotonicMs();
+    const endWait = this.watchFirstByte(learned);
     this.inFlight++;
     this.prefill.add(urgency, pending);
     this.cachedParts.add(parts);
@@ -141,8 +164,9 @@
       addProgress: () => {
         this.lastProgressMs = this.clock.monotonicMs();
       },
-      addFirstByte: tookMs => {
+      addFirstByte: (tookMs, wasServed = true) => {
         endPrefill();
+        endWait(wasServed ? tookMs : undefined);
         if (open && !hasStarted) {
           hasStarted = true;
           this.startedAnswers++;
@@ -156,6 +180,11 @@
         }
         open = false;
         endPrefill();
+        const waitedMs = this.clock.monotonicMs() - sentMs;
+        // A request that is given up takes at least the time that it has waited.
+        const isLate = waitedMs > predictedMs;
+        const isUnresponsive = outcome === RequestOutcome.UNRESPONSIVE;
+        endWait(isUnresponsive && isLate ? waitedMs : undefined);
         this.inFlight--;
         this.startedAnswers -= hasStarted ? 1 : 0;
         onFinish(outcome);
@@ -163,6 +192,30 @@
     };
   }
 
+  /**
+   * Waits for the first byte of a request whose time is learned. Returns a function of
+   * which the first call ends the wait; without an argument, nothing is learned.
+   */
+  private watchFirstByte(
+    learned: LearnedRequest | undefined,
+  ): (tookMs: number | undefined) => void {
+    if (learned === undefined) {
+      return () => undefined;
+    }
+    const {features, onFirstByte} = learned;
+    const endLateness = this.lateWatch.add(features.expectedMs);
+    let isWaiting = true;
+    return tookMs => {
+      if (isWaiting) {
+        isWaiting = false;
+        endLateness(tookMs);
+        if (tookMs !== undefined) {
+          onFirstByte(tookMs);
+        }
+      }
+    };
+  }
+
   /** Counts the prompt tokens that are not assumed to be cached. */
   countUncached(parts: readonly PromptPart[]): number {
     let tokens = 0;
--- a/src/peering/host_report.ts
+++ b/src/peering/host_report.ts
@@ -2,6 +2,7 @@
 import {leavingUpdatesSchema} from '../fleet/index.js';
 import {limitUpdatesSchema} from '../limits/index.js';
 import {suspectUpdatesSchema} from '../quarantine/index.js';
+import {modelSectionSchema} from '../server_model/index.js';
 import {hostAddressSchema} from './host_address.js';
 import {replicaStatesSchema} from './row_messages.js';
 import {workSummarySchema} from './work_summary.js';
@@ -71,6 +72,11 @@
   limits: limitUpdatesSchema.optional(),
   /** Servers that have stated that they leave; omitted while there are none. */
   leaving: leavingUpdatesSchema.optional(),
+  /**
+   * Sums of the sender's observations of servers; omitted by hosts that do not learn from
+   * them. An invalid section is ignored, not the report.
+   */
+  model: modelSectionSchema.optional().catch(undefined),
 });
 
 /** Reply to a heartbeat; hosts of the previous release send an empty one. */
--- a/src/peering/host_reports.ts
+++ b/src/peering/host_reports.ts
@@ -1,6 +1,7 @@
 import {HostLoad, ServerLoad} from '../fleet/index.js';
 import {PeerIdentity} from '../peer/index.js';
 import {Clock} from '../time/index.js';
+import {ModelSum, ModelSums} from '../server_model/index.js';
 import {HostReport} from './host_report.js';
 import {HostWork, readReportedWork, readSummarisedWork} from './host_work.js';
 import {MemberScope} from './known_hosts.js';
@@ -236,6 +237,20 @@
     return sum;
   }
 
+  /**
+   * Sums the other hosts' observations of servers. Includes stale reports, until they
+   * expire: the sums decay with the age of the report.
+   */
+  sumModels(): ModelSums {
+    const sum = new ModelSum();
+    for (const report of this.selectReports(this.options.expiryMs)) {
+      if (report.work.model !== undefined) {
+        sum.add(report.work.model, this.getAgeMs(report));
+      }
+    }
+    return sum.get();
+  }
+
   /**
    * Returns whether another host holds the duties, as it reports itself or as a summary
    * reports; stale reports do not count.
--- a/src/peering/host_work.ts
+++ b/src/peering/host_work.ts
@@ -1,4 +1,9 @@
 import {RankedTokens, ServerLoad} from '../fleet/index.js';
+import {
+  ModelSection,
+  ModelSums,
+  readModelSection,
+} from '../server_model/index.js';
 import {HostReport} from './host_report.js';
 import {WorkSummary} from './work_summary.js';
 
@@ -18,6 +23,8 @@
   readonly prefill: Rates;
   /** Demand of each customer, in units per second. */
   readonly demands: Rates;
+  /** Sums of the observations of servers; absent if none are learned from. */
+  readonly model?: ModelSums;
 }
 
 /** Reads the work of one host from its report. */
@@ -35,7 +42,7 @@
     // Hosts of the previous release report no ranks.
     prefill: byServer.get(server) ?? [{urgency: 0, tokens}],
   }));
-  return {loads, parts, prefill, demands};
+  return {loads, parts, prefill, demands, ...readModel(report.model)};
 }
 
 /** Reads the work of several hosts from their summary. */
@@ -46,5 +53,9 @@
     running,
     prefill: ranks.map(([urgency, tokens]) => ({urgency, tokens})),
   }));
-  return {loads, parts, prefill, demands};
+  return {loads, parts, prefill, demands, ...readModel(summary.model)};
+}
+
+function readModel(section: ModelSection | undefined): Pick<HostWork, 'model'> {
+  return section === undefined ? {} : {model: readModelSection(section).sums};
 }
--- a/src/peering/report_messages.ts
+++ b/src/peering/report_messages.ts
@@ -4,6 +4,7 @@
 import {PeerMessagesOptions} from './peer_messages_options.js';
 import {RowMessages} from './row_messages.js';
 import {SummaryMessages} from './summary_messages.js';
+import {createModelSection} from '../server_model/index.js';
 import {HostListVersion} from './host_list_version.js';
 import {UsageMessages} from './usage_messages.js';
 
@@ -137,6 +138,7 @@
   private createOwnReport(isFirst: boolean): HostReport {
     const {fleet, quota} = this.options;
     const loads = fleet.listOwnLoads();
+    const model = fleet.listModelSums();
     return {
       ...this.createEmptyReport(),
       loads: loads.map(({server, running, prefill}) => [
@@ -166,6 +168,7 @@
       usage: this.sections.usage
         .listWindows(isFirst)
         .map(({window, counts}) => [window, {...counts}]),
+      ...optional('model', model && createModelSection(model)),
     };
   }
 }
--- a/src/peering/report_receiver.ts
+++ b/src/peering/report_receiver.ts
@@ -1,5 +1,6 @@
 import {PeerIdentity} from '../peer/index.js';
 import {CountingMode} from '../quota/index.js';
+import {ModelSection, readModelSection} from '../server_model/index.js';
 import {HostReport} from './host_report.js';
 import {MemberScope} from './known_hosts.js';
 import {optional} from './optional.js';
@@ -15,6 +16,9 @@
   /** Highest sequence of summaries received, by kind and incarnation of the sender. */
   private readonly sequences = new Map<string, number>();
 
+  /** Incarnations of peers that have sent implausible observations of servers. */
+  private readonly implausible = new Set<string>();
+
   constructor(private readonly options: PeerMessagesOptions) {
     options.metrics.addCounter(REFUSED, 'Words of peers that were refused');
   }
@@ -42,6 +46,7 @@
       quota.addPeerSpending(origin, toSpending(report.spending), counting);
       this.addParts(report.parts);
     }
+    this.checkModel(from, report.model);
     this.addCentre(from, report.centre);
     hostUsage.add(
       origin,
@@ -87,6 +92,7 @@
     const {known, quota} = this.options;
     const {membersVersion, members} = summary;
     known.addMembers(from.host, kind, membersVersion, members);
+    this.checkModel(from, summary.model);
     this.addParts(summary.parts);
     quota.addPeerSpending(
       `${kind}:${from.host}/${from.incarnation}`,
@@ -120,6 +126,26 @@
     }
   }
 
+  /** Logs implausible values in a section, once per incarnation of the sender. */
+  private checkModel(
+    {host, incarnation}: PeerIdentity,
+    section: ModelSection | undefined,
+  ): void {
+    const origin = `${host}/${incarnation}`;
+    if (section === undefined || this.implausible.has(origin)) {
+      return;
+    }
+    const {ignored} = readModelSection(section);
+    if (ignored > 0 && this.implausible.size < MAX_INCARNATIONS) {
+      this.implausible.add(origin);
+      this.options.log.warn('server_model_ignored', {
+        peer: host,
+        entries: ignored,
+        detail: 'implausible values',
+      });
+    }
+  }
+
   private addParts(parts: HostReport['parts']): void {
     this.options.fleet.addPeerParts(
       parts.map(([server, id, tokens]) => ({server, part: {id, tokens}})),
--- a/src/peering/summary_messages.ts
+++ b/src/peering/summary_messages.ts
@@ -7,6 +7,8 @@
 import {HostWork} from './host_work.js';
 import {KnownHosts} from './known_hosts.js';
 import {HostListVersion} from './host_list_version.js';
+import {createModelSection} from '../server_model/index.js';
+import {optional} from './optional.js';
 import {subtractWork} from './work_sum.js';
 import {WorkSummary} from './work_summary.js';
 
@@ -183,6 +185,7 @@
       prefill: work.prefill.map(([name, rate]) => [name, rate]),
       demands: work.demands.map(([name, rate]) => [name, rate]),
       spending: spending.map(({customer, units}) => [customer, units]),
+      ...optional('model', work.model && createModelSection(work.model)),
     };
   }
 
@@ -206,6 +209,7 @@
         .map(({server, part}) => [server, part.id, part.tokens]),
       prefill: fleet.listPrefillRates().map(toRate),
       demands: quota.listDemand().map(toRate),
+      ...optional('model', fleet.listModelSums()),
     };
   }
 }
--- a/src/peering/work_sum.ts
+++ b/src/peering/work_sum.ts
@@ -3,7 +3,9 @@
   RankedTokens,
   ServerLoad,
 } from '../fleet/index.js';
+import {ModelSum, ModelSums, subtractSums} from '../server_model/index.js';
 import {HostWork, Rates} from './host_work.js';
+import {optional} from './optional.js';
 
 /** Pending prompt tokens of a rank below which they are not reported: a few steps. */
 const MIN_PENDING_TOKENS = 500;
@@ -24,6 +26,8 @@
     readonly [server: string, part: string, tokens: number]
   >();
 
+  private model: ModelSum | undefined;
+
   /**
    * Adds work.
    * @param work - The work.
@@ -36,6 +40,10 @@
     }
     addRates(this.prefill, work.prefill);
     addRates(this.demands, work.demands);
+    if (work.model !== undefined) {
+      this.model ??= new ModelSum();
+      this.model.add(work.model, ageMs);
+    }
     for (const part of work.parts) {
       this.parts.set(`${part[0]}/${part[1]}`, part);
     }
@@ -48,6 +56,7 @@
       parts: [...this.parts.values()],
       prefill: listRates(this.prefill),
       demands: listRates(this.demands),
+      ...optional('model', this.model?.get()),
     };
   }
 
@@ -102,9 +111,20 @@
     parts: whole.parts,
     prefill: subtractRates(whole.prefill, part.prefill),
     demands: subtractRates(whole.demands, part.demands),
+    ...optional('model', subtractModel(whole.model, part.model, ageMs)),
   };
 }
 
+function subtractModel(
+  whole: ModelSums | undefined,
+  part: ModelSums | undefined,
+  ageMs: number,
+): ModelSums | undefined {
+  return whole === undefined || part === undefined
+    ? whole
+    : subtractSums(whole, part, ageMs);
+}
+
 function subtractLoad(
   whole: ServerLoad,
   part: ServerLoad,
--- a/src/peering/work_summary.ts
+++ b/src/peering/work_summary.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {modelSectionSchema} from '../server_model/index.js';
 import {hostAddressSchema} from './host_address.js';
 
 /** Maximum length of a list in a message: ten times the planned length. */
@@ -40,6 +41,11 @@
   demands: z.array(z.tuple([name, count])).max(MAX_LISTED),
   /** Customer, and the units admitted since the sender began to count. */
   spending: z.array(z.tuple([name, count])).max(MAX_LISTED),
+  /**
+   * Sums of the hosts' observations of servers; omitted if none are learned from. An
+   * invalid section is ignored, not the summary.
+   */
+  model: modelSectionSchema.optional().catch(undefined),
   /** Whether one of these hosts holds the duties. */
   holdsDuties: z.boolean(),
 });
--- a/src/provisioning/need_meter.ts
+++ b/src/provisioning/need_meter.ts
@@ -18,7 +18,10 @@
   readonly busy: number;
 }
 
-/** Prompt tokens that an engine computes per second; `Fleet` assumes the same. */
+/**
+ * Prompt tokens that an engine computes per second, unless its rate is learned; `Fleet`
+ * assumes the same.
+ */
 const PREFILL_TOKENS_PER_S = 100_000;
 /** Share of an engine's time that prompts may take if answers are to be in time. */
 const TARGET_BUSY_SHARE = 0.28;
@@ -51,7 +54,17 @@
   private readonly startMs: number;
   private hasSeenWork = false;
 
-  constructor(private readonly clock: Clock) {
+  /**
+   * @param clock - Clock.
+   * @param getPrefillRate - Returns the prompt tokens per second that an engine of a
+   *   service computes; `undefined` if it is not learned.
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly getPrefillRate: (
+      service: string,
+    ) => number | undefined = () => undefined,
+  ) {
     this.startMs = clock.monotonicMs();
   }
 
@@ -79,7 +92,8 @@
     const nowMs = this.clock.monotonicMs();
     const slots = service.engine?.slots ?? DEFAULT_SLOTS;
     const busy = Math.max(
-      work.prefillPerSecond / PREFILL_TOKENS_PER_S,
+      work.prefillPerSecond /
+        (this.getPrefillRate(service.name) ?? PREFILL_TOKENS_PER_S),
       work.running / (slots * FULL_SLOTS_SHARE),
     );
     const first = this.getBaseline(service.name, present);
--- a/src/provisioning/provisioner.ts
+++ b/src/provisioning/provisioner.ts
@@ -40,6 +40,8 @@
   readonly fleet: Fleet;
   readonly getWork: (service: string) => ServiceWork;
   readonly order: OrderServers;
+  /** See `NeedMeter`. */
+  readonly getPrefillRate?: (service: string) => number | undefined;
 }
 
 /** The last order for one kind in one data centre. */
@@ -64,7 +66,7 @@
   private readonly needs: NeedMeter;
 
   constructor(private readonly options: ProvisionerOptions) {
-    this.needs = new NeedMeter(options.clock);
+    this.needs = new NeedMeter(options.clock, options.getPrefillRate);
   }
 
   /** Checks and orders servers until aborted. */
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -12,6 +12,7 @@
 import {RelayOptions} from './relay_options.js';
 import {RelayRecord} from './relay_record.js';
 import {RelayRequest} from './relay_request.js';
+import {RequestFeatures} from '../server_model/index.js';
 import {combineSignals, InactivityTimeout} from '../time/index.js';
 
 /** Outcome of an attempt. */
@@ -59,6 +60,8 @@
   readonly server: FleetServer;
   /** Predicted time to the first token, in milliseconds. */
   readonly predictedMs: number;
+  /** What the prediction is based on, if the time of the answer is learned. */
+  readonly features?: RequestFeatures;
   /** Index of the attempt, from 0, for the log. */
   readonly number: number;
   /** Time until the deadline, in milliseconds. */
@@ -140,6 +143,7 @@
       parts,
       predictedMs,
       urgency,
+      params.features,
     );
     this.responseWatch = this.createResponseWatch();
     this.abortSignal = this.createAbortSignal();
@@ -240,7 +244,7 @@
   }
 
   private async receiveFailure(answer: ExchangeAnswer): Promise<AttemptResult> {
-    this.recordFirstByte();
+    this.recordFirstByte(false);
     const failure = await readAnswer(answer, MAX_FAILURE_BODY_BYTES);
     // A status below 500 is no fault of the server: it counts as a success for its health.
     const isServerFault = answer.status >= SERVER_ERROR;
@@ -294,14 +298,17 @@
     });
   }
 
-  /** Records the time of the first byte; has no effect after the first call. */
-  private recordFirstByte(): void {
+  /**
+   * Records the time of the first byte; has no effect after the first call.
+   * @param wasServed - Whether the answer is not an error response.
+   */
+  private recordFirstByte(wasServed = true): void {
     if (this.firstMs !== undefined) {
       return;
     }
     const tookMs = this.options.clock.monotonicMs() - this.sentMs;
     this.firstMs = tookMs;
-    this.inFlight.addFirstByte(tookMs);
+    this.inFlight.addFirstByte(tookMs, wasServed);
     this.context.record.addFirstByte(tookMs);
   }
 
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -246,10 +246,8 @@
     if (copiedRun === undefined) {
       this.options.limits.takePermit(server.id);
     }
-    // A copied run may continue though no server can be chosen for other requests.
-    const predictedMs = decision.chosen?.firstTokenMs ?? 0;
     const result = await this.observer.run(server, () =>
-      this.executeAttempt(server, predictedMs, copiedRun),
+      this.executeAttempt(server, decision.chosen, copiedRun),
     );
     if (result.outcome === AttemptOutcome.DONE) {
       return false;
@@ -265,7 +263,7 @@
 
   private async executeAttempt(
     server: FleetServer,
-    predictedMs: number,
+    chosen: ScoredServer | undefined,
     copiedRun: CopiedRun | undefined,
   ): Promise<ObservedResult> {
     const {request, answer, record, cancelled} = this;
@@ -277,7 +275,12 @@
       {request, answer, record, cancelled, serverLost},
       {
         server,
-        predictedMs,
+        // A copied run may continue though no server can be chosen for other requests.
+        predictedMs: chosen?.firstTokenMs ?? 0,
+        // The time of a copied run does not depend on its prompt.
+        ...(chosen?.features === undefined || copiedRun !== undefined
+          ? {}
+          : {features: chosen.features}),
         number: this.attempts.count() - 1,
         remainingMs: this.getRemainingMs(),
         urgency: rankUrgency(request),
--- a/src/relay/server_choice.ts
+++ b/src/relay/server_choice.ts
@@ -78,6 +78,7 @@
     const candidates = fleet.listKnowledge(service, {
       parts: prompt.parts,
       urgency: rankUrgency(request),
+      kind: {route: request.route.name, hasPrefill: request.route.streaming},
       excluded: attempts.excluded,
       allows: excludeServers(allowsNow, withheld),
     });
--- a/src/relay_host/bind_cluster_state.ts
+++ b/src/relay_host/bind_cluster_state.ts
@@ -2,7 +2,7 @@
 import {ServerBackoffs} from '../backoff/index.js';
 import {CatalogStore} from '../catalog/index.js';
 import {bind} from '../container/index.js';
-import {Features} from '../features/index.js';
+import {Feature, Features} from '../features/index.js';
 import {Fleet} from '../fleet/index.js';
 import {ServerLimits} from '../limits/index.js';
 import {Metrics} from '../metrics/index.js';
@@ -10,6 +10,7 @@
 import {Quarantine} from '../quarantine/index.js';
 import {Quota} from '../quota/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
+import {ServerModels} from '../server_model/index.js';
 import {ShutdownState} from './shutdown_state.js';
 import {ReferenceTime} from '../usage/index.js';
 import {createFeatureRules} from './create_feature_rules.js';
@@ -53,6 +54,17 @@
         }),
       ),
   );
+  bind(container, ServerModels, context => {
+    const features = context.get(Features);
+    const reports = context.get(HostReports);
+    return new ServerModels({
+      clock: context.get(CLOCK),
+      log: context.get(LOG),
+      metrics: context.get(Metrics),
+      isEnabled: () => features.isEnabled(Feature.SERVER_MODEL),
+      sumPeers: () => reports.sumModels(),
+    });
+  });
   bind(container, Fleet, context => {
     const reports = context.get(HostReports);
     return new Fleet({
@@ -61,6 +73,7 @@
       random: context.get(RANDOM),
       dataCentre: context.get(SELF).dataCentre,
       listPeerLoads: server => reports.listLoadsAt(server),
+      models: context.get(ServerModels),
     });
   });
   bind(
--- a/src/relay_host/bind_duties.ts
+++ b/src/relay_host/bind_duties.ts
@@ -12,6 +12,7 @@
   UsageLedger,
   UsageReporter,
 } from '../usage/index.js';
+import {ServerModels} from '../server_model/index.js';
 import {createShouldCompete} from './create_should_compete.js';
 import {createOrigin} from './create_origin.js';
 import {
@@ -110,6 +111,7 @@
     const fleet = context.get(Fleet);
     const reports = context.get(HostReports);
     const limits = context.get(ServerLimits);
+    const models = context.get(ServerModels);
     return new Provisioner({
       clock: context.get(CLOCK),
       log: context.get(LOG),
@@ -121,6 +123,8 @@
         limited: countLimited(service, fleet, limits),
       }),
       order: context.get(ORDER_SERVERS),
+      getPrefillRate: service =>
+        models.isEnabled() ? models.getPrefillRate(service) : undefined,
     });
   });
 }
--- a/src/routing/choose_server.ts
+++ b/src/routing/choose_server.ts
@@ -1,6 +1,10 @@
 import {Random} from '../random/index.js';
 import {drawSample, MAX_UNSAMPLED_SERVERS} from './draw_sample.js';
-import {predictFirstToken} from './predict_first_token.js';
+import {RequestFeatures} from '../server_model/index.js';
+import {
+  FirstTokenPrediction,
+  predictFirstToken,
+} from './predict_first_token.js';
 import {
   RoutingDecision,
   RoutingRequest,
@@ -116,15 +120,50 @@
   const prediction = predictFirstToken(knowledge, promptTokens, expectedTokens);
   // `prefillMs` includes `ownPrefillMs`. `waitMs` is the time until the prefill of the
   // request starts, without recently observed delays; it does not enter the cost.
-  const {queueMs, prefillMs, ownPrefillMs, waitMs} = prediction;
-  const firstTokenMs = queueMs + prefillMs + knowledge.hopMs;
+  const {queueMs, prefillMs, fixedMs, ownPrefillMs, waitMs} = prediction;
+  const firstTokenMs = queueMs + prefillMs + fixedMs + knowledge.hopMs;
   const cost =
     slackMs === undefined
       ? firstTokenMs
       : firstTokenMs +
         EXTRA_OWN_PREFILL_WEIGHT * ownPrefillMs +
         EXTRA_OVER_SLACK_WEIGHT * Math.max(0, firstTokenMs - slackMs);
-  return {server: knowledge.server, firstTokenMs, queueMs, waitMs, cost};
+  const features = getFeatures(
+    knowledge,
+    promptTokens,
+    prediction,
+    firstTokenMs,
+  );
+  return {
+    server: knowledge.server,
+    firstTokenMs,
+    queueMs,
+    waitMs,
+    cost,
+    ...(features === undefined ? {} : {features}),
+  };
+}
+
+/** Returns what the time of the answer is learned from; `undefined` if it is not. */
+function getFeatures(
+  knowledge: ServerKnowledge,
+  promptTokens: number,
+  prediction: FirstTokenPrediction,
+  firstTokenMs: number,
+): RequestFeatures | undefined {
+  const {learned, load, hopMs} = knowledge;
+  if (learned === undefined || load === undefined) {
+    return undefined;
+  }
+  return {
+    kind: learned.kind,
+    ownTokens: Math.max(0, promptTokens - knowledge.cachedTokens),
+    aheadTokens: knowledge.pendingPrefillTokens,
+    occupancy: load.running / Math.max(1, load.capacity),
+    slotWaitMs: prediction.slotWaitMs,
+    hopMs,
+    expectedMs: firstTokenMs - prediction.lateMs,
+  };
 }
 
 function getSample(
--- a/src/routing/server_knowledge.ts
+++ b/src/routing/server_knowledge.ts
@@ -1,4 +1,14 @@
 import {LoadReport} from '../backend/index.js';
+import {
+  RequestFeatures,
+  RequestKind,
+  ServerTimes,
+} from '../server_model/index.js';
+
+/** Learned times of a server, for one kind of request. */
+export interface LearnedTimes extends ServerTimes {
+  readonly kind: RequestKind;
+}
 
 /** What this host knows about a server when it chooses one. */
 export interface ServerKnowledge {
@@ -25,6 +35,8 @@
   readonly pendingPrefillTokens: number;
   /** Smoothed delay of its answers beyond the prediction, in milliseconds. */
   readonly excessMs: number;
+  /** Learned times of the server; absent if the servers' times are not learned. */
+  readonly learned?: LearnedTimes | undefined;
   /**
    * Additional cost in milliseconds if the server is in another data centre.
    */
@@ -70,6 +82,8 @@
    * observed delays, in milliseconds.
    */
   readonly waitMs?: number;
+  /** What the prediction is based on, if the servers' times are learned. */
+  readonly features?: RequestFeatures;
 }
 
 /** A routing decision, with the considered alternatives for the log. */
--- /dev/null
+++ b/src/server_model/index.ts
@@ -0,0 +1,18 @@
+/** Server model: times of servers, learned from the answers that all hosts get. */
+export type {Lateness} from './late_watch.js';
+export {LateWatch} from './late_watch.js';
+export {
+  createModelSection,
+  modelSectionSchema,
+  readModelSection,
+} from './model_section.js';
+export type {ModelSection} from './model_section.js';
+export {ModelSum, subtractSums} from './model_sums.js';
+export type {ModelSums} from './model_sums.js';
+export {ServerModels} from './server_models.js';
+export type {ServerModelsOptions} from './server_models.js';
+export type {
+  RequestFeatures,
+  RequestKind,
+  ServerTimes,
+} from './server_times.js';
