--- a/src/bin/slopes.ts
+++ b/src/bin/slopes.ts
@@ -5,11 +5,16 @@
   measureDaemon,
   measureLeaving,
   measureLimits,
+  measureServerModel,
   measureSlopes,
   measureIdleAtCurrentSize,
 } from '../slopes/index.js';
 
-for (const line of [...measureSlopes(), ...measureLimits()]) {
+for (const line of [
+  ...measureSlopes(),
+  ...measureLimits(),
+  ...measureServerModel(),
+]) {
   process.stdout.write(`${formatLine(line)}\n`);
 }
 for (const count of [10, 72]) {
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,6 +1,7 @@
 import {Catalog} from '../catalog/index.js';
 import {Log} from '../log/index.js';
 import {
+  createServerKey,
   ModelSums,
   RequestFeatures,
   RequestKind,
@@ -308,7 +309,7 @@
     for (const [server, tracked] of this.servers) {
       const {count, shares} = tracked.getLateness();
       if (count >= MIN_REPORTED_COUNT) {
-        late.set(server, [count, shares]);
+        late.set(createServerKey(server), [count, shares]);
       }
     }
     return {...models.listSums(), late};
--- a/src/peering/report_messages.ts
+++ b/src/peering/report_messages.ts
@@ -46,10 +46,14 @@
     const {known, reports, self} = this.options;
     const [first] = known.rankAggregators(self.dataCentre);
     const isOutdated = reports.getAgeOfAllMs() > MAX_SUMMARY_AGE_MS;
+    const {model, ...report} = this.createOwnReport(isFirst);
+    const wantsAll =
+      first?.host !== self.host && (first?.host === peer.host || isOutdated);
     return {
-      ...this.createOwnReport(isFirst),
-      wantsAll:
-        first?.host !== self.host && (first?.host === peer.host || isOutdated),
+      ...report,
+      // An aggregator without a task needs no observations until it takes over.
+      ...optional('model', wantsAll ? model : undefined),
+      wantsAll,
       ...optional('membersVersion', known.getMembersVersion(peer.host)),
     };
   }
--- a/src/server_model/model_section.ts
+++ b/src/server_model/model_section.ts
@@ -27,9 +27,9 @@
     .max(MAX_SERVICES),
   /** Service and route, count, and sum of logarithms. */
   routes: z.array(z.tuple([name, value, value])).max(MAX_ROUTES),
-  /** Server, expected and actual milliseconds. */
+  /** Key of a server, expected and actual milliseconds. */
   servers: z.array(z.tuple([name, value, value])).max(MAX_SERVERS),
-  /** Server, count of its most recent answers, and sum of their late shares. */
+  /** Key of a server, count of its most recent answers, and sum of their late shares. */
   late: z.array(z.tuple([name, value, value])).max(MAX_SERVERS),
 });
 export type ModelSection = z.output<typeof modelSectionSchema>;
--- a/src/server_model/model_sums.ts
+++ b/src/server_model/model_sums.ts
@@ -7,9 +7,9 @@
   readonly services: SumTable;
   /** By service and route: the count, and the sum of logarithms of times. */
   readonly routes: SumTable;
-  /** By server: the expected and the actual times of answers, in milliseconds. */
+  /** By key of the server: the expected and the actual times of answers, in milliseconds. */
   readonly servers: SumTable;
-  /** By server: count of the most recent answers, and sum of their late shares. */
+  /** By key of the server: count of the most recent answers, and sum of their late shares. */
   readonly late: SumTable;
 }
 
--- a/src/server_model/server_models.ts
+++ b/src/server_model/server_models.ts
@@ -2,6 +2,7 @@
 import {Log} from '../log/index.js';
 import {Metrics} from '../metrics/index.js';
 import {Clock} from '../time/index.js';
+import {createServerKey} from './create_server_key.js';
 import {DecayedTable} from './decayed_table.js';
 import {
   CoefficientBounds,
@@ -39,6 +40,9 @@
   readonly ownLateness: Lateness;
 }
 
+/** Model of a service, or of a route at one, by the name of each value. */
+export type ServiceDescription = Readonly<Record<string, string | number>>;
+
 /** The fitted values that are reused for a short time. */
 interface Fits {
   readonly createdMs: number;
@@ -61,6 +65,14 @@
   {prior: 10, weight: 20, min: 0, max: 500},
   {prior: 0, weight: 1, min: 0, max: 1000},
 ];
+/** Index of the coefficient of tokens ahead. */
+const AHEAD = 2;
+/**
+ * Least time per token ahead, as a share of that per own token. The tokens ahead are known
+ * only roughly, so that a fit underestimates their effect under a light load. Requests
+ * would then be refused too late when the load rises.
+ */
+const MIN_AHEAD_SHARE = 0.5;
 /** Time of a request at a plain service without answers, in milliseconds. */
 const PRIOR_ROUTE_MS = 80;
 /** Answers as which the prior of a route counts. */
@@ -92,7 +104,11 @@
 const SLOW_SHARE = 0.5;
 const USUAL_SHARE = 0.2;
 const MIN_COUNT = 0.1;
-const MIN_SERVER_MS = 10;
+/**
+ * Expected time of the answers of a server, decayed, from which the server is reported:
+ * a quarter of an answer.
+ */
+const MIN_SERVER_MS = 30;
 const MAX_SERVICES = 200;
 const MAX_ROUTES = 64;
 const MAX_SERVERS = 2000;
@@ -103,8 +119,10 @@
   private readonly services: DecayedTable;
   private readonly routes: DecayedTable;
   private readonly servers: DecayedTable;
-  /** Services of the known servers. */
-  private readonly serviceByServer = new Map<string, string>();
+  /** Services of the known servers, by the key of the server. */
+  private readonly serviceByKey = new Map<string, string>();
+  /** Keys of the known servers, by id. */
+  private readonly keys = new Map<string, string>();
   private readonly loggedMs = new Map<string, number>();
   private readonly slow = new Set<string>();
   private fits: Fits | undefined;
@@ -144,7 +162,8 @@
   getTimes(query: TimesQuery): ServerTimes {
     const {service, server, kind, occupancy, ownLateness} = query;
     const fits = this.getFits();
-    const ratio = this.getSpeedRatio(service, server, fits);
+    const key = this.getKey(service, server);
+    const ratio = this.getSpeedRatio(service, key, fits);
     if (!kind.hasPrefill) {
       const routeMs = this.getRouteMs(service, kind.route, fits);
       return {
@@ -160,7 +179,7 @@
       service,
       fits,
     );
-    const lateShare = getLateShare(server, ownLateness, fits.sums);
+    const lateShare = getLateShare(key, ownLateness, fits.sums);
     this.logSlow(service, server, lateShare);
     return {
       fixedMs: (fixed + perOccupancy * occupancy) * ratio,
@@ -204,8 +223,9 @@
       ? limitDeviation(tookMs, expectedMs)
       : tookMs;
     const ownMs = Math.max(1, (typicalMs - hopMs) * ownShare);
-    const ratio = this.getSpeedRatio(service, server, fits);
-    this.servers.add(server, [(baseMs * ownShare) / ratio, ownMs]);
+    const key = this.getKey(service, server);
+    const ratio = this.getSpeedRatio(service, key, fits);
+    this.servers.add(key, [(baseMs * ownShare) / ratio, ownMs]);
     if (kind.hasPrefill) {
       const weight = 1 / (1 + expectedMs / WEIGHT_SCALE_MS) ** 2;
       this.services.add(
@@ -233,6 +253,36 @@
       : NO_SUMS;
   }
 
+  /** Describes the models of the services, for operators. */
+  describe(): ServiceDescription[] {
+    if (!this.isEnabled()) {
+      return [];
+    }
+    const fits = this.getFits();
+    const services = [...fits.sums.services].map(([service, [weight = 0]]) => {
+      const [fixed = 0, own = 0, ahead = 0, occupancy = 0] = this.getFit(
+        service,
+        fits,
+      );
+      return {
+        service,
+        fixed_ms: fixed,
+        own_ms_per_ktoken: own,
+        ahead_ms_per_ktoken: ahead,
+        full_ms: occupancy,
+        weight,
+      };
+    });
+    const routes = [...fits.sums.routes].map(
+      ([route, [count = 0, logs = 0]]) => ({
+        route,
+        request_ms: getRouteMs(count, logs),
+        weight: count,
+      }),
+    );
+    return [...services, ...routes];
+  }
+
   private getFits(): Fits {
     const nowMs = this.options.clock.monotonicMs();
     if (this.fits === undefined || nowMs - this.fits.createdMs >= REFIT_MS) {
@@ -255,7 +305,7 @@
       return known;
     }
     const sums = fits.sums.services.get(service);
-    const fit = fitLinear(sums ?? new Array<number>(SUM_COUNT).fill(0), BOUNDS);
+    const fit = fitService(sums ?? new Array<number>(SUM_COUNT).fill(0));
     fits.services.set(service, fit);
     return fit;
   }
@@ -264,8 +314,7 @@
   private getRouteMs(service: string, route: string, {sums}: Fits): number {
     const [count = 0, logs = 0] =
       sums.routes.get(createRouteKey(service, route)) ?? [];
-    const priorLogs = PRIOR_ROUTE_COUNT * Math.log(PRIOR_ROUTE_MS);
-    return Math.exp((logs + priorLogs) / (count + PRIOR_ROUTE_COUNT));
+    return getRouteMs(count, logs);
   }
 
   /**
@@ -273,9 +322,8 @@
    * mean of the service: an error of the service's fit, which all its servers share, is
    * corrected by that fit alone.
    */
-  private getSpeedRatio(service: string, server: string, fits: Fits): number {
-    this.addServer(service, server);
-    const [expected = 0, actual = 0] = fits.sums.servers.get(server) ?? [];
+  private getSpeedRatio(service: string, key: string, fits: Fits): number {
+    const [expected = 0, actual = 0] = fits.sums.servers.get(key) ?? [];
     const mean = this.getMeanRatio(service, fits);
     const ratio =
       (actual / mean + PRIOR_SERVER_MS) / (expected + PRIOR_SERVER_MS);
@@ -289,8 +337,8 @@
     }
     let expectedSum = PRIOR_SERVER_MS;
     let actualSum = PRIOR_SERVER_MS;
-    for (const [server, [expected = 0, actual = 0]] of fits.sums.servers) {
-      if (this.serviceByServer.get(server) === service) {
+    for (const [key, [expected = 0, actual = 0]] of fits.sums.servers) {
+      if (this.serviceByKey.get(key) === service) {
         expectedSum += expected;
         actualSum += actual;
       }
@@ -300,15 +348,20 @@
     return mean;
   }
 
-  private addServer(service: string, server: string): void {
-    if (this.serviceByServer.has(server)) {
-      return;
+  private getKey(service: string, server: string): string {
+    const known = this.keys.get(server);
+    if (known !== undefined) {
+      return known;
     }
-    this.serviceByServer.set(server, service);
-    const [oldest] = this.serviceByServer.keys();
-    if (this.serviceByServer.size > MAX_SERVERS && oldest !== undefined) {
-      this.serviceByServer.delete(oldest);
+    const key = createServerKey(server);
+    if (this.keys.size >= MAX_SERVERS) {
+      // Servers that are still in use are added again.
+      this.keys.clear();
+      this.serviceByKey.clear();
     }
+    this.keys.set(server, key);
+    this.serviceByKey.set(key, service);
+    return key;
   }
 
   private logSlow(service: string, server: string, lateShare: number): void {
@@ -379,16 +432,35 @@
   }
 }
 
+/** Returns a geometric mean with the prior of a route, in milliseconds. */
+function getRouteMs(count: number, logs: number): number {
+  const priorLogs = PRIOR_ROUTE_COUNT * Math.log(PRIOR_ROUTE_MS);
+  return Math.exp((logs + priorLogs) / (count + PRIOR_ROUTE_COUNT));
+}
+
 /**
  * Returns the share of the expected time by which the most recent answers of a server to
  * all hosts were late.
  */
-function getLateShare(server: string, own: Lateness, sums: ModelSums): number {
-  const [peerCount = 0, peerShares = 0] = sums.late.get(server) ?? [];
+function getLateShare(key: string, own: Lateness, sums: ModelSums): number {
+  const [peerCount = 0, peerShares = 0] = sums.late.get(key) ?? [];
   const count = own.count + peerCount + PRIOR_IN_TIME;
   return (own.shares + peerShares) / count;
 }
 
+function fitService(sums: readonly number[]): readonly number[] {
+  const fit = fitLinear(sums, BOUNDS);
+  const [, own = 0, ahead = 0] = fit;
+  const minAhead = own * MIN_AHEAD_SHARE;
+  if (ahead >= minAhead) {
+    return fit;
+  }
+  const bounds = BOUNDS.map((bound, index) =>
+    index === AHEAD ? {...bound, min: minAhead} : bound,
+  );
+  return fitLinear(sums, bounds);
+}
+
 function listFeatures(features: RequestFeatures): number[] {
   const {ownTokens, aheadTokens, occupancy} = features;
   return [
--- a/src/slopes/index.ts
+++ b/src/slopes/index.ts
@@ -5,3 +5,4 @@
 export {measureDaemon, measureIdleAtCurrentSize} from './measure_daemon.js';
 export {measureLimits} from './measure_limits.js';
 export {measureLeaving, measureSlopes} from './measure_slopes.js';
+export {measureServerModel} from './measure_server_model.js';
--- a/test/peering/peer_host.ts
+++ b/test/peering/peer_host.ts
@@ -1,6 +1,6 @@
 import {Fleet, FleetServer, FleetState} from '../../src/fleet/index.js';
 import {ServerLimits} from '../../src/limits/index.js';
-import {SilentLog} from '../../src/log/index.js';
+import {Log, SilentLog} from '../../src/log/index.js';
 import {Metrics} from '../../src/metrics/index.js';
 import {
   HostAddress,
@@ -13,6 +13,7 @@
 import {Quota} from '../../src/quota/index.js';
 import {SeededRandom} from '../../src/random/index.js';
 import {RowReplica} from '../../src/replica/index.js';
+import {ServerModels} from '../../src/server_model/index.js';
 import {Clock} from '../../src/time/index.js';
 import {HostUsage, ReferenceTime, UsageLedger} from '../../src/usage/index.js';
 
@@ -33,6 +34,9 @@
   readonly reports: HostReports;
   readonly readAge: ReadAge;
   readonly fleet: Fleet;
+  readonly models: ServerModels;
+  /** Whether this host learns the times of servers. */
+  learnsTimes = false;
   readonly quota: Quota;
   readonly ledger: UsageLedger;
   readonly hostUsage = new HostUsage();
@@ -48,8 +52,8 @@
     readonly incarnation: string,
     readonly clock: Clock,
     links: PeerHostLinks,
+    log: Log = new SilentLog(),
   ) {
-    const log = new SilentLog();
     this.known = new KnownHosts({
       clock,
       log,
@@ -64,12 +68,20 @@
       expiryMs: GONE_MS,
     });
     this.readAge = new ReadAge(clock, [TABLE]);
+    this.models = new ServerModels({
+      clock,
+      log,
+      metrics: this.metrics,
+      isEnabled: () => this.learnsTimes,
+      sumPeers: () => this.reports.sumModels(),
+    });
     this.fleet = new Fleet({
       clock,
       log,
       random: new SeededRandom(1),
       dataCentre: self.dataCentre,
       listPeerLoads: server => this.reports.listLoadsAt(server),
+      models: this.models,
     });
     this.quota = new Quota({
       clock,
--- a/test/server_model/observed_service.ts
+++ b/test/server_model/observed_service.ts
@@ -3,6 +3,7 @@
 import {SeededRandom} from '../../src/random/index.js';
 import {
   createModelSection,
+  createServerKey,
   LateWatch,
   ModelSum,
   ModelSums,
@@ -150,7 +151,7 @@
     }
     this.last = this.hosts.map(({models, watches}) => {
       const late = watches.map((watch, index): [string, number[]] => [
-        `engine-${index}@1`,
+        createServerKey(`engine-${index}@1`),
         [watch.getLateness().count, watch.getLateness().shares],
       ]);
       const listed = late.filter(([, [count = 0]]) => count > 0.2);
--- a/test/server_model/server_models_test.ts
+++ b/test/server_model/server_models_test.ts
@@ -7,6 +7,7 @@
 import {predictFirstToken} from '../../src/routing/index.js';
 import {
   createModelSection,
+  createServerKey,
   LateWatch,
   ModelSum,
   ModelSums,
@@ -148,8 +149,8 @@
     sum.add(own, 400);
     sum.add(own, 0);
     const rest = subtractSums(sum.get(), own, 400);
-    expect(rest.servers.get('engine@1')?.[0]).to.be.closeTo(
-      own.servers.get('engine@1')?.[0] ?? 0,
+    expect(rest.servers.get(createServerKey('engine@1'))?.[0]).to.be.closeTo(
+      own.servers.get(createServerKey('engine@1'))?.[0] ?? 0,
       0.01,
     );
   });
