--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -26,6 +26,7 @@
   ServerStatement,
 } from '../../src/relay/index.js';
 import {SharedRetryBudget} from '../../src/routing/index.js';
+import {ModelSum, ServerModels} from '../../src/server_model/index.js';
 import {SystemClock} from '../../src/time/index.js';
 import {VersionCounter} from '../../src/rollout/index.js';
 import {UsageLedger} from '../../src/usage/index.js';
@@ -114,6 +115,9 @@
 export class RelayFixture {
   readonly clock = new SystemClock();
   readonly fleet: Fleet;
+  readonly models: ServerModels;
+  /** Whether the times of servers are learned. */
+  learnsTimes = false;
   readonly quarantine: Quarantine;
   readonly metrics = new Metrics();
   readonly limits: ServerLimits;
@@ -133,12 +137,20 @@
   constructor(exchange: Exchange) {
     const log = new SilentLog();
     const {clock} = this;
+    this.models = new ServerModels({
+      clock,
+      log,
+      metrics: this.metrics,
+      isEnabled: () => this.learnsTimes,
+      sumPeers: () => new ModelSum().get(),
+    });
     this.fleet = new Fleet({
       clock,
       log,
       random: new SeededRandom(1),
       dataCentre: 'here',
       listPeerLoads: () => [],
+      models: this.models,
     });
     const catalog = new CatalogStore(log);
     catalog.offer(createCatalog(), 'test');
--- a/test/soak/soak_host.ts
+++ b/test/soak/soak_host.ts
@@ -82,7 +82,11 @@
     this.incarnation++;
     this.isExitExpected = false;
     const child = spawn(process.execPath, PROGRAM, {
-      env: {PATH: process.env['PATH'], SEDGEFALL_BOOT: this.settingsPath},
+      env: {
+        PATH: process.env['PATH'],
+        SEDGEFALL_BOOT: this.settingsPath,
+        SEDGEFALL_FEATURES: process.env['SEDGEFALL_FEATURES'] ?? '',
+      },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.child = child;
