--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -358,9 +358,13 @@
       random: this.options.random,
     });
     const isEngine = this.catalog?.services.get(service)?.engine !== undefined;
+    const models = this.getModels();
+    const kind = query.kind && {
+      ...query.kind,
+      hasPrefill: isEngine && query.kind.hasPrefill,
+    };
     const prefillRate =
-      this.getModels()?.getPrefillRate(service) ??
-      PREFILL_TOKENS_PER_MS * MS_PER_SECOND;
+      models?.getPrefillRate(service) ?? PREFILL_TOKENS_PER_MS * MS_PER_SECOND;
     const knowledge: ServerKnowledge[] = [];
     for (const tracked of candidates) {
       const {server} = tracked;
@@ -370,10 +374,8 @@
         prefillRate / MS_PER_SECOND,
       );
       const running = tracked.inFlight + peers.running;
-      const learned = this.getLearnedTimes(tracked, running, {
-        kind: query.kind,
-        isEngine,
-      });
+      const learned =
+        models && kind && getLearnedTimes(models, tracked, running, kind);
       const cached = tracked.cachedParts.countCachedTokens(parts);
       const assumedCached =
         server.id === preferredServer
@@ -420,31 +422,6 @@
     return models?.isEnabled() === true ? models : undefined;
   }
 
-  private getLearnedTimes(
-    tracked: TrackedServer,
-    running: number,
-    request: {
-      readonly kind: RequestKind | undefined;
-      readonly isEngine: boolean;
-    },
-  ): LearnedTimes | undefined {
-    const models = this.getModels();
-    if (models === undefined || request.kind === undefined) {
-      return undefined;
-    }
-    const {id, service, slots} = tracked.server;
-    const hasPrefill = request.isEngine && request.kind.hasPrefill;
-    const kind = {...request.kind, hasPrefill};
-    const times = models.getTimes({
-      service,
-      server: id,
-      kind,
-      occupancy: running / Math.max(1, slots),
-      ownLateness: tracked.getLateness(),
-    });
-    return {kind, ...times};
-  }
-
   /**
    * Records that a request is sent to a server.
    * @param id - The server.
@@ -482,7 +459,7 @@
     predictedMs: number,
     features: RequestFeatures | undefined,
   ): LearnedRequest | undefined {
-    const models = this.getModels();
+    const models = features && this.getModels();
     if (models === undefined || features === undefined) {
       return undefined;
     }
@@ -586,6 +563,27 @@
   }
 }
 
+/**
+ * Returns the learned times of a server.
+ * @param running - Requests at the server, of all hosts.
+ */
+function getLearnedTimes(
+  models: ServerModels,
+  tracked: TrackedServer,
+  running: number,
+  kind: RequestKind,
+): LearnedTimes {
+  const {id, service, slots} = tracked.server;
+  const times = models.getTimes({
+    service,
+    server: id,
+    kind,
+    occupancy: running / Math.max(1, slots),
+    ownLateness: tracked.getLateness(),
+  });
+  return {kind, ...times};
+}
+
 function isRegistered({state}: FleetServer): boolean {
   return state === FleetState.READY || state === FleetState.DRAINING;
 }
--- a/test/routing/choose_server_test.ts
+++ b/test/routing/choose_server_test.ts
@@ -68,6 +68,29 @@
     );
   });
 
+  it('draws no server that would start too late with the request, if another would not', () => {
+    const times = {
+      kind: {route: 'chat', hasPrefill: true},
+      fixedMs: 400,
+      ownTokenMs: 0,
+      aheadTokenMs: 0.01,
+      lateShare: 0,
+      waitingMs: 0,
+    };
+    const late = server('late', {learned: times, pendingPrefillTokens: 11_000});
+    const free = server('free', {learned: times});
+    const random = new SeededRandom(1);
+    const draw = (maxWaitMs: number) =>
+      chooseServer(
+        {promptTokens: 0, expectedTokens: 1, excluded: new Set(), maxWaitMs},
+        [late, free],
+        random,
+      ).chosen?.server;
+    const many = Array.from({length: 100});
+    expect(many.map(() => draw(100))).not.to.include('late');
+    expect(many.map(() => draw(200))).to.include('late');
+  });
+
   it('skips ejected servers unless all are ejected', () => {
     const bad = server('bad', {ejected: true});
     expect(choose([bad, server('good')])).to.equal('good');
