--- a/src/bin/slopes.ts
+++ b/src/bin/slopes.ts
@@ -5,12 +5,17 @@
   measureDaemon,
   measureLeaving,
   measureLimits,
+  measureServerModel,
   measureSlopes,
   measureTransfer,
   measureIdleAtCurrentSize,
 } from '../slopes/index.js';
 
-for (const line of [...measureSlopes(), ...measureLimits()]) {
+for (const line of [
+  ...measureSlopes(),
+  ...measureLimits(),
+  ...measureServerModel(),
+]) {
   process.stdout.write(`${formatLine(line)}\n`);
 }
 for (const count of [10, 72]) {
--- a/src/peering/host_work.ts
+++ b/src/peering/host_work.ts
@@ -1,5 +1,10 @@
 import {PlacesInUse} from '../admission/index.js';
 import {RankedTokens, ServerLoad} from '../fleet/index.js';
+import {
+  ModelSection,
+  ModelSums,
+  readModelSection,
+} from '../server_model/index.js';
 import {HostReport} from './host_report.js';
 import {WorkSummary} from './work_summary.js';
 
@@ -21,6 +26,8 @@
   readonly demands: Rates;
   /** Requests in flight by service and customer; none from the previous release. */
   readonly places: readonly PlacesInUse[];
+  /** Sums of the observations of servers; absent if none are learned from. */
+  readonly model?: ModelSums;
 }
 
 /** Reads the work of one host from its report. */
@@ -38,7 +45,7 @@
     // Hosts of the previous release report no ranks.
     prefill: byServer.get(server) ?? [{urgency: 0, tokens}],
   }));
-  return {loads, parts, prefill, demands, places};
+  return {loads, parts, prefill, demands, places, ...readModel(report.model)};
 }
 
 /** Reads the work of several hosts from their summary. */
@@ -49,5 +56,16 @@
     running,
     prefill: ranks.map(([urgency, tokens]) => ({urgency, tokens})),
   }));
-  return {loads, parts, prefill, demands, places};
+  return {
+    loads,
+    parts,
+    prefill,
+    demands,
+    places,
+    ...readModel(summary.model),
+  };
+}
+
+function readModel(section: ModelSection | undefined): Pick<HostWork, 'model'> {
+  return section === undefined ? {} : {model: readModelSection(section).sums};
 }
--- a/src/peering/report_messages.ts
+++ b/src/peering/report_messages.ts
@@ -5,6 +5,7 @@
 import {copyPlaces} from './sum_places.js';
 import {RowMessages} from './row_messages.js';
 import {SummaryMessages} from './summary_messages.js';
+import {createModelSection} from '../server_model/index.js';
 import {HostListVersion} from './host_list_version.js';
 import {UsageMessages} from './usage_messages.js';
 
@@ -46,10 +47,14 @@
     const {known, reports, self} = this.options;
     const [first] = known.rankAggregators(self.dataCentre);
     const isOutdated = reports.getAgeOfAllMs() > MAX_SUMMARY_AGE_MS;
+    const {model, ...report} = this.createOwnReport(isFirst);
+    const wantsAll =
+      first?.host !== self.host && (first?.host === peer.host || isOutdated);
     return {
-      ...this.createOwnReport(isFirst),
-      wantsAll:
-        first?.host !== self.host && (first?.host === peer.host || isOutdated),
+      ...report,
+      // An aggregator without a task needs no observations until it takes over.
+      ...optional('model', wantsAll ? model : undefined),
+      wantsAll,
       ...optional('membersVersion', known.getMembersVersion(peer.host)),
     };
   }
@@ -138,6 +143,7 @@
   private createOwnReport(isFirst: boolean): HostReport {
     const {fleet, quota, listPlaces} = this.options;
     const loads = fleet.listOwnLoads();
+    const model = fleet.listModelSums();
     return {
       ...this.createEmptyReport(),
       loads: loads.map(({server, running, prefill}) => [
@@ -168,6 +174,7 @@
       usage: this.sections.usage
         .listWindows(isFirst)
         .map(({window, counts}) => [window, {...counts}]),
+      ...optional('model', model && createModelSection(model)),
     };
   }
 }
--- a/src/peering/summary_messages.ts
+++ b/src/peering/summary_messages.ts
@@ -8,6 +8,7 @@
 import {HostWork} from './host_work.js';
 import {KnownHosts} from './known_hosts.js';
 import {HostListVersion} from './host_list_version.js';
+import {createModelSection} from '../server_model/index.js';
 import {optional} from './optional.js';
 import {copyPlaces} from './sum_places.js';
 import {subtractWork} from './work_sum.js';
@@ -189,6 +190,7 @@
       demands: work.demands.map(([name, rate]) => [name, rate]),
       ...optional('places', copyPlaces(work.places)),
       spending: spending.map(({customer, units}) => [customer, units]),
+      ...optional('model', work.model && createModelSection(work.model)),
     };
   }
 
@@ -213,6 +215,7 @@
       prefill: fleet.listPrefillRates().map(toRate),
       demands: quota.listDemand().map(toRate),
       places: listPlaces?.() ?? [],
+      ...optional('model', fleet.listModelSums()),
     };
   }
 }
--- a/src/peering/work_sum.ts
+++ b/src/peering/work_sum.ts
@@ -4,8 +4,10 @@
   RankedTokens,
   ServerLoad,
 } from '../fleet/index.js';
+import {ModelSum, ModelSums, subtractSums} from '../server_model/index.js';
 import {HostWork, Rates} from './host_work.js';
 import {subtractPlaces, sumPlaces} from './sum_places.js';
+import {optional} from './optional.js';
 
 /** Pending prompt tokens of a rank below which they are not reported: a few steps. */
 const MIN_PENDING_TOKENS = 500;
@@ -27,6 +29,8 @@
     readonly [server: string, part: string, tokens: number]
   >();
 
+  private model: ModelSum | undefined;
+
   /**
    * Adds work.
    * @param work - The work.
@@ -40,6 +44,10 @@
     addRates(this.prefill, work.prefill);
     addRates(this.demands, work.demands);
     this.places.push(...work.places);
+    if (work.model !== undefined) {
+      this.model ??= new ModelSum();
+      this.model.add(work.model, ageMs);
+    }
     for (const part of work.parts) {
       this.parts.set(`${part[0]}/${part[1]}`, part);
     }
@@ -53,6 +61,7 @@
       prefill: listRates(this.prefill),
       demands: listRates(this.demands),
       places: sumPlaces(this.places),
+      ...optional('model', this.model?.get()),
     };
   }
 
@@ -108,9 +117,20 @@
     prefill: subtractRates(whole.prefill, part.prefill),
     demands: subtractRates(whole.demands, part.demands),
     places: subtractPlaces(whole.places, part.places),
+    ...optional('model', subtractModel(whole.model, part.model, ageMs)),
   };
 }
 
+function subtractModel(
+  whole: ModelSums | undefined,
+  part: ModelSums | undefined,
+  ageMs: number,
+): ModelSums | undefined {
+  return whole === undefined || part === undefined
+    ? whole
+    : subtractSums(whole, part, ageMs);
+}
+
 function subtractLoad(
   whole: ServerLoad,
   part: ServerLoad,
--- a/src/relay/server_choice.ts
+++ b/src/relay/server_choice.ts
@@ -78,6 +78,7 @@
     const candidates = fleet.listKnowledge(service, {
       parts: prompt.parts,
       urgency: rankUrgency(request),
+      kind: {route: request.route.name, hasPrefill: request.route.streaming},
       excluded: attempts.excluded,
       allows: excludeServers(allowsNow, withheld),
     });
@@ -94,6 +95,7 @@
         expectedTokens: Math.max(1, prompt.tokensOut),
         excluded: attempts.excluded,
         slackMs: this.getSlackMs(),
+        maxWaitMs: request.route.targetMs,
       },
       trialServers.length > 0 ? trialServers : candidates,
       random,
--- a/src/relay_host/bind_cluster_state.ts
+++ b/src/relay_host/bind_cluster_state.ts
@@ -11,6 +11,7 @@
 import {Quarantine} from '../quarantine/index.js';
 import {Quota} from '../quota/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
+import {ServerModels} from '../server_model/index.js';
 import {ShutdownState} from './shutdown_state.js';
 import {ReferenceTime} from '../usage/index.js';
 import {createFeatureRules} from './create_feature_rules.js';
@@ -55,6 +56,17 @@
         }),
       ),
   );
+  bind(container, ServerModels, context => {
+    const features = context.get(Features);
+    const reports = context.get(HostReports);
+    return new ServerModels({
+      clock: context.get(CLOCK),
+      log: context.get(LOG),
+      metrics: context.get(Metrics),
+      isEnabled: () => features.isEnabled(Feature.SERVER_MODEL),
+      sumPeers: () => reports.sumModels(),
+    });
+  });
   bind(container, Fleet, context => {
     const reports = context.get(HostReports);
     return new Fleet({
@@ -69,6 +81,7 @@
         hasIdleConnection: context.get(HAS_IDLE_CONNECTION),
         capacity: context.get(GET_SETTINGS)().capacity,
       }),
+      models: context.get(ServerModels),
     });
   });
   bind(
--- a/src/routing/server_knowledge.ts
+++ b/src/routing/server_knowledge.ts
@@ -1,4 +1,14 @@
 import {LoadReport} from '../backend/index.js';
+import {
+  RequestFeatures,
+  RequestKind,
+  ServerTimes,
+} from '../server_model/index.js';
+
+/** Learned times of a server, for one kind of request. */
+export interface LearnedTimes extends ServerTimes {
+  readonly kind: RequestKind;
+}
 
 /** What this host knows about a server when it chooses one. */
 export interface ServerKnowledge {
@@ -25,6 +35,8 @@
   readonly pendingPrefillTokens: number;
   /** Smoothed delay of its answers beyond the prediction, in milliseconds. */
   readonly excessMs: number;
+  /** Learned times of the server; absent if the servers' times are not learned. */
+  readonly learned?: LearnedTimes | undefined;
   /**
    * Additional cost in milliseconds if the server is in another data centre.
    */
@@ -55,6 +67,11 @@
    * always preferred.
    */
   readonly slackMs?: number;
+  /**
+   * Time until a server starts with the request, in milliseconds, beyond which the request
+   * would be refused; absent if it is not refused for this reason.
+   */
+  readonly maxWaitMs?: number;
 }
 
 /** A server with its predicted time to the first token. */
@@ -72,6 +89,8 @@
    * observed delays, in milliseconds.
    */
   readonly waitMs?: number;
+  /** What the prediction is based on, if the servers' times are learned. */
+  readonly features?: RequestFeatures;
 }
 
 /** A routing decision, with the considered alternatives for the log. */
--- a/src/slopes/index.ts
+++ b/src/slopes/index.ts
@@ -8,3 +8,4 @@
 export {measureTransfer} from './measure_transfer.js';
 export {SimulatedHosts, SIMULATED_TABLE} from './simulated_hosts.js';
 export type {SimulatedHost, SimulatedMessage} from './simulated_hosts.js';
+export {measureServerModel} from './measure_server_model.js';
