--- a/src/admission/exceeds_share.ts
+++ b/src/admission/exceeds_share.ts
@@ -1,8 +1,7 @@
 /**
  * Excess over its share from which a customer counts as over it, in multiples of the square
  * root of the share. That root is about how much the requests in flight of a customer that
- * stays within its share vary by chance: with one root, 6 of 100 chats were refused in the
- * test of the load, with two fewer than 1.
+ * stays within its share vary by chance; a customer within its share is seldom two above.
  */
 const TOLERATED_ROOTS = 2;
 
