Take a host for overloaded only while its processor is nearly used up

Change: below 0.85 of the processor, an overloaded state refuses nothing but what is past its deadline.

--- a/src/host_load/decide_acceptance.ts
+++ b/src/host_load/decide_acceptance.ts
@@ -45,12 +45,17 @@
 const OWN_SHARE_OF_TARGET = 0.5;
 /**
  * Largest own delay by rank with which requests are accepted, in milliseconds. That of the
- * most urgent rank is half of the tightest target (200 ms). With 30 ms for the least urgent
- * one, 2% of all requests were refused at 0.8 of a host's capacity; with 50 ms, 1%.
+ * most urgent rank is half of the tightest target (200 ms). The others leave processor time
+ * to more urgent requests, and refusals themselves must not wait for long.
  */
 const LIMITS_MS = [100, 75, 50] as const;
 /** Ranks by which a request of a customer above its share is less urgent. */
 const ABOVE_SHARE_RANKS = 1;
+/**
+ * Share of the processor below which this host keeps up although its event loop is late: a
+ * burst of a few requests takes a small host 100 ms and more, and is over then.
+ */
+const BOTTLENECK_SHARE = 0.85;
 /** Share of the processor from which a queue does not drain by itself. */
 const FULL_PROCESSOR_SHARE = 0.95;
 /** Factor for the limits while the processor is fully used. */
@@ -70,7 +75,7 @@
   if (remainingMs <= ownDelayMs) {
     return RefusalReason.DEADLINE;
   }
-  if (!isOverloaded) {
+  if (!isOverloaded || !isBottleneck(load)) {
     return undefined;
   }
   if (waitedMs + ownDelayMs > targetMs * OWN_SHARE_OF_TARGET) {
@@ -84,6 +89,10 @@
   return isBeyondShare ? RefusalReason.SHARE : undefined;
 }
 
+function isBottleneck({processorShare}: HostLoadFigures): boolean {
+  return processorShare === undefined || processorShare >= BOTTLENECK_SHARE;
+}
+
 function getLimitMs({processorShare = 0}: HostLoadFigures, rank: number) {
   const index = Math.min(rank, LIMITS_MS.length - 1);
   const factor =
