Refuse requests by a host's own load only where an operator asks for it

Change: the feature host-overload is off unless it is switched on. Hosts below one core still measure their load, handle what waits in the kernel first, and send nothing hopeless.

--- a/src/host_load/host_load.ts
+++ b/src/host_load/host_load.ts
@@ -18,7 +18,13 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly random: Random;
+  /** Returns whether to measure, and to handle what waits in the kernel first. */
   readonly isEnabled: () => boolean;
+  /**
+   * Returns whether requests are refused because of this host's load; by default, they
+   * are. What has passed its deadline is refused in any case.
+   */
+  readonly refusesByLoad?: () => boolean;
   /**
    * Returns the time that the event loop has waited for events since the start of the
    * process, in milliseconds.
@@ -172,10 +178,11 @@
     const processorShare = this.processor.getShare();
     const ownDelayMs = this.state.getOwnDelayMs();
     const waitedMs = nowMs - arrival.arrivedMs;
+    const refusesByLoad = this.options.refusesByLoad?.() ?? true;
     const reason = decideAcceptance(
       {
-        isOverloaded: this.state.isOverloaded(),
-        ownDelayMs,
+        isOverloaded: refusesByLoad && this.state.isOverloaded(),
+        ownDelayMs: refusesByLoad ? ownDelayMs : 0,
         ...(processorShare === undefined ? {} : {processorShare}),
       },
       {
--- a/src/relay_host/bind_host_load.ts
+++ b/src/relay_host/bind_host_load.ts
@@ -7,6 +7,8 @@
 import {CLOCK, GET_SETTINGS, LOG, RANDOM} from './identifiers.js';
 
 const US_PER_MS = 1000;
+/** Capacity below which a burst of requests can use up a host's processor, in cores. */
+const SMALL_HOST_CORES = 1;
 
 /** Binds the measurement of this host's own load. */
 export function bindHostLoad(container: Container): void {
@@ -18,7 +20,10 @@
       log: context.get(LOG),
       metrics: context.get(Metrics),
       random: context.get(RANDOM),
-      isEnabled: () => features.isEnabled(Feature.HOST_OVERLOAD),
+      isEnabled: () =>
+        getSettings().capacity < SMALL_HOST_CORES ||
+        features.isEnabled(Feature.HOST_OVERLOAD),
+      refusesByLoad: () => features.isEnabled(Feature.HOST_OVERLOAD),
       afterPoll,
       readIdleMs: () => performance.eventLoopUtilization().idle,
       readUsedMs: () => {
--- a/src/relay_host/create_feature_rules.ts
+++ b/src/relay_host/create_feature_rules.ts
@@ -8,8 +8,6 @@
  * within which it must be in force, in Mbit/s: 4 MiB take 0.34 s at this speed.
  */
 const THIN_LINK_MBPS = 100;
-/** Capacity below which a burst of requests can use up a host's processor, in cores. */
-const SMALL_HOST_CORES = 1;
 /** Customers with rates from which they compete for the places of servers. */
 const MIN_COMPETING_CUSTOMERS = 2;
 
@@ -37,7 +35,9 @@
     [Feature.FAIR_PLACES]: () =>
       isLargeFleet() &&
       countLimitedCustomers(catalog) >= MIN_COMPETING_CUSTOMERS,
-    [Feature.HOST_OVERLOAD]: () => getSettings().capacity < SMALL_HOST_CORES,
+    // Refuses requests that a host slowed down by its surroundings would still answer in
+    // time, so operators have to ask for it.
+    [Feature.HOST_OVERLOAD]: () => false,
     [Feature.DURABLE_COUNTS]: () => getSettings().reportsUsage,
   };
 }
