--- a/src/relay_host/create_feature_rules.ts
+++ b/src/relay_host/create_feature_rules.ts
@@ -30,10 +30,8 @@
   return {
     [Feature.CONNECTION_REUSE]: isLargeFleet,
     [Feature.BULK_TRANSFER]: () => {
-      const {linkMbps} = getSettings();
-      return linkMbps === undefined
-        ? isLargeFleet()
-        : linkMbps < THIN_LINK_MBPS || isLargeFleet();
+      const {linkMbps = Number.POSITIVE_INFINITY} = getSettings();
+      return linkMbps < THIN_LINK_MBPS || isLargeFleet();
     },
     // In a large fleet, each host sees few answers of each server.
     [Feature.SERVER_MODEL]: () =>
