--- a/src/relay_host/create_feature_rules.ts
+++ b/src/relay_host/create_feature_rules.ts
@@ -8,11 +8,6 @@
  * within which it must be in force, in Mbit/s: 4 MiB take 0.34 s at this speed.
  */
 const THIN_LINK_MBPS = 100;
-/**
- * Capacity from which a host can afford the messages of learned times, in cores: they take
- * several milliseconds of processor time a second.
- */
-const MODEL_MIN_CORES = 0.5;
 /** Customers with rates from which they compete for the places of servers. */
 const MIN_COMPETING_CUSTOMERS = 2;
 
@@ -33,9 +28,9 @@
       const {linkMbps = Number.POSITIVE_INFINITY} = getSettings();
       return linkMbps < THIN_LINK_MBPS || isLargeFleet();
     },
-    // In a large fleet, each host sees few answers of each server.
-    [Feature.SERVER_MODEL]: () =>
-      isLargeFleet() && getSettings().capacity >= MODEL_MIN_CORES,
+    // Predicts more accurately, but answers no more requests in time so far, and takes hosts
+    // several milliseconds of processor time a second, so operators have to ask for it.
+    [Feature.SERVER_MODEL]: () => false,
     [Feature.FAIR_PLACES]: () =>
       isLargeFleet() &&
       countLimitedCustomers(catalog) >= MIN_COMPETING_CUSTOMERS,
