Share scarce places only where an operator asks for it

Change: the feature fair-places, and with it the reserve for urgent kinds of a customer, is off unless it is switched on.

--- a/src/relay_host/bind_cluster_state.ts
+++ b/src/relay_host/bind_cluster_state.ts
@@ -51,7 +51,6 @@
         context.get(FEATURE_MODES),
         createFeatureRules({
           getSettings: context.get(GET_SETTINGS),
-          catalog: context.get(CatalogStore),
           known: context.get(KnownHosts),
         }),
       ),
