--- a/src/features/feature.ts
+++ b/src/features/feature.ts
@@ -8,6 +8,8 @@
   SERVER_MODEL: 'server-model',
   /** Divides scarce places of servers by rank and among customers. */
   FAIR_PLACES: 'fair-places',
+  /** Keeps a part of a customer's rate for its more urgent requests. */
+  URGENT_RESERVE: 'urgent-reserve',
   /** Refuses requests while this host itself is overloaded. */
   HOST_OVERLOAD: 'host-overload',
   /** Stores usage counts and spending so that they outlive all hosts. */
--- a/src/relay_host/bind_cluster_state.ts
+++ b/src/relay_host/bind_cluster_state.ts
@@ -51,6 +51,7 @@
         context.get(FEATURE_MODES),
         createFeatureRules({
           getSettings: context.get(GET_SETTINGS),
+          catalog: context.get(CatalogStore),
           known: context.get(KnownHosts),
         }),
       ),
@@ -128,7 +129,7 @@
       countHosts: () => knownHosts.countHosts(),
       countReachableHosts: () => knownHosts.countAlive(),
       getBound: () => context.get(GET_SETTINGS)().quota,
-      reservesForUrgent: () => features.isEnabled(Feature.FAIR_PLACES),
+      reservesForUrgent: () => features.isEnabled(Feature.URGENT_RESERVE),
     });
   });
   bind(container, PlaceCounter, context => {
