--- a/src/host_load/host_load.ts
+++ b/src/host_load/host_load.ts
@@ -171,14 +171,14 @@
     if (!this.options.isEnabled()) {
       return undefined;
     }
-    if (customer !== undefined) {
+    const refusesByLoad = this.options.refusesByLoad?.() ?? true;
+    if (refusesByLoad && customer !== undefined) {
       this.shares.add(customer.name, customer.weight);
     }
     const nowMs = this.options.clock.monotonicMs();
     const processorShare = this.processor.getShare();
     const ownDelayMs = this.state.getOwnDelayMs();
     const waitedMs = nowMs - arrival.arrivedMs;
-    const refusesByLoad = this.options.refusesByLoad?.() ?? true;
     const reason = decideAcceptance(
       {
         isOverloaded: refusesByLoad && this.state.isOverloaded(),
