Reproduce requests failing at hosts that are partitioned from all servers

DaemonOptions.openConnection lets a test give each host its own network to the servers. Requests are routed as before.

--- a/src/http/connection_pool.ts
+++ b/src/http/connection_pool.ts
@@ -1,5 +1,7 @@
-import {Agent, ClientRequest} from 'node:http';
+import {Agent, ClientRequest, ClientRequestArgs} from 'node:http';
 import {Socket} from 'node:net';
+import {Duplex} from 'node:stream';
+import {OpenConnection} from './open_connection.js';
 
 /** Fraction of the idle timeout announced by the server that is used. */
 const IDLE_SHARE = 0.6;
@@ -24,11 +26,30 @@
 export class ConnectionPool extends Agent {
   private isClosing = false;
 
-  /** @param getMaxIdleMs - Returns the longest time a connection is kept idle, in ms. */
-  constructor(private readonly getMaxIdleMs: () => number) {
+  /**
+   * @param getMaxIdleMs - Returns the longest time a connection is kept idle, in ms.
+   * @param openConnection - Opens the connections; by default, the agent does.
+   */
+  constructor(
+    private readonly getMaxIdleMs: () => number,
+    private readonly openConnection?: OpenConnection,
+  ) {
     super({keepAlive: true, scheduling: 'lifo'});
   }
 
+  /** Called by the agent when a request needs another connection. */
+  override createConnection(
+    options: ClientRequestArgs,
+    callback?: (error: Error | null, stream: Duplex) => void,
+  ): Duplex | null | undefined {
+    return this.openConnection === undefined
+      ? super.createConnection(options, callback)
+      : this.openConnection({
+          host: String(options.host),
+          port: Number(options.port),
+        });
+  }
+
   /** Returns whether a connection is open and idle. */
   hasIdle(): boolean {
     return Object.values(this.freeSockets).some(
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -3,3 +3,4 @@
 export {sendJson, toHttpFailure} from './http_request.js';
 export {refusesConnections} from './refuses_connections.js';
 export {ConnectionPool} from './connection_pool.js';
+export type {OpenConnection} from './open_connection.js';
--- a/src/http/refuses_connections.ts
+++ b/src/http/refuses_connections.ts
@@ -1,4 +1,5 @@
 import {connect} from 'node:net';
+import {OpenConnection} from './open_connection.js';
 
 /**
  * Timeout in milliseconds. The reply takes one network round trip, and the next attempt
@@ -11,13 +12,17 @@
  * Checks whether an address refuses TCP connections because nothing listens there.
  * An address that is unreachable, or does not reply in time, does not count as refusing.
  * @param address - IP address and port.
+ * @param openConnection - Opens the connection.
  */
-export function refusesConnections(address: string): Promise<boolean> {
+export function refusesConnections(
+  address: string,
+  openConnection: OpenConnection = connect,
+): Promise<boolean> {
   const colon = address.lastIndexOf(':');
   const host = address.slice(0, colon);
   const port = Number(address.slice(colon + 1));
   return new Promise(resolve => {
-    const socket = connect({host, port});
+    const socket = openConnection({host, port});
     const timer = setTimeout(() => settle(false), TIMEOUT_MS);
     const settle = (refuses: boolean) => {
       clearTimeout(timer);
--- a/test/platform/fakes/test_system.ts
+++ b/test/platform/fakes/test_system.ts
@@ -1,12 +1,11 @@
 import {request as openRequest} from 'node:http';
 import {createServer, Server} from 'node:http';
 import {AddressInfo} from 'node:net';
-import {FeatureModes} from '../../../src/features/index.js';
 import {SilentLog} from '../../../src/log/index.js';
 import {RelayHost} from '../../../src/relay_host/index.js';
 import {SystemClock} from '../../../src/time/index.js';
 import {findFreePorts} from '../../../src/trial/index.js';
-import {createRelayHost} from '../../../platform/container.js';
+import {createRelayHost, DaemonOptions} from '../../../platform/container.js';
 import {parsePlatformSettings} from '../../../platform/settings.js';
 import {SettingsSource} from '../../../platform/settings_source.js';
 import {answerWith, Script, FakeServer} from './fake_server.js';
@@ -151,7 +150,7 @@
     name: string,
     seeds: readonly string[] = [],
     moreSettings = '',
-    featureModes: FeatureModes = new Map(),
+    daemonOptions: Pick<DaemonOptions, 'featureModes' | 'openConnection'> = {},
   ): Promise<RunningHost> {
     const [front, ready, control, first, last] = await findFreePorts(5);
     const text = `
@@ -191,7 +190,7 @@
       log,
       source: new SettingsSource('/nonexistent', settings, clock, log),
       incarnation: `${name}-1`,
-      featureModes,
+      ...daemonOptions,
     });
     await host.start();
     const running = {
