--- a/src/attempts/attempts.ts
+++ b/src/attempts/attempts.ts
@@ -11,6 +11,8 @@
   private started = 0;
   private runs = 0;
   private unexecuted = 0;
+  /** Attempts of which no byte was sent to a server. */
+  private unsent = 0;
 
   constructor(private readonly rules: AttemptRules) {}
 
@@ -30,11 +32,11 @@
   }
 
   /**
-   * Starts an attempt; returns whether the retry budget allows it. The first
-   * attempt needs no retry.
+   * Starts an attempt; returns whether the retry budget allows it. An attempt
+   * needs no retry if no byte was sent before: no server gets a second request.
    */
   begin(): boolean {
-    if (this.started > 0 && !this.rules.spendRetry()) {
+    if (this.started > this.unsent && !this.rules.spendRetry()) {
       return false;
     }
     this.started++;
@@ -50,10 +52,12 @@
    * Records an attempt without a final answer, and excludes its server.
    * @param server - The server that was tried.
    * @param mayHaveRun - Whether the server may have run the request.
+   * @param wasSent - Whether any byte of the request may have been sent.
    * @returns Whether another server may be tried.
    */
-  recordFailure(server: string, mayHaveRun: boolean): boolean {
+  recordFailure(server: string, mayHaveRun: boolean, wasSent = true): boolean {
     this.exclude(server);
+    this.unsent += wasSent ? 0 : 1;
     if (!mayHaveRun) {
       this.unexecuted++;
       return this.unexecuted <= this.rules.maxUnexecuted;
--- a/src/errors/problem.ts
+++ b/src/errors/problem.ts
@@ -36,6 +36,7 @@
   REQUEST_UNKNOWN: 'request-unknown',
   ROUTE_UNKNOWN: 'route-unknown',
   SERVER_FAILED: 'server-failed',
+  SERVERS_UNREACHABLE: 'servers-unreachable',
   SERVICE_BACKING_OFF: 'service-backing-off',
   SERVICE_LIMITED: 'service-limited',
   STORE_UNAVAILABLE: 'store-unavailable',
--- a/src/errors/problems.ts
+++ b/src/errors/problems.ts
@@ -308,6 +308,19 @@
   retryAfterSeconds,
 });
 
+export const serversUnreachable = (
+  service: string,
+  retryAfterSeconds: number,
+): Problem => ({
+  kind: ProblemKind.SERVERS_UNREACHABLE,
+  status: 503,
+  detail: `This host reaches no server of "${service}", and no other host could take the request.`,
+  remedy:
+    'Retry after the given time on a new connection; operators: see "a host does not reach servers" in docs/OPERATIONS.md.',
+  ran: ExecutionStatus.NOT_EXECUTED,
+  retryAfterSeconds,
+});
+
 export const serverLost = (detail: string): Problem => ({
   kind: ProblemKind.SERVER_FAILED,
   status: 502,
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -494,6 +494,18 @@
     }
   }
 
+  /**
+   * Discards the failures of a service's servers, and ends their ejections, after it
+   * turned out that this host had lost its connections to all of them.
+   */
+  forgetFailures(service: string): void {
+    for (const [id, {server}] of this.servers) {
+      if (server.service === service) {
+        this.outliers.forget(id);
+      }
+    }
+  }
+
   private listAllowed(
     service: string,
     {allows}: KnowledgeQuery,
--- /dev/null
+++ b/src/forwarding/forward_listener.ts
@@ -0,0 +1,268 @@
+import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
+import {Socket} from 'node:net';
+import {Log} from '../log/index.js';
+import {Metrics} from '../metrics/index.js';
+import {Relay, RelayRequest} from '../relay/index.js';
+import {Clock} from '../time/index.js';
+import {
+  DeclineReason,
+  ForwardRequest,
+  forwardRequestSchema,
+} from './forward_frame.js';
+import {isValidProof, PROOF_HEADER} from './forward_proof.js';
+import {ForwardedAnswer} from './forwarded_answer.js';
+import {readHead} from './read_head.js';
+
+/** Dependencies of a `ForwardListener`. */
+export interface ForwardListenerOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Key shared by all peers. */
+  readonly key: string;
+  readonly relay: Pick<Relay, 'serveForwarded'>;
+  /** Returns whether this host knows the configuration and the servers. */
+  readonly isInitialized: () => boolean;
+  /** Returns whether this host is overloaded. */
+  readonly isOverloaded: () => boolean;
+  /** Returns the longest body of a request, in bytes. */
+  readonly getMaxBodyBytes: () => number;
+}
+
+/** Largest head of a request, in bytes: its headers and the parts of its prompt. */
+const MAX_HEAD_BYTES = 524_288;
+/**
+ * Bytes of forwarded requests that are held at a time; their bodies are kept until they are
+ * answered. A host has 250 MB of memory.
+ */
+const MAX_HELD_BYTES = 33_554_432;
+/** Forwarded requests that are served at a time. */
+const MAX_REQUESTS = 512;
+/** Created once: an error per request would cost a stack trace each. */
+const CANCELLED = new Error('the other host cancelled the request');
+
+/**
+ * Takes requests that other hosts forward, and serves them from the servers that this host
+ * reaches. Each connection carries one request at a time, so that a slow reader holds up
+ * only its own answer, and no heartbeat waits behind a body.
+ */
+export class ForwardListener {
+  private readonly server: Server;
+  private readonly busy = new Map<Socket, number>();
+  private readonly sockets = new Set<Socket>();
+  private heldBytes = 0;
+  private requests = 0;
+  private isDraining = false;
+
+  constructor(private readonly options: ForwardListenerOptions) {
+    this.server = createServer(
+      {keepAlive: true, noDelay: true, requestTimeout: 0},
+      (message, response) => void this.serve(message, response),
+    );
+    this.server.on('connection', socket => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
+    const {metrics} = options;
+    metrics.addCounter(
+      'forwards_received',
+      'Requests forwarded by other hosts, by whether they were taken',
+    );
+    metrics.addGauge(
+      'forwards_in_flight',
+      'Requests of other hosts that this host serves now',
+      () => this.requests,
+    );
+  }
+
+  /** Starts to accept connections. */
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({host, port}, resolve);
+    });
+  }
+
+  /** Returns the number of connections on which a request is being read or answered. */
+  countBusyConnections(): number {
+    return this.busy.size;
+  }
+
+  /** Declines further requests; those in progress continue. */
+  startDraining(): void {
+    this.isDraining = true;
+  }
+
+  /** Accepts no more connections and closes the idle ones. */
+  stopListening(): void {
+    this.server.close();
+    for (const socket of this.sockets) {
+      if (!this.busy.has(socket)) {
+        socket.end();
+      }
+    }
+  }
+
+  /** Stops listening and closes all connections. */
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async serve(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const {socket} = message;
+    response.sendDate = false;
+    const bytes = Number(message.headers['content-length'] ?? 0);
+    this.busy.set(socket, bytes);
+    this.heldBytes += bytes;
+    this.requests++;
+    response.once('close', () => {
+      this.busy.delete(socket);
+      this.heldBytes -= bytes;
+      this.requests--;
+    });
+    const answer = new ForwardedAnswer(response);
+    try {
+      const reason = this.getDeclineReason(bytes);
+      if (reason !== undefined) {
+        this.decline(message, answer, reason);
+        return;
+      }
+      await this.handle(message, response, answer);
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : String(error);
+      this.options.log.error('forward_failed', {detail});
+      answer.disconnect();
+    }
+  }
+
+  private getDeclineReason(bytes: number): DeclineReason | undefined {
+    const {isInitialized, isOverloaded, getMaxBodyBytes} = this.options;
+    if (this.isDraining || !isInitialized()) {
+      return DeclineReason.STOPPING;
+    }
+    if (bytes > getMaxBodyBytes() + MAX_HEAD_BYTES) {
+      return DeclineReason.INVALID;
+    }
+    const isFull =
+      this.heldBytes > MAX_HELD_BYTES || this.requests > MAX_REQUESTS;
+    return isFull || isOverloaded() ? DeclineReason.BUSY : undefined;
+  }
+
+  private decline(
+    message: IncomingMessage,
+    answer: ForwardedAnswer,
+    reason: DeclineReason,
+  ): void {
+    this.options.metrics.increment('forwards_received', {result: reason});
+    // The rest of the request is read, so that the answer is not lost in a reset.
+    message.resume();
+    answer.decline(reason);
+  }
+
+  private async handle(
+    message: IncomingMessage,
+    response: ServerResponse,
+    answer: ForwardedAnswer,
+  ): Promise<void> {
+    const {relay, metrics} = this.options;
+    const received = await this.receive(message);
+    if (received === undefined) {
+      this.decline(message, answer, DeclineReason.INVALID);
+      return;
+    }
+    const {head, body} = received;
+    metrics.increment('forwards_received', {result: 'taken'});
+    const cancelled = new AbortController();
+    response.once('close', () => {
+      if (!response.writableFinished) {
+        cancelled.abort(CANCELLED);
+      }
+    });
+    const request = this.createRequest(head, body);
+    const attempts = {
+      excluded: head.excluded,
+      onServer: (server: string) => answer.setServer(server),
+    };
+    await relay.serveForwarded(
+      request,
+      head.service,
+      answer,
+      cancelled.signal,
+      attempts,
+    );
+  }
+
+  /** Reads a request; returns `undefined` if it is incomplete or not from a peer. */
+  private async receive(
+    message: IncomingMessage,
+  ): Promise<{head: ForwardRequest; body: Buffer} | undefined> {
+    const chunks = message[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+    const head = await readHead(chunks, MAX_HEAD_BYTES);
+    const parsed = forwardRequestSchema.safeParse(head?.value);
+    if (head === undefined || !parsed.success) {
+      return undefined;
+    }
+    const proof = String(message.headers[PROOF_HEADER] ?? '');
+    if (!isValidProof(this.options.key, head.bytes, proof)) {
+      this.options.log.warn('forward_unproved', {from: parsed.data.from});
+      return undefined;
+    }
+    const pieces: Uint8Array[] = [head.rest];
+    for (;;) {
+      const next = await chunks.next();
+      if (next.done === true) {
+        break;
+      }
+      pieces.push(next.value);
+    }
+    return message.complete
+      ? {head: parsed.data, body: Buffer.concat(pieces)}
+      : undefined;
+  }
+
+  private createRequest(head: ForwardRequest, body: Buffer): RelayRequest {
+    const nowMs = this.options.clock.monotonicMs();
+    const {id, method, path, headers, customer, lastEventId, from} = head;
+    return {
+      id,
+      method,
+      path,
+      headers,
+      body,
+      forwardedBy: from,
+      route: {
+        ...head.route,
+        host: '',
+        prefix: '',
+        // The first host decides whether another attempt follows.
+        maxAttempts: 1,
+        isPublic: customer === undefined,
+        split: [],
+      },
+      ...(customer === undefined
+        ? {}
+        : {
+            account: {
+              name: customer.name,
+              keys: [],
+              // Admitted, and counted against its rate, by the first host.
+              rate: {perSecond: 0, burst: 0, inTokens: false, plainTokens: 0},
+              ...(customer.urgency === undefined
+                ? {}
+                : {urgency: customer.urgency}),
+            },
+          }),
+      prompt: {
+        ...head.prompt,
+        parts: head.prompt.parts.map(([part, tokens]) => ({id: part, tokens})),
+      },
+      arrivedMs: nowMs - head.elapsedMs,
+      deadlineMs: nowMs + head.remainingMs,
+      ...(lastEventId === undefined ? {} : {lastEventId}),
+    };
+  }
+}
--- /dev/null
+++ b/src/forwarding/forwarded_answer.ts
@@ -0,0 +1,85 @@
+import {ServerResponse} from 'node:http';
+import {Problem, ProblemKind} from '../errors/index.js';
+import {encodeFrame} from '../peer/index.js';
+import {AnswerSink, RawHeader} from '../relay/index.js';
+import {DeclineReason, ForwardResponse} from './forward_frame.js';
+
+/** The answer to a forwarded request, on the connection of the host that forwarded it. */
+export class ForwardedAnswer implements AnswerSink {
+  private server = '';
+
+  constructor(private readonly response: ServerResponse) {}
+
+  /** Sets the id of the server to which the request is sent. */
+  setServer(server: string): void {
+    this.server = server;
+  }
+
+  begin(status: number, headers: readonly RawHeader[]): void {
+    this.writeHead({
+      outcome: 'answered',
+      status,
+      headers: headers.map(([name, value]) => [name, value] as const),
+      server: this.server,
+    });
+  }
+
+  write(bytes: Uint8Array): Promise<void> {
+    const {response} = this;
+    if (this.isClosed() || response.write(bytes)) {
+      return Promise.resolve();
+    }
+    return new Promise(resolve => {
+      const settle = () => {
+        response.off('drain', settle);
+        response.off('close', settle);
+        resolve();
+      };
+      response.on('drain', settle);
+      response.on('close', settle);
+    });
+  }
+
+  end(): void {
+    if (!this.isClosed()) {
+      this.response.end();
+    }
+  }
+
+  disconnect(): void {
+    this.response.destroy();
+  }
+
+  refuse(problem: Problem): void {
+    if (problem.kind === ProblemKind.SERVERS_UNREACHABLE) {
+      this.decline(DeclineReason.UNREACHABLE);
+      return;
+    }
+    const {kind, status, detail, remedy, ran, retryAfterSeconds} = problem;
+    const sent = {kind, status, detail, remedy, ran};
+    this.writeHead({
+      outcome: 'refused',
+      problem:
+        retryAfterSeconds === undefined ? sent : {...sent, retryAfterSeconds},
+      server: this.server,
+    });
+    this.end();
+  }
+
+  /** Declines the request; nothing of it was sent to a server. */
+  decline(reason: DeclineReason): void {
+    this.writeHead({outcome: 'declined', reason});
+    this.end();
+  }
+
+  private writeHead(head: ForwardResponse): void {
+    if (!this.isClosed()) {
+      this.response.writeHead(200, {'Content-Type': 'application/cbor'});
+      this.response.write(encodeFrame(head));
+    }
+  }
+
+  private isClosed(): boolean {
+    return this.response.destroyed || this.response.writableEnded;
+  }
+}
--- /dev/null
+++ b/src/forwarding/read_head.ts
@@ -0,0 +1,51 @@
+import {FrameReader} from '../peer/index.js';
+
+/** A decoded head and the bytes after it that arrived with it. */
+export interface ReceivedHead {
+  readonly value: unknown;
+  /** The head as it arrived, with its length prefix. */
+  readonly bytes: Buffer;
+  readonly rest: Buffer;
+}
+
+/** Size of the length prefix of a frame, in bytes. */
+const PREFIX_BYTES = 4;
+
+/**
+ * Reads the frame at the beginning of a message.
+ * @param chunks - The message; the iterator can be used on for the rest of it.
+ * @param maxBytes - Largest frame, in bytes.
+ * @returns The head; `undefined` if the message has none that can be read.
+ */
+export async function readHead(
+  chunks: AsyncIterator<Uint8Array>,
+  maxBytes: number,
+): Promise<ReceivedHead | undefined> {
+  const received: Uint8Array[] = [];
+  let length = 0;
+  for (;;) {
+    const next = await chunks.next();
+    if (next.done === true) {
+      return undefined;
+    }
+    received.push(next.value);
+    length += next.value.length;
+    if (length < PREFIX_BYTES) {
+      continue;
+    }
+    const all = Buffer.concat(received);
+    const end = PREFIX_BYTES + all.readUInt32BE(0);
+    if (end > maxBytes) {
+      return undefined;
+    }
+    if (length >= end) {
+      const bytes = all.subarray(0, end);
+      const reader = new FrameReader(maxBytes);
+      reader.add(bytes);
+      const frame = reader.read();
+      return frame.isOk && frame.value !== undefined
+        ? {value: frame.value.value, bytes, rest: all.subarray(end)}
+        : undefined;
+    }
+  }
+}
--- a/src/host_load/host_load.ts
+++ b/src/host_load/host_load.ts
@@ -165,6 +165,11 @@
     };
   }
 
+  /** Returns whether this host is overloaded; never, if its load is not measured. */
+  isOverloaded(): boolean {
+    return this.state.isOverloaded();
+  }
+
   /** Decides on a request; returns why it is refused, or `undefined` to accept it. */
   refuse(arrival: Arrival): HostRefusal | undefined {
     const {customer, rank, targetMs} = arrival;
--- a/platform/answer_body.ts
+++ b/src/http/answer_body.ts
@@ -11,7 +11,7 @@
 }
 
 /**
- * Iterates over the body of a server's response, chunk by chunk as it arrives. It can be
+ * Iterates over the body of a response, chunk by chunk as it arrives. It can be
  * read once, by one reader. Iterating over the `IncomingMessage` itself would create
  * several iterators per request.
  */
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -4,3 +4,5 @@
 export {refusesConnections} from './refuses_connections.js';
 export {ConnectionPool} from './connection_pool.js';
 export type {OpenConnection} from './open_connection.js';
+export {ConnectionOutcome, tryConnection} from './try_connection.js';
+export {AnswerBody} from './answer_body.js';
--- /dev/null
+++ b/src/http/try_connection.ts
@@ -0,0 +1,45 @@
+import {connect} from 'node:net';
+import {OpenConnection} from './open_connection.js';
+
+/** Outcome of an attempt to open a connection. */
+export const ConnectionOutcome = {
+  OPENED: 'opened',
+  /** The address answered that it accepts no connection, or could not be routed to. */
+  REFUSED: 'refused',
+  /** Nothing answered in time. */
+  NO_ANSWER: 'no-answer',
+} as const;
+export type ConnectionOutcome =
+  (typeof ConnectionOutcome)[keyof typeof ConnectionOutcome];
+
+/**
+ * Opens a connection to an address and closes it.
+ * @param address - IP address and port.
+ * @param timeoutMs - Longest wait for an answer, in milliseconds.
+ * @param openConnection - Opens the connection.
+ */
+export function tryConnection(
+  address: string,
+  timeoutMs: number,
+  openConnection: OpenConnection = connect,
+): Promise<ConnectionOutcome> {
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon);
+  const port = Number(address.slice(colon + 1));
+  return new Promise(resolve => {
+    const socket = openConnection({host, port});
+    const settle = (outcome: ConnectionOutcome) => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(outcome);
+    };
+    // After a pause of this process, the timer fires before an answer that waits in the
+    // kernel is read.
+    const timer = setTimeout(
+      () => setImmediate(() => settle(ConnectionOutcome.NO_ANSWER)),
+      timeoutMs,
+    );
+    socket.once('connect', () => settle(ConnectionOutcome.OPENED));
+    socket.on('error', () => settle(ConnectionOutcome.REFUSED));
+  });
+}
--- a/src/peering/host_address.ts
+++ b/src/peering/host_address.ts
@@ -8,6 +8,11 @@
   dataCentre: name,
   /** IP address and port. */
   address: name,
+  /**
+   * IP address and port at which it takes forwarded requests; omitted by hosts of the
+   * previous release.
+   */
+  forwardingAddress: name.optional(),
   /** Processor capacity of the host, in cores; omitted if unknown. */
   capacity: z.number().min(0).optional(),
 });
--- a/src/peering/host_report.ts
+++ b/src/peering/host_report.ts
@@ -14,6 +14,8 @@
 /** Report that a host sends its peers with each heartbeat. */
 export const hostReportSchema = z.object({
   address: name,
+  /** See `hostAddressSchema`. */
+  forwardingAddress: name.optional(),
   /**
    * Hosts that the sender knows, so that new ones become known everywhere; empty if the
    * peer has acknowledged the list.
--- a/src/peering/known_hosts.ts
+++ b/src/peering/known_hosts.ts
@@ -108,10 +108,7 @@
   addAddress(address: HostAddress): void {
     const {self, clock, log} = this.options;
     const known = this.hosts.get(address.host);
-    if (
-      address.host === self.host ||
-      address.address === known?.address.address
-    ) {
+    if (address.host === self.host || isKnownAddress(address, known?.address)) {
       return;
     }
     if (known !== undefined && !this.isStale(known.reportedMs)) {
@@ -430,3 +427,17 @@
     }
   }
 }
+
+/**
+ * Returns whether an address tells nothing that is not known. Hosts of the previous release
+ * pass addresses on without the one for forwarded requests.
+ */
+function isKnownAddress(
+  {address, forwardingAddress}: HostAddress,
+  known: HostAddress | undefined,
+): boolean {
+  const tellsMore =
+    forwardingAddress !== undefined &&
+    forwardingAddress !== known?.forwardingAddress;
+  return address === known?.address && !tellsMore;
+}
--- a/src/peering/report_messages.ts
+++ b/src/peering/report_messages.ts
@@ -123,6 +123,7 @@
     const offset = referenceTime.readOwnOffset();
     return {
       address: self.address,
+      ...optional('forwardingAddress', self.forwardingAddress),
       ...optional('capacity', self.capacity),
       hosts: [],
       hostsVersion: 0,
--- a/src/peering/report_receiver.ts
+++ b/src/peering/report_receiver.ts
@@ -27,12 +27,13 @@
   addReport(report: HostReport, from: PeerIdentity): void {
     const {known, reports, hostUsage, referenceTime, quota} = this.options;
     const {host, dataCentre} = from;
-    const {address, capacity} = report;
+    const {address, capacity, forwardingAddress} = report;
     known.addSelfReport({
       host,
       dataCentre,
       address,
       ...optional('capacity', capacity),
+      ...optional('forwardingAddress', forwardingAddress),
     });
     for (const other of report.hosts) {
       known.addAddress(other);
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -1,3 +1,4 @@
+import {Problem} from '../errors/index.js';
 import {FleetServer} from '../fleet/index.js';
 import {RawHeader, RelayRequest} from './relay_request.js';
 import {ServerStatement} from './server_statement.js';
@@ -56,6 +57,8 @@
   readonly statement?: ServerStatement;
   /** Throws if the answer breaks off; ends only if it is complete. */
   readonly body: AsyncIterable<Uint8Array>;
+  /** Id of the server that another host chose; absent if the request was not forwarded. */
+  readonly server?: string;
 }
 
 /** An exchange that brought no answer that can be relayed. */
@@ -71,6 +74,10 @@
   readonly notAccepting?: boolean;
   /** Whether an unusable answer arrived, which shows that the server is running. */
   readonly corrupted?: boolean;
+  /** Problem with which the host that the request was forwarded to refused it. */
+  readonly refusal?: Problem;
+  /** Id of the server that another host chose; absent if the request was not forwarded. */
+  readonly server?: string;
   /** What a rejection states about its server; absent if the server did not answer. */
   readonly statement?: ServerStatement;
 }
@@ -86,3 +93,23 @@
   params: ExchangeParams,
   signal: AbortSignal,
 ) => Promise<ExchangeResult>;
+
+/** Parameters for sending a request by way of another host. */
+export interface ForwardParams extends Omit<
+  ExchangeParams,
+  'server' | 'copy' | 'urgency'
+> {
+  /** Service whose servers this host cannot reach. */
+  readonly service: string;
+  /** Ids of the servers that must not get the request again. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/**
+ * Sends a request once to a server that another host chooses, and receives the head of the
+ * answer; aborting the signal cancels the request at the other host.
+ */
+export type Forward = (
+  params: ForwardParams,
+  signal: AbortSignal,
+) => Promise<ExchangeResult>;
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -6,7 +6,7 @@
 import {PlaceAdmission} from './place_admission.js';
 import {RelayOptions} from './relay_options.js';
 import {RelayRequest} from './relay_request.js';
-import {RelayRun} from './relay_run.js';
+import {ForwardedAttempts, RelayRun, RelayRunParams} from './relay_run.js';
 
 const MS_PER_SECOND = 1000;
 /**
@@ -22,6 +22,9 @@
   constructor(private readonly options: RelayOptions) {
     const {metrics} = options;
     options.fleet.addListener(server => this.handleServerChange(server));
+    options.reachability.addListener((service, isReachable) =>
+      this.handleReachability(service, isReachable),
+    );
     metrics.addCounter('relocated', 'Streams moved off leaving servers');
     metrics.addCounter('relayed', 'Relayed requests by route and outcome');
     metrics.addCounter(
@@ -52,12 +55,7 @@
     sink: AnswerSink,
     disconnected: AbortSignal,
   ): Promise<void> {
-    const caller = request.account?.name ?? '';
-    const content = new WatchedContent(
-      this.options,
-      () => ({...request, caller}),
-      new WatchedSender(this.options, {caller, route: request.route.name}),
-    );
+    const content = this.createContent(request);
     const refusal = refuseQuarantined(content) ?? this.admit(request);
     if (refusal !== undefined) {
       this.logRefusal(request, refusal);
@@ -65,13 +63,32 @@
       return;
     }
     const service = this.chooseService(request.route);
-    const run = new RelayRun(this.options, {
-      request,
-      content,
-      service,
-      sink,
-      disconnected,
-    });
+    await this.execute({request, content, service, sink, disconnected});
+  }
+
+  /**
+   * Serves a request that another host has admitted and forwarded, since it does not reach
+   * the servers of the service. It is not forwarded again.
+   * @param request - The request; `forwardedBy` names the other host.
+   * @param service - Service that the other host selected.
+   * @param sink - Receives the answer.
+   * @param disconnected - Aborted when the other host cancels the request.
+   * @param attempts - Limits of the attempts.
+   */
+  async serveForwarded(
+    request: RelayRequest,
+    service: string,
+    sink: AnswerSink,
+    disconnected: AbortSignal,
+    attempts: ForwardedAttempts,
+  ): Promise<void> {
+    const content = this.createContent(request);
+    const params = {request, content, service, sink, disconnected};
+    await this.execute({...params, forwarded: attempts});
+  }
+
+  private async execute(params: RelayRunParams): Promise<void> {
+    const run = new RelayRun(this.options, params);
     this.runs.add(run);
     try {
       await run.execute();
@@ -80,6 +97,26 @@
     }
   }
 
+  private createContent(request: RelayRequest): WatchedContent {
+    const caller = request.account?.name ?? '';
+    return new WatchedContent(
+      this.options,
+      () => ({...request, caller}),
+      new WatchedSender(this.options, {caller, route: request.route.name}),
+    );
+  }
+
+  /** Forwards requests whose servers have become unreachable from this host. */
+  private handleReachability(service: string, isReachable: boolean): void {
+    this.options.fleet.forgetFailures(service);
+    if (isReachable) {
+      return;
+    }
+    for (const run of this.runs) {
+      run.reroute(service);
+    }
+  }
+
   /**
    * Relocates streams from a server that leaves, and aborts the attempts at an
    * incarnation that a later one has replaced.
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -1,3 +1,4 @@
+import {Problem} from '../errors/index.js';
 import {TrackedRequest, FleetServer, RequestOutcome} from '../fleet/index.js';
 import {Repeat} from '../catalog/index.js';
 import {AnswerRelay} from './answer_relay.js';
@@ -7,6 +8,7 @@
   ExchangeFailure,
   ExchangeKind,
   ExchangeResult,
+  Forward,
   RunCopy,
 } from './exchange.js';
 import {RelayOptions} from './relay_options.js';
@@ -48,6 +50,17 @@
   readonly wholeMs: number;
   /** Error response of the server, for relaying. */
   readonly failure?: BufferedAnswer;
+  /** Whether any byte of the request may have been sent; by default, it was. */
+  readonly wasSent?: boolean;
+  /**
+   * Whether the connection to the server could not be opened, broke, or brought nothing in
+   * time; the fault may then be this host's own.
+   */
+  readonly isDisconnected?: boolean;
+  /** Problem with which the host that the request was forwarded to refused it. */
+  readonly refusal?: Problem;
+  /** Id of the server that another host chose; absent if the request was not forwarded. */
+  readonly forwardedTo?: string;
   /**
    * Time from sending until the run was lost because the server terminated or closed the
    * connection without a complete answer, in milliseconds; absent otherwise.
@@ -73,6 +86,13 @@
    * without a response is limited.
    */
   readonly mayRetry: boolean;
+  /**
+   * Forwards the request to another host, which chooses the server; if absent, the request
+   * is sent to `server`.
+   */
+  readonly forward?: Forward;
+  /** Ids of the servers that must not get the request again. */
+  readonly excluded: ReadonlySet<string>;
 }
 
 /** State of the request that its attempts share. */
@@ -89,6 +109,8 @@
   readonly serverLost: AbortSignal;
 }
 
+/** Created once: an error per request would cost a stack trace each. */
+const UNREACHABLE = new Error('servers unreachable from this host');
 const OK_FIRST = 200;
 const OK_LAST = 299;
 const SERVER_ERROR = 500;
@@ -128,6 +150,9 @@
   private firstMs: number | undefined;
   /** Why the request was not sent although the server accepts it; absent if it was. */
   private withheldDetail: string | undefined;
+  /** Aborted when the request is to be sent by another way. */
+  private readonly rerouted = new AbortController();
+  private mayHaveSent = false;
 
   constructor(
     private readonly options: RelayOptions,
@@ -151,39 +176,75 @@
 
   /** Sends the request and relays the answer. */
   async execute(): Promise<AttemptResult> {
+    const {reachability} = this.options;
+    const {server, forward} = this.params;
+    const endWait =
+      forward === undefined
+        ? reachability.beginWait(server.service)
+        : undefined;
+    try {
+      const result = await this.send();
+      this.recordStatement(result);
+      const attemptResult =
+        result.kind === ExchangeKind.ANSWERED
+          ? await this.receive(result)
+          : this.fail(result);
+      return result.server === undefined
+        ? attemptResult
+        : {...attemptResult, forwardedTo: result.server};
+    } finally {
+      endWait?.();
+      this.responseWatch?.stop();
+    }
+  }
+
+  /**
+   * Aborts the attempt after this host has lost its connections to all servers of the
+   * service, so that the request can be forwarded to another host.
+   * @param includesSent - Whether a request that was sent is aborted too, if it may be
+   *   sent again.
+   */
+  reroute(includesSent: boolean): void {
+    const {mayRetry, forward} = this.params;
+    const mayAbort = !this.mayHaveSent || (includesSent && mayRetry);
+    if (mayAbort && forward === undefined) {
+      this.rerouted.abort(UNREACHABLE);
+    }
+  }
+
+  private send(): Promise<ExchangeResult> {
     const {request, answer} = this.context;
-    const {server, urgency, copy} = this.params;
-    const {clock, handlePendingEvents} = this.options;
+    const {server, urgency, copy, forward, excluded} = this.params;
+    const {clock, exchange, handlePendingEvents} = this.options;
     const lastEventId = answer.getLastEventId();
-    const result = await this.options.exchange(
-      {
-        request,
-        server,
-        get remainingMs() {
-          return request.deadlineMs - clock.monotonicMs();
-        },
-        urgency,
-        maySend: () => this.maySend(),
-        ...(handlePendingEvents === undefined ? {} : {handlePendingEvents}),
-        ...(copy === undefined ? {} : {copy}),
-        ...(lastEventId === undefined ? {} : {lastEventId}),
+    const params = {
+      request,
+      get remainingMs() {
+        return request.deadlineMs - clock.monotonicMs();
       },
+      maySend: () => this.maySend(),
+      ...(handlePendingEvents === undefined ? {} : {handlePendingEvents}),
+      ...(lastEventId === undefined ? {} : {lastEventId}),
+    };
+    if (forward !== undefined) {
+      const {service} = server;
+      // `Object.assign` would read the getter once.
+      return forward(extend(params, {service, excluded}), this.abortSignal);
+    }
+    return exchange(
+      extend(params, {server, urgency, ...(copy === undefined ? {} : {copy})}),
       this.abortSignal,
     );
-    this.recordStatement(result);
-    const attemptResult =
-      result.kind === ExchangeKind.ANSWERED
-        ? await this.receive(result)
-        : this.fail(result);
-    this.responseWatch?.stop();
-    return attemptResult;
   }
 
   /** Records what the answer, if any, states about its server. */
-  private recordStatement({statement}: ExchangeResult): void {
+  private recordStatement({kind, statement}: ExchangeResult): void {
     const {backoffs, fleet, limits} = this.options;
     const {id} = this.params.server;
     const {sentMs} = this;
+    if (statement !== undefined || kind === ExchangeKind.ANSWERED) {
+      this.addBytes();
+    }
     if (statement?.isLeaving === true) {
       fleet.leaving.addAnswer(id);
     }
@@ -215,13 +276,17 @@
       return false;
     }
     request.onSend?.();
+    this.mayHaveSent = true;
     return true;
   }
 
   /** Tells whether the server accepts the request in its current state. */
   private acceptsRequest(): boolean {
     const {backoffs, fleet} = this.options;
-    const {server, copy} = this.params;
+    const {server, copy, forward} = this.params;
+    if (forward !== undefined) {
+      return true;
+    }
     return copy === undefined
       ? fleet.isReady(server.id) && !backoffs.isActive(server.id)
       : fleet.acceptsCopiedRun(server.id) && backoffs.takeCopiedRun(server.id);
@@ -233,7 +298,7 @@
    */
   private createAbortSignal(): AbortSignal {
     const {cancelled, serverLost} = this.context;
-    const signals = [cancelled, serverLost];
+    const signals = [cancelled, serverLost, this.rerouted.signal];
     if (this.responseWatch !== undefined) {
       signals.push(this.responseWatch.getSignal());
     }
@@ -292,7 +357,13 @@
     serverOutcome: RequestOutcome,
     result: Pick<
       AttemptResult,
-      'outcome' | 'detail' | 'failure' | 'lostAfterMs'
+      | 'outcome'
+      | 'detail'
+      | 'failure'
+      | 'isDisconnected'
+      | 'lostAfterMs'
+      | 'refusal'
+      | 'wasSent'
     >,
   ): AttemptResult {
     this.inFlight.finish(serverOutcome);
@@ -313,6 +384,7 @@
         // From now on, the pauses between events are limited.
         this.responseWatch?.touch(EVENT_GAP_TIMEOUT_MS);
         this.inFlight.addProgress();
+        this.addBytes();
       });
       return;
     }
@@ -320,9 +392,17 @@
     const maxBufferedBytes = repeat === Repeat.ANY ? MAX_BUFFERED_BYTES : 0;
     await this.context.answer.relayBody(answer, maxBufferedBytes, () => {
       this.responseWatch?.touch(timeoutMs);
+      this.addBytes();
     });
   }
 
+  /** Records that a server has responded, which shows that this host reaches it. */
+  private addBytes(): void {
+    if (this.params.forward === undefined) {
+      this.options.reachability.addBytes(this.params.server.service);
+    }
+  }
+
   /**
    * Records the time of the first byte; has no effect after the first call.
    * @param wasServed - Whether the answer is not an error response.
@@ -334,7 +414,8 @@
     const tookMs = this.options.clock.monotonicMs() - this.sentMs;
     this.firstMs = tookMs;
     this.inFlight.addFirstByte(tookMs, wasServed);
-    this.context.record.addFirstByte(tookMs);
+    // The host that sends a forwarded request to its server bills it.
+    this.context.record.addFirstByte(tookMs, this.params.forward === undefined);
   }
 
   private fail(failure: ExchangeFailure): AttemptResult {
@@ -346,6 +427,9 @@
       // Both kinds of failed exchange have the value of an `AttemptOutcome`.
       outcome: kind,
       detail: `${server.id}: ${detail}`,
+      isDisconnected: this.isDisconnected(failure),
+      wasSent: failure.unsent !== true && failure.notAccepting !== true,
+      ...(failure.refusal === undefined ? {} : {refusal: failure.refusal}),
       ...(this.isServerLoss(failure)
         ? {lostAfterMs: this.options.clock.monotonicMs() - this.sentMs}
         : {}),
@@ -363,6 +447,21 @@
     return this.context.serverLost.aborted || !this.abortSignal.aborted;
   }
 
+  /** Tells whether the connection to the server failed, and not because of a cancellation. */
+  private isDisconnected({kind, corrupted, unsent}: ExchangeFailure): boolean {
+    const {cancelled, serverLost} = this.context;
+    if (
+      this.params.forward !== undefined ||
+      cancelled.aborted ||
+      serverLost.aborted
+    ) {
+      return false;
+    }
+    return (
+      unsent === true || (kind === ExchangeKind.LOST && corrupted !== true)
+    );
+  }
+
   /**
    * Returns the outcome of a failed exchange as it counts for the health of the server.
    */
@@ -371,7 +470,9 @@
     if (
       this.context.cancelled.aborted ||
       full === true ||
-      notAccepting === true
+      notAccepting === true ||
+      // The failure says nothing about the server.
+      this.options.reachability.isUnreachable(this.params.server.service)
     ) {
       return RequestOutcome.NEUTRAL;
     }
@@ -382,3 +483,11 @@
     return isUnresponsive ? RequestOutcome.UNRESPONSIVE : RequestOutcome.FAILED;
   }
 }
+
+/** Adds properties to an object, and keeps its getters. */
+function extend<T extends object, U extends object>(target: T, more: U): T & U {
+  return Object.defineProperties(
+    target,
+    Object.getOwnPropertyDescriptors(more),
+  ) as T & U;
+}
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -11,12 +11,13 @@
 } from '../quarantine/index.js';
 import {Quota} from '../quota/index.js';
 import {Random} from '../random/index.js';
+import {ServiceReachability} from '../reachability/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
 import {VersionSelector, VersionCounter} from '../rollout/index.js';
 import {Clock} from '../time/index.js';
 import {UsageLedger} from '../usage/index.js';
 import {CopyRun} from './copy_run.js';
-import {Exchange} from './exchange.js';
+import {Exchange, Forward} from './exchange.js';
 import {PlaceAdmission} from './place_admission.js';
 
 /** Dependencies of a `Relay`. */
@@ -34,6 +35,11 @@
   readonly retryBudget: SharedRetryBudget;
   readonly usageLedger: UsageLedger;
   readonly exchange: Exchange;
+  readonly reachability: ServiceReachability;
+  /** Sends requests by way of other hosts; if absent, none are. */
+  readonly forward?: Forward;
+  /** Returns whether a connection to a server is open and idle; by default, none is. */
+  readonly hasIdleConnection?: (server: string) => boolean;
   readonly copyRun: CopyRun;
   readonly terminatedServers: TerminatedServers;
   readonly senderRuns: SenderRuns;
--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -46,7 +46,8 @@
     resumeAfter: string | undefined,
   ): void {
     const {request} = this;
-    const {chosen, runnersUp, reason, withheld, backingOff} = decision;
+    const {chosen, runnersUp, reason, withheld, backingOff, isUnreachable} =
+      decision;
     const remainingMs = request.deadlineMs - this.options.clock.monotonicMs();
     this.options.log.info('route', {
       request: request.id,
@@ -64,8 +65,9 @@
       queue_ms: chosen?.queueMs.toFixed(0),
       remaining_ms: remainingMs.toFixed(0),
       runners_up: runnersUp.map(other => other.server).join(',') || undefined,
-      reason,
+      reason: isUnreachable ? 'servers-unreachable' : reason,
       resume_after: resumeAfter,
+      forwarded_by: request.forwardedBy,
     });
   }
 
@@ -116,8 +118,9 @@
    * Records the first byte of an answer, at which the customer is billed; has no effect
    * after the first call.
    * @param tookMs - Time since the request was sent to the server, in milliseconds.
+   * @param isBilled - Whether this host bills the customer; another one may.
    */
-  addFirstByte(tookMs: number): void {
+  addFirstByte(tookMs: number, isBilled = true): void {
     if (this.firstByteMs !== undefined) {
       return;
     }
@@ -125,7 +128,7 @@
     const {route, account, arrivedMs} = this.request;
     this.firstByteMs = clock.monotonicMs() - arrivedMs;
     metrics.record('relay_first_byte', this.firstByteMs, {route: route.name});
-    if (account !== undefined) {
+    if (account !== undefined && isBilled) {
       // A plain request is billed as of its sending, a stream as of its first token.
       usageLedger.add(account.name, route.streaming ? 0 : tookMs);
     }
@@ -149,6 +152,7 @@
       first_byte_ms: this.firstByteMs?.toFixed(0),
       took_ms: tookMs.toFixed(0),
       late_ms: lateMs > 0 ? lateMs.toFixed(0) : undefined,
+      forwarded_by: request.forwardedBy,
       detail: detail === '' ? undefined : detail,
     });
   }
--- a/src/relay/relay_request.ts
+++ b/src/relay/relay_request.ts
@@ -34,6 +34,8 @@
   readonly deadlineMs: number;
   /** Called immediately before the first byte is sent to a server, at each attempt. */
   readonly onSend?: () => void;
+  /** Host that received the request from its caller, if it forwarded it to this one. */
+  readonly forwardedBy?: string;
   /** Id of the last event that the caller already has of a stream. */
   readonly lastEventId?: string;
 }
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -2,7 +2,7 @@
 import {Attempts} from '../attempts/index.js';
 import {Repeat} from '../catalog/index.js';
 import {Problem, problems, ExecutionStatus} from '../errors/index.js';
-import {FleetServer} from '../fleet/index.js';
+import {FleetServer, FleetState} from '../fleet/index.js';
 import {WatchedContent} from '../quarantine/index.js';
 import {ScoredServer} from '../routing/index.js';
 import {combineSignals} from '../time/index.js';
@@ -41,6 +41,14 @@
  */
 const NO_CAPACITY_RETRY_S = 0.25;
 
+/** Limits of the attempts at a request that another host has forwarded. */
+export interface ForwardedAttempts {
+  /** Ids of the servers that must not get the request again. */
+  readonly excluded: readonly string[];
+  /** Called with the id of each server that the request is sent to. */
+  readonly onServer: (server: string) => void;
+}
+
 /** Parameters of a `RelayRun`. */
 export interface RelayRunParams {
   readonly request: RelayRequest;
@@ -51,6 +59,8 @@
   readonly sink: AnswerSink;
   /** Aborted when the caller disconnects. */
   readonly disconnected: AbortSignal;
+  /** Present if another host has forwarded the request. */
+  readonly forwarded?: ForwardedAttempts;
 }
 
 /**
@@ -73,6 +83,7 @@
   private failureDetail = '';
   /** Server of the current attempt. */
   private server: FleetServer | undefined;
+  private currentAttempt: RelayAttempt | undefined;
   /** Aborts the current attempt when its server has terminated. */
   private serverLost = new AbortController();
   private relocation: Promise<void> | undefined;
@@ -89,7 +100,7 @@
 
   constructor(
     private readonly options: RelayOptions,
-    params: RelayRunParams,
+    private readonly params: RelayRunParams,
   ) {
     const {request, service, sink, disconnected} = params;
     this.request = request;
@@ -113,11 +124,17 @@
     });
     const {attempts} = this;
     this.choice = new ServerChoice(options, {request, service, attempts});
+    for (const server of params.forwarded?.excluded ?? []) {
+      attempts.exclude(server);
+    }
   }
 
   /** Serves the request; resolves when it has ended. */
   async execute(): Promise<void> {
-    this.options.retryBudget.addRequest(this.service);
+    if (this.params.forwarded === undefined) {
+      // The host that forwarded a request has counted it.
+      this.options.retryBudget.addRequest(this.service);
+    }
     this.options.limits.addRequest(this.service, rankUrgency(this.request));
     const timer = setTimeout(
       () => this.deadline.abort(DEADLINE_PASSED),
@@ -166,6 +183,18 @@
     }
   }
 
+  /**
+   * Aborts the current attempt, if it may be repeated, after this host has lost its
+   * connections to the servers of a service; the next attempt is forwarded.
+   */
+  reroute(service: string): void {
+    if (service === this.service) {
+      const {reachability} = this.options;
+      const usesOpen = reachability.trustsOpenConnections(service);
+      this.currentAttempt?.reroute(!usesOpen && this.canContinue());
+    }
+  }
+
   private async relocateFrom(from: FleetServer): Promise<void> {
     this.copiedRun =
       (await relocateRun(this.options, from, {
@@ -235,6 +264,9 @@
       this.attempts.count() - 1,
       this.answer.getLastEventId(),
     );
+    if (decision.isUnreachable && copiedRun === undefined) {
+      return this.forward();
+    }
     const server = copiedRun?.server ?? this.choice.getServer(decision);
     if (server === undefined) {
       return this.failWithoutServer(decision);
@@ -265,7 +297,7 @@
     if (this.copiedRun !== undefined && this.copiedRun !== copiedRun) {
       return true;
     }
-    return this.handleFailure(server, result);
+    return this.handleFailure(server.id, result);
   }
 
   private async executeAttempt(
@@ -275,6 +307,7 @@
   ): Promise<ObservedResult> {
     const {request, answer, record, cancelled} = this;
     this.server = server;
+    this.params.forwarded?.onServer(server.id);
     this.serverLost = new AbortController();
     const serverLost = this.serverLost.signal;
     const attempt = new RelayAttempt(
@@ -291,23 +324,73 @@
         number: this.attempts.count() - 1,
         urgency: rankUrgency(request),
         mayRetry: this.attempts.mayRetryAfterFailure(),
+        excluded: this.attempts.excluded,
         ...(copiedRun === undefined ? {} : {copy: copiedRun.copy}),
       },
     );
+    this.currentAttempt = attempt;
     const result = await attempt.execute();
+    this.currentAttempt = undefined;
     this.server = undefined;
     return {...result, serverTerminated: serverLost.aborted};
   }
 
+  /**
+   * Makes an attempt by way of another host, since this one reaches no server of the
+   * service; returns whether another attempt follows.
+   */
+  private async forward(): Promise<boolean> {
+    const {request, answer, record, cancelled, service} = this;
+    const {forward, random} = this.options;
+    if (forward === undefined || this.params.forwarded !== undefined) {
+      const retryS = NO_CAPACITY_RETRY_S * (1 + random.next());
+      this.addDetail('servers unreachable from this host');
+      return this.fail(problems.serversUnreachable(service, retryS));
+    }
+    const attempt = new RelayAttempt(
+      this.options,
+      {
+        request,
+        answer,
+        record,
+        cancelled,
+        serverLost: new AbortController().signal,
+      },
+      {
+        server: createForwardTarget(service),
+        // The other host predicts the time; the target bounds the wait for it.
+        predictedMs: request.route.targetMs,
+        number: this.attempts.count() - 1,
+        urgency: rankUrgency(request),
+        mayRetry: this.attempts.mayRetryAfterFailure(),
+        excluded: this.attempts.excluded,
+        forward,
+      },
+    );
+    const result = await attempt.execute();
+    if (result.outcome === AttemptOutcome.DONE) {
+      return false;
+    }
+    if (result.refusal !== undefined) {
+      this.failureDetail = result.detail;
+      return this.endIfOver() ? false : this.fail(result.refusal);
+    }
+    return this.handleFailure(result.forwardedTo ?? '', result);
+  }
+
   /**
    * Handles an attempt after which the answer is not complete, or which got an error
    * response; returns whether another one follows.
    */
-  private handleFailure(server: FleetServer, result: AttemptResult): boolean {
+  private handleFailure(server: string, result: AttemptResult): boolean {
     this.failureDetail = result.detail;
     this.errorResponse = result.failure ?? this.errorResponse;
     const mayHaveRun = result.outcome !== AttemptOutcome.NOT_RUN;
-    const mayRetry = this.attempts.recordFailure(server.id, mayHaveRun);
+    const mayRetry = this.attempts.recordFailure(
+      server,
+      mayHaveRun,
+      result.wasSent,
+    );
     if (this.endIfOver()) {
       return false;
     }
@@ -468,3 +551,18 @@
     return this.request.deadlineMs - this.options.clock.monotonicMs();
   }
 }
+
+/** Creates the server of an attempt whose server another host chooses. */
+function createForwardTarget(service: string): FleetServer {
+  return {
+    id: 'another-host',
+    name: 'another-host',
+    startedMs: 0,
+    service,
+    address: '',
+    dataCentre: '',
+    slots: 0,
+    state: FleetState.READY,
+    reclaimable: false,
+  };
+}
--- a/src/relay/run_observer.ts
+++ b/src/relay/run_observer.ts
@@ -55,9 +55,14 @@
     content.beginRun();
     try {
       const result = await attempt();
-      const serverTerminated = await this.recordOutcome(server, result);
+      // A failure of this host's own connections is not held against server or request.
+      const isOwnFault = await this.hasLostAllServers(server, result);
+      const serverTerminated =
+        !isOwnFault && (await this.recordOutcome(server, result));
       const {firstMs, wholeMs} = result;
-      const end = getVersionOutcome(result, serverTerminated);
+      const end = isOwnFault
+        ? VersionOutcome.NEUTRAL
+        : getVersionOutcome(result, serverTerminated);
       run.finish(end, firstMs, wholeMs);
       this.options.metrics.increment('version_runs', {service, version, end});
       return result;
@@ -67,6 +72,20 @@
     }
   }
 
+  /** Checks after a failed connection whether this host reaches any server of the service. */
+  private async hasLostAllServers(
+    {service}: FleetServer,
+    {isDisconnected, lostAfterMs}: ObservedResult,
+  ): Promise<boolean> {
+    return (
+      isDisconnected === true &&
+      (await this.options.reachability.check(
+        service,
+        lostAfterMs !== undefined,
+      ))
+    );
+  }
+
   /** Records the outcome of an attempt; returns whether the server has terminated. */
   private async recordOutcome(
     server: FleetServer,
--- a/src/relay/server_choice.ts
+++ b/src/relay/server_choice.ts
@@ -21,6 +21,11 @@
   readonly withheld: readonly string[];
   /** Ids of the servers that backoffs exclude from the choice. */
   readonly backingOff: readonly string[];
+  /**
+   * Whether the service has servers to which this host can open no connection, and none
+   * that it reaches by an open one.
+   */
+  readonly isUnreachable: boolean;
 }
 
 /**
@@ -39,6 +44,9 @@
   /** Chooses a server for the next attempt from the current state of the servers. */
   choose(): LimitAwareDecision {
     const isFirst = this.params.attempts.count() <= 1;
+    if (this.options.reachability.isUnreachable(this.params.service)) {
+      return this.chooseConnected();
+    }
     const decision = this.chooseVersion(isFirst);
     // During a trial of a version, later attempts go to the previous one. A first attempt does
     // as well if no server of the version on trial takes requests now.
@@ -47,6 +55,17 @@
       : decision;
   }
 
+  /** Chooses among the servers to which a connection is open that may still deliver. */
+  private chooseConnected(): LimitAwareDecision {
+    const {reachability, hasIdleConnection} = this.options;
+    const {service} = this.params;
+    const isUsable = reachability.trustsOpenConnections(service);
+    const decision = this.chooseAllowed(
+      ({id}) => isUsable && hasIdleConnection?.(id) === true,
+    );
+    return {...decision, isUnreachable: decision.chosen === undefined};
+  }
+
   private chooseVersion(isFirst: boolean): LimitAwareDecision {
     const {service} = this.params;
     return this.chooseAllowed(
@@ -100,7 +119,7 @@
       trialServers.length > 0 ? trialServers : candidates,
       random,
     );
-    return {...decision, withheld, backingOff};
+    return {...decision, withheld, backingOff, isUnreachable: false};
   }
 
   /** Returns the chosen server; absent if there is none or it is no longer known. */
--- a/src/relay_host/bind_relay_host.ts
+++ b/src/relay_host/bind_relay_host.ts
@@ -7,6 +7,7 @@
 import {Feature, Features} from '../features/index.js';
 import {Fleet} from '../fleet/index.js';
 import {ServerLimits} from '../limits/index.js';
+import {ForwardClient} from '../forwarding/index.js';
 import {Metrics} from '../metrics/index.js';
 import {HostReports, KnownHosts} from '../peering/index.js';
 import {
@@ -14,6 +15,7 @@
   Quarantine,
   SenderRuns,
 } from '../quarantine/index.js';
+import {ServiceReachability} from '../reachability/index.js';
 import {Quota} from '../quota/index.js';
 import {VersionSelector, VersionCounter} from '../rollout/index.js';
 import {PlaceAdmission, Relay} from '../relay/index.js';
@@ -22,6 +24,7 @@
 import {HostLoad} from '../host_load/index.js';
 import {bindDuties} from './bind_duties.js';
 import {bindClusterState} from './bind_cluster_state.js';
+import {bindForwarding} from './bind_forwarding.js';
 import {bindHostLoad} from './bind_host_load.js';
 import {bindRollouts} from './bind_rollouts.js';
 import {bindPeering} from './bind_peering.js';
@@ -29,6 +32,7 @@
   CLOCK,
   COPY_RUN,
   EXCHANGE,
+  HAS_IDLE_CONNECTION,
   LOG,
   CHECK_TERMINATION,
   RANDOM,
@@ -40,6 +44,7 @@
   bindHostLoad(container);
   bindDuties(container);
   bindPeering(container);
+  bindForwarding(container);
   bindRollouts(container);
   bind(container, PlaceAdmission, context => {
     const features = context.get(Features);
@@ -59,6 +64,7 @@
   });
   bind(container, Relay, context => {
     const hostLoad = context.get(HostLoad);
+    const forwardClient = context.get(ForwardClient);
     return new Relay({
       clock: context.get(CLOCK),
       log: context.get(LOG),
@@ -73,6 +79,9 @@
       retryBudget: context.get(SharedRetryBudget),
       usageLedger: context.get(UsageLedger),
       exchange: context.get(EXCHANGE),
+      reachability: context.get(ServiceReachability),
+      forward: (...request) => forwardClient.send(...request),
+      hasIdleConnection: context.get(HAS_IDLE_CONNECTION),
       copyRun: context.get(COPY_RUN),
       terminatedServers: new TerminatedServers(
         context.get(CLOCK),
--- a/src/relay_host/identifiers.ts
+++ b/src/relay_host/identifiers.ts
@@ -4,6 +4,7 @@
 import {OrderServers} from '../provisioning/index.js';
 import {Log} from '../log/index.js';
 import {HostAddress} from '../peering/index.js';
+import {ConnectionOutcome} from '../http/index.js';
 import {CheckTermination} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
 import {CopyRun, Exchange} from '../relay/index.js';
@@ -17,6 +18,15 @@
 /** Returns whether this host has an idle connection to a server, by the server's id. */
 export type HasIdleConnection = (server: string) => boolean;
 
+/** Tries to open a connection to an address within a time in milliseconds. */
+export type TryConnection = (
+  address: string,
+  timeoutMs: number,
+) => Promise<ConnectionOutcome>;
+
+/** Closes the idle connections to a server, by the server's id. */
+export type CloseIdle = (server: string) => void;
+
 /** Returns the current settings. */
 export type GetSettings = () => RelayHostSettings;
 
@@ -34,6 +44,9 @@
 export const EXCHANGE: ServiceIdentifier<Exchange> = Symbol('Exchange');
 export const HAS_IDLE_CONNECTION: ServiceIdentifier<HasIdleConnection> =
   Symbol('HasIdleConnection');
+export const TRY_CONNECTION: ServiceIdentifier<TryConnection> =
+  Symbol('TryConnection');
+export const CLOSE_IDLE: ServiceIdentifier<CloseIdle> = Symbol('CloseIdle');
 export const COPY_RUN: ServiceIdentifier<CopyRun> = Symbol('CopyRun');
 export const CHECK_TERMINATION: ServiceIdentifier<CheckTermination> =
   Symbol('CheckTermination');
--- a/src/relay_host/relay_host.ts
+++ b/src/relay_host/relay_host.ts
@@ -30,6 +30,8 @@
   readonly reporter: UsageReporter;
   readonly provisioner: Provisioner;
   readonly callerListener: CallerListener;
+  /** Accepts the requests that other hosts forward. */
+  readonly forwardListener: CallerListener;
   readonly ready: StatusListener;
   readonly metrics: StatusListener;
   /** Further tasks of the platform's components, such as updating replicas. */
@@ -73,10 +75,13 @@
 
   /** Starts to listen, and starts every task. */
   async start(): Promise<void> {
-    const {settings, log, peers, callerListener, ready, metrics} = this.options;
+    const {settings, log, peers, callerListener, forwardListener} =
+      this.options;
+    const {ready, metrics} = this.options;
     await metrics.listen(...splitAddress(settings.metricsAddress));
     await peers.listen(...splitAddress(settings.peersAddress));
     await ready.listen(...splitAddress(settings.readyAddress));
+    await forwardListener.listen(...splitAddress(settings.forwardingAddress));
     await callerListener.listen(...splitAddress(settings.callersAddress));
     this.startTasks();
     log.info('started', {
@@ -122,32 +127,45 @@
 
   private async drainAndStop(): Promise<void> {
     const {clock, settings, state, callerListener, log, peers} = this.options;
+    const {forwardListener} = this.options;
     const startMs = clock.monotonicMs();
     state.setStopping();
     log.info('stopping', {busy: callerListener.countBusyConnections()});
     peers.sendHeartbeatsNow();
     callerListener.startDraining();
+    forwardListener.startDraining();
     this.dutiesStopped.abort();
     void this.flushUsage();
     await clock.sleep(Math.min(READINESS_DELAY_MS, settings.graceMs / 2));
     callerListener.stopListening();
+    forwardListener.stopListening();
     const drainUntilMs = startMs + settings.graceMs - EXIT_RESERVE_MS;
     while (
-      callerListener.countBusyConnections() > 0 &&
+      this.countBusyConnections() > 0 &&
       clock.monotonicMs() < drainUntilMs
     ) {
       await clock.sleep(POLL_MS);
     }
     await this.flushUsage();
     await clock.sleep(FLUSH_DELAY_MS);
-    log.info('stopped', {cut: callerListener.countBusyConnections()});
+    log.info('stopped', {cut: this.countBusyConnections()});
     this.stopped.abort();
     callerListener.stop();
+    forwardListener.stop();
     this.options.ready.stop();
     this.options.metrics.stop();
     peers.stop();
   }
 
+  /** Counts the connections with requests of callers or of other hosts. */
+  private countBusyConnections(): number {
+    const {callerListener, forwardListener} = this.options;
+    return (
+      callerListener.countBusyConnections() +
+      forwardListener.countBusyConnections()
+    );
+  }
+
   private async flushUsage(): Promise<void> {
     const {settings, reporter} = this.options;
     if (settings.reportsUsage) {
--- a/src/relay_host/relay_host_settings.ts
+++ b/src/relay_host/relay_host_settings.ts
@@ -15,6 +15,8 @@
   readonly readyAddress: string;
   /** IP address and port that peers connect to. */
   readonly peersAddress: string;
+  /** IP address and port at which other hosts forward requests to this one. */
+  readonly forwardingAddress: string;
   readonly metricsAddress: string;
   /** Addresses of some peers; they may be stale. */
   readonly seeds: readonly string[];
--- a/src/routing/outlier_detector.ts
+++ b/src/routing/outlier_detector.ts
@@ -34,6 +34,11 @@
     this.health.delete(server);
   }
 
+  /** Clears the failure record of a server whose failures had another cause. */
+  forget(server: string): void {
+    this.health.delete(server);
+  }
+
   /**
    * Records a failure.
    * @param server - The server.
--- a/test/platform/bulk_transfer_test.ts
+++ b/test/platform/bulk_transfer_test.ts
@@ -34,7 +34,9 @@
     putLarge('/b/');
     await system.waitFor(() => answers(first, '/b/'));
     system.store.faults.unresponsive = true;
-    const second = await system.startHost('front-2', [first.peers], '', {featureModes: BULK});
+    const second = await system.startHost('front-2', [first.peers], '', {
+      featureModes: BULK,
+    });
     await system.waitFor(() => answers(second, '/b/'));
     const {body} = await system.get(second.metrics, '/metrics');
     expect(body).to.match(/long_rows_received\{encoding="whole"\} 1$/m);
--- a/test/platform/partitioned_host_test.ts
+++ b/test/platform/partitioned_host_test.ts
@@ -14,6 +14,7 @@
 const CONTACT_MS = 3000;
 const TRAFFIC_MS = 6000;
 const MAX_MEDIAN_MS = 100;
+const MAX_REFUSAL_MS = 50;
 
 describe('hosts that are partitioned from all servers', () => {
   let system: TestSystem;
@@ -94,9 +95,58 @@
     });
   }
 
+  // Guards against callers that wait for connection timeouts when no host can help.
+  it('refuse requests at once while no host reaches a server', async () => {
+    const requests = await sendDuringPartition(
+      PartitionMode.HANGING,
+      '/a/x',
+      HOSTS,
+    );
+    const judged = requests.filter(
+      ({sentMs}) => sentMs >= PARTITION_AT_MS + CONTACT_MS,
+    );
+    expect(listStatuses(judged)).to.deep.equal([503]);
+    expect(getMedianMs(judged)).to.be.below(MAX_REFUSAL_MS);
+    for (const {view} of judged) {
+      expect(Number(view.headers['retry-after'])).to.be.above(0);
+    }
+  });
+
+  // Guards against hosts that go on forwarding, or that stay cut off, after the partition.
+  it('send requests themselves again after the partition', async () => {
+    await sendDuringPartition(PartitionMode.HANGING, '/a/x');
+    for (const partition of partitions) {
+      partition.set(PartitionMode.NONE);
+    }
+    for (const host of hosts) {
+      await system.waitFor(async () => {
+        const {body} = await system.get(host.metrics, '/metrics');
+        return !/service_unreachable\{[^}]*\} 1/.test(body);
+      });
+    }
+    const before = await countForwards();
+    const traffic = new CallerTraffic(system, hosts, REQUESTS_PER_SECOND);
+    const requests = await traffic.sendFor(500);
+    expect(listStatuses(requests)).to.deep.equal([200]);
+    expect(await countForwards()).to.equal(before);
+  });
+
+  /** Counts the requests that hosts have forwarded. */
+  async function countForwards(): Promise<number> {
+    let sum = 0;
+    for (const host of hosts) {
+      const {body} = await system.get(host.metrics, '/metrics');
+      for (const [, count] of body.matchAll(/forwarded\{.*\} (\d+)$/gm)) {
+        sum += Number(count);
+      }
+    }
+    return sum;
+  }
+
   async function sendDuringPartition(
     mode: PartitionMode,
     path: string,
+    partitionedHosts = PARTITIONED_HOSTS,
   ): Promise<CallerRequest[]> {
     system.putConfig({
       routes: [
@@ -112,7 +162,7 @@
     const traffic = new CallerTraffic(system, hosts, REQUESTS_PER_SECOND);
     const startMs = performance.now();
     const timer = setTimeout(() => {
-      for (const partition of partitions.slice(0, PARTITIONED_HOSTS)) {
+      for (const partition of partitions.slice(0, partitionedHosts)) {
         partition.set(mode);
       }
     }, PARTITION_AT_MS);
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -21,11 +21,15 @@
   ExchangeKind,
   ExchangeParams,
   ExchangeResult,
+  Forward,
+  ForwardParams,
   PlaceAdmission,
   Relay,
   RelayRequest,
   ServerStatement,
 } from '../../src/relay/index.js';
+import {ConnectionOutcome} from '../../src/http/index.js';
+import {ServiceReachability} from '../../src/reachability/index.js';
 import {SharedRetryBudget} from '../../src/routing/index.js';
 import {ModelSum, ServerModels} from '../../src/server_model/index.js';
 import {SystemClock} from '../../src/time/index.js';
@@ -122,8 +126,15 @@
   readonly quarantine: Quarantine;
   readonly metrics = new Metrics();
   readonly limits: ServerLimits;
+  readonly ledger: UsageLedger;
   readonly backoffs: ServerBackoffs;
+  readonly reachability: ServiceReachability;
   readonly relay: Relay;
+  /** Result of trying a connection to a server. */
+  connectionOutcome: ConnectionOutcome = ConnectionOutcome.OPENED;
+  /** Forwards requests to another host. */
+  forward: Forward = async () => createAnswer(200, ['forwarded']);
+  readonly forwarded: ForwardParams[] = [];
   readonly sent: ExchangeParams[] = [];
   readonly copies: CopyRunParams[] = [];
   budget = 100;
@@ -174,7 +185,23 @@
       metrics,
       random: new SeededRandom(1),
     });
+    this.ledger = new UsageLedger(5000, () => clock.now().getTime());
+    this.reachability = new ServiceReachability({
+      clock,
+      log,
+      metrics,
+      random: new SeededRandom(1),
+      listServers: service => this.fleet.listServers(service),
+      tryConnection: async () => this.connectionOutcome,
+      closeIdle: () => undefined,
+    });
     this.relay = new Relay({
+      reachability: this.reachability,
+      forward: (params, signal) => {
+        params.maySend();
+        this.forwarded.push(params);
+        return this.forward(params, signal);
+      },
       clock,
       log,
       random: new SeededRandom(1),
@@ -198,7 +225,7 @@
         slack: this.budget,
         hosts: 1,
       })),
-      usageLedger: new UsageLedger(5000, () => clock.now().getTime()),
+      usageLedger: this.ledger,
       exchange: (params, signal) => {
         this.sent.push(params);
         return exchange(params, signal);
@@ -248,10 +275,7 @@
     return sink;
   }
 
-  private createRequest(
-    overrides: Partial<Route>,
-    timeoutMs: number,
-  ): RelayRequest {
+  createRequest(overrides: Partial<Route>, timeoutMs: number): RelayRequest {
     const nowMs = this.clock.monotonicMs();
     return {
       id: 'r1',
