--- a/test/platform/fakes/test_system.ts
+++ b/test/platform/fakes/test_system.ts
@@ -53,6 +53,8 @@
   ];
   /** Address of each server. */
   readonly addresses: string[] = [];
+  /** Requests that each server states to run concurrently. */
+  slots = 6;
   readonly cloudCalls: CloudCall[] = [];
   readonly hosts: RunningHost[] = [];
   private readonly cloud: Server;
@@ -103,7 +105,7 @@
       address,
       zone: 'here',
       version,
-      slots: 6,
+      slots: this.slots,
       state,
       cold_remaining_ms: 0,
       sequence: ++this.sequence,
