Share the slots of brittle servers among the hosts

Cause: no host read the statement, and no bound covered what all hosts together have in flight at a server.

Change: from the first answer with the statement, the slots of the service's servers are numbered and divided round-robin among the known hosts, so that all of them compute the same division without messages. A host sends a server no more requests than it has slots there; further ones wait at the host, by rank, as long as the predicted wait is within their target. Otherwise another host that has a free slot takes the request, or it is refused at once with the predicted wait.

Ruled out: permits per second as for Server-Limit (a rate bounds no number in flight); using up the tolerated rejections (each risks a fall for a few more requests).

--- a/src/errors/problem.ts
+++ b/src/errors/problem.ts
@@ -38,6 +38,7 @@
   SERVER_FAILED: 'server-failed',
   SERVERS_UNREACHABLE: 'servers-unreachable',
   SERVICE_BACKING_OFF: 'service-backing-off',
+  SERVICE_BRITTLE: 'service-brittle',
   SERVICE_LIMITED: 'service-limited',
   STORE_UNAVAILABLE: 'store-unavailable',
   UNAUTHENTICATED: 'unauthenticated',
--- a/src/errors/problems.ts
+++ b/src/errors/problems.ts
@@ -308,6 +308,18 @@
   retryAfterSeconds,
 });
 
+export const serviceBrittle = (
+  service: string,
+  retryAfterSeconds: number,
+): Problem => ({
+  kind: ProblemKind.SERVICE_BRITTLE,
+  status: 503,
+  detail: `All servers of "${service}" bear no waiting requests now, and their slots are in use.`,
+  remedy: 'Retry after the given time, or ask an operator to add servers.',
+  ran: ExecutionStatus.NOT_EXECUTED,
+  retryAfterSeconds,
+});
+
 export const serversUnreachable = (
   service: string,
   retryAfterSeconds: number,
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -287,6 +287,11 @@
     return counts;
   }
 
+  /** Returns the number of this host's requests in flight at a server. */
+  countInFlight(id: string): number {
+    return this.servers.get(id)?.inFlight ?? 0;
+  }
+
   /** Returns the work of this host at each server, as reported to peers. */
   listOwnLoads(): HostLoad[] {
     const loads: HostLoad[] = [];
--- a/src/forwarding/forward_client.ts
+++ b/src/forwarding/forward_client.ts
@@ -1,16 +1,9 @@
 import {ClientRequest, IncomingMessage, request} from 'node:http';
-import {problems} from '../errors/index.js';
 import {AnswerBody, ConnectionPool} from '../http/index.js';
 import {Log} from '../log/index.js';
 import {Metrics} from '../metrics/index.js';
 import {encodeFrame} from '../peer/index.js';
-import {Random} from '../random/index.js';
-import {
-  ExchangeFailure,
-  ExchangeKind,
-  ExchangeResult,
-  ForwardParams,
-} from '../relay/index.js';
+import {ExchangeKind, ExchangeResult, ForwardParams} from '../relay/index.js';
 import {Clock} from '../time/index.js';
 import {
   DeclineReason,
@@ -27,7 +20,6 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
-  readonly random: Random;
   /** Name of this host. */
   readonly self: string;
   /** Key shared by all peers. */
@@ -50,8 +42,6 @@
 const AVOID_MS = 1000;
 /** Time for which a host is avoided that has no capacity to spare, in milliseconds. */
 const AVOID_BUSY_MS = 100;
-/** Shortest retry delay if no host takes the request, in seconds; at most doubled. */
-const RETRY_S = 0.25;
 const OK = 200;
 
 /**
@@ -97,7 +87,12 @@
       }
       this.avoid(target, result.declined, params.service);
     }
-    return this.refuse(params.service);
+    return {
+      kind: ExchangeKind.NOT_RUN,
+      detail: 'no other host takes the request',
+      unsent: true,
+      refusal: params.refusal,
+    };
   }
 
   private avoid(target: ForwardTarget, reason: string, service: string): void {
@@ -106,6 +101,9 @@
       case DeclineReason.BUSY:
         targets.avoid(target, AVOID_BUSY_MS);
         return;
+      case DeclineReason.NO_SLOT:
+        targets.avoid(target, AVOID_BUSY_MS, service);
+        return;
       case DeclineReason.UNREACHABLE:
         targets.avoid(target, AVOID_MS, service);
         return;
@@ -114,16 +112,6 @@
     }
   }
 
-  private refuse(service: string): ExchangeFailure {
-    const retryS = RETRY_S * (1 + this.options.random.next());
-    return {
-      kind: ExchangeKind.NOT_RUN,
-      detail: 'no other host takes the request',
-      unsent: true,
-      refusal: problems.serversUnreachable(service, retryS),
-    };
-  }
-
   private async sendTo(
     target: ForwardTarget,
     params: ForwardParams,
--- a/src/forwarding/forward_frame.ts
+++ b/src/forwarding/forward_frame.ts
@@ -55,6 +55,8 @@
 export const DeclineReason = {
   /** It does not reach the servers either. */
   UNREACHABLE: 'unreachable',
+  /** It has no free slot at the brittle servers of the service. */
+  NO_SLOT: 'no-slot',
   /** It has no capacity to spare for other hosts. */
   BUSY: 'busy',
   STOPPING: 'stopping',
--- a/src/forwarding/forwarded_answer.ts
+++ b/src/forwarding/forwarded_answer.ts
@@ -4,6 +4,12 @@
 import {AnswerSink, RawHeader} from '../relay/index.js';
 import {DeclineReason, ForwardResponse} from './forward_frame.js';
 
+/** Problems of this host alone, with which another host can be tried. */
+const DECLINING: ReadonlyMap<ProblemKind, DeclineReason> = new Map([
+  [ProblemKind.SERVERS_UNREACHABLE, DeclineReason.UNREACHABLE],
+  [ProblemKind.SERVICE_BRITTLE, DeclineReason.NO_SLOT],
+]);
+
 /** The answer to a forwarded request, on the connection of the host that forwarded it. */
 export class ForwardedAnswer implements AnswerSink {
   private server = '';
@@ -51,8 +57,9 @@
   }
 
   refuse(problem: Problem): void {
-    if (problem.kind === ProblemKind.SERVERS_UNREACHABLE) {
-      this.decline(DeclineReason.UNREACHABLE);
+    const reason = DECLINING.get(problem.kind);
+    if (reason !== undefined) {
+      this.decline(reason);
       return;
     }
     const {kind, status, detail, remedy, ran, retryAfterSeconds} = problem;
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -99,10 +99,12 @@
   ExchangeParams,
   'server' | 'copy' | 'urgency'
 > {
-  /** Service whose servers this host cannot reach. */
+  /** Service whose servers this host cannot reach, or has no slots of. */
   readonly service: string;
   /** Ids of the servers that must not get the request again. */
   readonly excluded: ReadonlySet<string>;
+  /** Problem with which the request is refused if no other host takes it. */
+  readonly refusal: Problem;
 }
 
 /**
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -8,7 +8,7 @@
   ExchangeFailure,
   ExchangeKind,
   ExchangeResult,
-  Forward,
+  ForwardParams,
   RunCopy,
 } from './exchange.js';
 import {RelayOptions} from './relay_options.js';
@@ -90,7 +90,10 @@
    * Forwards the request to another host, which chooses the server; if absent, the request
    * is sent to `server`.
    */
-  readonly forward?: Forward;
+  readonly forward?: (
+    params: Omit<ForwardParams, 'refusal'>,
+    signal: AbortSignal,
+  ) => Promise<ExchangeResult>;
   /** Ids of the servers that must not get the request again. */
   readonly excluded: ReadonlySet<string>;
 }
@@ -238,13 +241,23 @@
   }
 
   /** Records what the answer, if any, states about its server. */
-  private recordStatement({kind, statement}: ExchangeResult): void {
-    const {backoffs, fleet, limits} = this.options;
-    const {id} = this.params.server;
+  private recordStatement(result: ExchangeResult): void {
+    const {kind, statement} = result;
+    const {backoffs, brittle, fleet, limits} = this.options;
+    const {id, service} = this.params.server;
     const {sentMs} = this;
     if (statement !== undefined || kind === ExchangeKind.ANSWERED) {
       this.addBytes();
     }
+    if (statement !== undefined) {
+      brittle.addAnswer({
+        service,
+        server: id,
+        ...(statement.brittle === undefined ? {} : {stated: statement.brittle}),
+        isSuccess: kind === ExchangeKind.ANSWERED && isSuccess(result.status),
+        sentMs,
+      });
+    }
     if (statement?.isLeaving === true) {
       fleet.leaving.addAnswer(id);
     }
@@ -319,7 +332,7 @@
 
   private async receive(answer: ExchangeAnswer): Promise<AttemptResult> {
     try {
-      if (answer.status < OK_FIRST || answer.status > OK_LAST) {
+      if (!isSuccess(answer.status)) {
         return await this.receiveFailure(answer);
       }
       await this.relay(answer);
@@ -484,6 +497,10 @@
   }
 }
 
+function isSuccess(status: number): boolean {
+  return status >= OK_FIRST && status <= OK_LAST;
+}
+
 /** Adds properties to an object, and keeps its getters. */
 function extend<T extends object, U extends object>(target: T, more: U): T & U {
   return Object.defineProperties(
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -1,4 +1,5 @@
 import {ServerBackoffs} from '../backoff/index.js';
+import {BrittleServices} from '../brittle/index.js';
 import {CatalogStore} from '../catalog/index.js';
 import {Fleet} from '../fleet/index.js';
 import {ServerLimits} from '../limits/index.js';
@@ -31,6 +32,7 @@
   readonly quota: Quota;
   readonly limits: ServerLimits;
   readonly backoffs: ServerBackoffs;
+  readonly brittle: BrittleServices;
   readonly quarantine: Quarantine;
   readonly retryBudget: SharedRetryBudget;
   readonly usageLedger: UsageLedger;
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -6,6 +6,7 @@
 import {WatchedContent} from '../quarantine/index.js';
 import {ScoredServer} from '../routing/index.js';
 import {combineSignals} from '../time/index.js';
+import {SlotRequest} from '../brittle/index.js';
 import {AnswerRelay} from './answer_relay.js';
 import {AnswerSink} from './answer_sink.js';
 import {BufferedAnswer} from './buffered_answer.js';
@@ -258,14 +259,28 @@
       return this.fail();
     }
     const {copiedRun} = this;
-    const decision = this.choice.choose();
+    let decision = this.choice.choose();
+    while (
+      decision.isFull &&
+      copiedRun === undefined &&
+      (await this.waitForSlot())
+    ) {
+      decision = this.choice.choose(true);
+    }
+    if (decision.isFull && this.endIfOver()) {
+      return false;
+    }
     this.record.logDecision(
       decision,
       this.attempts.count() - 1,
       this.answer.getLastEventId(),
     );
     if (decision.isUnreachable && copiedRun === undefined) {
-      return this.forward();
+      const retryS = NO_CAPACITY_RETRY_S * (1 + this.options.random.next());
+      return this.forward(problems.serversUnreachable(this.service, retryS));
+    }
+    if (decision.isFull && copiedRun === undefined) {
+      return this.forward(this.refuseWithoutSlot());
     }
     const server = copiedRun?.server ?? this.choice.getServer(decision);
     if (server === undefined) {
@@ -331,21 +346,44 @@
     this.currentAttempt = attempt;
     const result = await attempt.execute();
     this.currentAttempt = undefined;
+    this.options.brittle.release(this.service, result.wholeMs);
     this.server = undefined;
     return {...result, serverTerminated: serverLost.aborted};
   }
 
+  /** Waits until a slot of a brittle server is free; returns whether it may be one. */
+  private waitForSlot(): Promise<boolean> {
+    return this.options.brittle.waitForSlot(
+      this.createSlotRequest(),
+      this.cancelled,
+    );
+  }
+
+  private createSlotRequest(): SlotRequest {
+    const {request, service} = this;
+    const waitedMs = this.options.clock.monotonicMs() - request.arrivedMs;
+    const targetMs = Math.max(0, request.route.targetMs - waitedMs);
+    const rank = rankUrgency(request);
+    const maxWaitMs = Math.min(targetMs, this.getRemainingMs());
+    return {service, rank, maxWaitMs};
+  }
+
+  private refuseWithoutSlot(): Problem {
+    const retryMs = this.options.brittle.addRefused(this.createSlotRequest());
+    return problems.serviceBrittle(this.service, this.toRetryS(retryMs));
+  }
+
   /**
    * Makes an attempt by way of another host, since this one reaches no server of the
-   * service; returns whether another attempt follows.
+   * service, or has no free slot at one; returns whether another attempt follows.
+   * @param refusal - Reason to refuse the request if no other host takes it.
    */
-  private async forward(): Promise<boolean> {
+  private async forward(refusal: Problem): Promise<boolean> {
     const {request, answer, record, cancelled, service} = this;
-    const {forward, random} = this.options;
+    const {forward} = this.options;
     if (forward === undefined || this.params.forwarded !== undefined) {
-      const retryS = NO_CAPACITY_RETRY_S * (1 + random.next());
-      this.addDetail('servers unreachable from this host');
-      return this.fail(problems.serversUnreachable(service, retryS));
+      this.addDetail('not forwarded again');
+      return this.fail(refusal);
     }
     const attempt = new RelayAttempt(
       this.options,
@@ -364,7 +402,7 @@
         urgency: rankUrgency(request),
         mayRetry: this.attempts.mayRetryAfterFailure(),
         excluded: this.attempts.excluded,
-        forward,
+        forward: (params, signal) => forward({...params, refusal}, signal),
       },
     );
     const result = await attempt.execute();
--- a/src/relay/server_choice.ts
+++ b/src/relay/server_choice.ts
@@ -26,6 +26,8 @@
    * that it reaches by an open one.
    */
   readonly isUnreachable: boolean;
+  /** Whether the servers are brittle, and this host has no free slot at any of them. */
+  readonly isFull: boolean;
 }
 
 /**
@@ -34,6 +36,16 @@
  */
 const SLACK_SHARE = 0.4;
 
+/** Decision for a request that has to wait for a slot of a brittle server. */
+const FULL: LimitAwareDecision = {
+  runnersUp: [],
+  reason: 'no-slot',
+  withheld: [],
+  backingOff: [],
+  isUnreachable: false,
+  isFull: true,
+};
+
 /** Chooses the servers for the attempts at one request. */
 export class ServerChoice {
   constructor(
@@ -41,12 +53,21 @@
     private readonly params: ChoiceParams,
   ) {}
 
-  /** Chooses a server for the next attempt from the current state of the servers. */
-  choose(): LimitAwareDecision {
+  /**
+   * Chooses a server for the next attempt from the current state of the servers.
+   * @param isNext - Whether the request has waited for a slot of a brittle server; others
+   *   do not overtake those that wait.
+   */
+  choose(isNext = false): LimitAwareDecision {
     const isFirst = this.params.attempts.count() <= 1;
     if (this.options.reachability.isUnreachable(this.params.service)) {
       return this.chooseConnected();
     }
+    const {request, service} = this.params;
+    const {brittle} = this.options;
+    if (!isNext && brittle.mustQueue(service, rankUrgency(request))) {
+      return FULL;
+    }
     const decision = this.chooseVersion(isFirst);
     // During a trial of a version, later attempts go to the previous one. A first attempt does
     // as well if no server of the version on trial takes requests now.
@@ -92,7 +113,11 @@
     const {request, service, attempts} = this.params;
     const {prompt} = request;
     const backingOff = this.listBackingOff();
-    const allowsNow = excludeServers(allows, backingOff);
+    const withoutSlot = this.listWithoutSlot();
+    const allowsNow = excludeServers(
+      excludeServers(allows, backingOff),
+      withoutSlot,
+    );
     const withheld = this.listRateLimited(allowsNow);
     const candidates = fleet.listKnowledge(service, {
       parts: prompt.parts,
@@ -119,7 +144,10 @@
       trialServers.length > 0 ? trialServers : candidates,
       random,
     );
-    return {...decision, withheld, backingOff, isUnreachable: false};
+    const isFull =
+      decision.chosen === undefined &&
+      withoutSlot.some(id => !attempts.excluded.has(id));
+    return {...decision, withheld, backingOff, isUnreachable: false, isFull};
   }
 
   /** Returns the chosen server; absent if there is none or it is no longer known. */
@@ -129,6 +157,22 @@
       : this.options.fleet.get(chosen.server);
   }
 
+  /** Lists the brittle servers of the service at which this host has no free slot. */
+  private listWithoutSlot(): readonly string[] {
+    const {brittle, fleet} = this.options;
+    const {service} = this.params;
+    if (!brittle.isBrittle(service)) {
+      return [];
+    }
+    return fleet
+      .listServers(service)
+      .filter(
+        ({id, state}) =>
+          state === FleetState.READY && !brittle.hasFreeSlot(service, id),
+      )
+      .map(({id}) => id);
+  }
+
   /** Lists the ids of the ready servers of the service that backoffs exclude. */
   private listBackingOff(): readonly string[] {
     const {backoffs, fleet} = this.options;
--- a/src/relay/server_statement.ts
+++ b/src/relay/server_statement.ts
@@ -1,4 +1,5 @@
 import {StatedBackoff} from '../backoff/index.js';
+import {BrittleStatement} from '../brittle/index.js';
 import {StatedLimit} from '../limits/index.js';
 
 /** What an answer states about the server that gave it. */
@@ -9,4 +10,6 @@
   readonly limit?: StatedLimit;
   /** Time for which the server asks this host for no requests; absent if it does not. */
   readonly backoff?: StatedBackoff;
+  /** Rejections that the server bears; absent if it does not state that it is brittle. */
+  readonly brittle?: BrittleStatement;
 }
--- a/src/relay_host/bind_cluster_state.ts
+++ b/src/relay_host/bind_cluster_state.ts
@@ -1,10 +1,11 @@
 import {Container} from 'inversify';
 import {PlaceCounter} from '../admission/index.js';
 import {ServerBackoffs} from '../backoff/index.js';
+import {BrittleServices} from '../brittle/index.js';
 import {CatalogStore} from '../catalog/index.js';
 import {bind} from '../container/index.js';
 import {Feature, Features} from '../features/index.js';
-import {ConnectionCost, Fleet} from '../fleet/index.js';
+import {ConnectionCost, Fleet, FleetState} from '../fleet/index.js';
 import {ServerLimits} from '../limits/index.js';
 import {Metrics} from '../metrics/index.js';
 import {HostReports, KnownHosts, ReadAge} from '../peering/index.js';
@@ -118,6 +119,23 @@
         random: context.get(RANDOM),
       }),
   );
+  bind(
+    container,
+    BrittleServices,
+    context =>
+      new BrittleServices({
+        clock: context.get(CLOCK),
+        log: context.get(LOG),
+        metrics: context.get(Metrics),
+        listServers: service =>
+          container
+            .get(Fleet)
+            .listServers(service)
+            .filter(({state}) => state === FleetState.READY),
+        countInFlight: server => container.get(Fleet).countInFlight(server),
+        getHostPosition: () => container.get(KnownHosts).getHostPosition(),
+      }),
+  );
   bind(container, Quota, context => {
     const reports = context.get(HostReports);
     const knownHosts = context.get(KnownHosts);
--- a/src/relay_host/bind_forwarding.ts
+++ b/src/relay_host/bind_forwarding.ts
@@ -54,7 +54,6 @@
         clock: context.get(CLOCK),
         log: context.get(LOG),
         metrics: context.get(Metrics),
-        random: context.get(RANDOM),
         self: context.get(SELF).host,
         key: createPeerKey(),
         targets: context.get(ForwardTargets),
--- a/src/relay_host/bind_relay_host.ts
+++ b/src/relay_host/bind_relay_host.ts
@@ -2,6 +2,7 @@
 import {Container} from 'inversify';
 import {PlaceCounter} from '../admission/index.js';
 import {ServerBackoffs} from '../backoff/index.js';
+import {BrittleServices} from '../brittle/index.js';
 import {CatalogStore} from '../catalog/index.js';
 import {bind} from '../container/index.js';
 import {Feature, Features} from '../features/index.js';
@@ -75,6 +76,7 @@
       quota: context.get(Quota),
       limits: context.get(ServerLimits),
       backoffs: context.get(ServerBackoffs),
+      brittle: context.get(BrittleServices),
       quarantine: context.get(Quarantine),
       retryBudget: context.get(SharedRetryBudget),
       usageLedger: context.get(UsageLedger),
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -1,5 +1,6 @@
 import {Result} from 'true-myth';
 import {ServerBackoffs} from '../../src/backoff/index.js';
+import {BrittleServices} from '../../src/brittle/index.js';
 import {Catalog, CatalogStore, Route} from '../../src/catalog/index.js';
 import {Problem} from '../../src/errors/index.js';
 import {Fleet, FleetServer, FleetState} from '../../src/fleet/index.js';
@@ -127,6 +128,7 @@
   readonly metrics = new Metrics();
   readonly limits: ServerLimits;
   readonly ledger: UsageLedger;
+  readonly brittle: BrittleServices;
   readonly backoffs: ServerBackoffs;
   readonly reachability: ServiceReachability;
   readonly relay: Relay;
@@ -186,6 +188,14 @@
       random: new SeededRandom(1),
     });
     this.ledger = new UsageLedger(5000, () => clock.now().getTime());
+    this.brittle = new BrittleServices({
+      clock,
+      log,
+      metrics,
+      listServers: service => this.fleet.listServers(service),
+      countInFlight: server => this.fleet.countInFlight(server),
+      getHostPosition: () => ({hosts: 1, place: 0}),
+    });
     this.reachability = new ServiceReachability({
       clock,
       log,
@@ -197,6 +207,7 @@
     });
     this.relay = new Relay({
       reachability: this.reachability,
+      brittle: this.brittle,
       forward: (params, signal) => {
         params.maySend();
         this.forwarded.push(params);
