Try servers of the own data centre before a service counts as unreachable

A host whose data centre is cut off from the others reaches the servers of its own. Three servers drawn from all could all be remote, and the host would have forwarded requests that it can send. Checks now include two near and three far servers; bytes that arrive while new connections get no answer show that a server is reached.

Of a service with a single server, its end and a partition look the same: requests are forwarded, but the failure is still held against server and request.

--- a/src/reachability/service_reachability.ts
+++ b/src/reachability/service_reachability.ts
@@ -10,6 +10,7 @@
   readonly id: string;
   /** IP address and port. */
   readonly address: string;
+  readonly dataCentre: string;
 }
 
 /** Dependencies of `ServiceReachability`. */
@@ -20,6 +21,8 @@
   readonly random: Random;
   /** Lists the servers of a service that take requests. */
   readonly listServers: (service: string) => readonly ReachableServer[];
+  /** Data centre of this host, whose servers it may reach though others are cut off. */
+  readonly dataCentre: string;
   /** Tries to open a connection to an address within a time in milliseconds. */
   readonly tryConnection: (
     address: string,
@@ -36,10 +39,14 @@
 ) => void;
 
 /**
- * Servers to which a check tries connections. That none of several is reachable is rarely
- * the fault of the servers.
+ * Servers of this host's data centre, and of others, to which a check tries connections.
+ * That none of several is reachable is rarely the fault of the servers, and a host that is
+ * cut off from other data centres only goes on with the servers of its own.
  */
-const CHECKED_SERVERS = 3;
+const CHECKED_NEAR_SERVERS = 2;
+const CHECKED_FAR_SERVERS = 3;
+/** Servers of which one may have failed by itself. */
+const MIN_SERVERS_TO_BLAME_HOST = 2;
 /** Longest wait for a connection in a check; a round trip takes 40 ms between regions. */
 const TRY_TIMEOUT_MS = 200;
 /**
@@ -103,6 +110,18 @@
     return this.states.get(service)?.unreachableSinceMs !== undefined;
   }
 
+  /**
+   * Returns whether failures of connections to a service are the fault of this host. Of a
+   * service with a single server, this cannot be told.
+   */
+  isOwnFault(service: string): boolean {
+    const state = this.states.get(service);
+    return (
+      state?.unreachableSinceMs !== undefined &&
+      state.triedServers >= MIN_SERVERS_TO_BLAME_HOST
+    );
+  }
+
   /** Returns whether no connection to any server is known to work. */
   isCutOff(): boolean {
     const states = [...this.states.values()];
@@ -178,6 +197,7 @@
     const {clock, metrics, tryConnection} = this.options;
     const servers = this.drawServers(service);
     const outcomes: ConnectionOutcome[] = [];
+    const startMs = clock.monotonicMs();
     // One connection is enough while the service is reachable.
     for (const group of [servers.slice(0, 1), servers.slice(1)]) {
       const tried = await Promise.all(
@@ -188,8 +208,14 @@
         break;
       }
     }
+    // Where packets are lost, bytes come from a server that is still reached; where new
+    // connections are refused, they may come on connections that were open before.
+    const hasHeard =
+      !outcomes.includes(ConnectionOutcome.REFUSED) && state.heardMs > startMs;
     const isReachable =
-      outcomes.length === 0 || outcomes.includes(ConnectionOutcome.OPENED);
+      outcomes.length === 0 ||
+      outcomes.includes(ConnectionOutcome.OPENED) ||
+      hasHeard;
     metrics.increment('reachability_checks', {
       service,
       reachable: String(isReachable),
@@ -202,12 +228,22 @@
     return true;
   }
 
+  /** Draws servers of this data centre and of others, in random order. */
   private drawServers(service: string): ReachableServer[] {
-    const {listServers, random} = this.options;
-    return listServers(service)
-      .map(server => ({server, order: random.next()}))
+    const {listServers, dataCentre} = this.options;
+    const servers = this.shuffle(listServers(service));
+    const near = servers.filter(server => server.dataCentre === dataCentre);
+    const far = servers.filter(server => server.dataCentre !== dataCentre);
+    return this.shuffle([
+      ...near.slice(0, CHECKED_NEAR_SERVERS),
+      ...far.slice(0, CHECKED_FAR_SERVERS),
+    ]);
+  }
+
+  private shuffle(servers: readonly ReachableServer[]): ReachableServer[] {
+    return servers
+      .map(server => ({server, order: this.options.random.next()}))
       .sort((a, b) => a.order - b.order)
-      .slice(0, CHECKED_SERVERS)
       .map(({server}) => server);
   }
 
@@ -219,6 +255,7 @@
     const {clock, log} = this.options;
     const nowMs = clock.monotonicMs();
     state.unreachableSinceMs = nowMs;
+    state.triedServers = outcomes.length;
     state.recoveredChecks = 0;
     // A refusal arrives by the same way as answers on open connections would; silence, or
     // a broken connection, shows that these are cut as well.
--- a/src/reachability/service_state.ts
+++ b/src/reachability/service_state.ts
@@ -4,6 +4,8 @@
 export class ServiceState {
   /** When the servers were found unreachable, monotonic milliseconds; absent if they are not. */
   unreachableSinceMs: number | undefined;
+  /** Number of servers that were tried in vain when they were found unreachable. */
+  triedServers = 0;
   /** Whether open connections may still deliver while no new one can be opened. */
   trustsOpenConnections = false;
   /** Check in progress, which all requests share. */
@@ -17,7 +19,7 @@
   cancelTimer: CancelTimer = () => undefined;
   private waiting = 0;
   /** When a server last answered, or the first request began to wait, monotonic ms. */
-  private heardMs = 0;
+  heardMs = 0;
 
   constructor(private readonly clock: Clock) {}
 
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -485,7 +485,7 @@
       full === true ||
       notAccepting === true ||
       // The failure says nothing about the server.
-      this.options.reachability.isUnreachable(this.params.server.service)
+      this.options.reachability.isOwnFault(this.params.server.service)
     ) {
       return RequestOutcome.NEUTRAL;
     }
--- a/src/relay/run_observer.ts
+++ b/src/relay/run_observer.ts
@@ -77,13 +77,12 @@
     {service}: FleetServer,
     {isDisconnected, lostAfterMs}: ObservedResult,
   ): Promise<boolean> {
-    return (
-      isDisconnected === true &&
-      (await this.options.reachability.check(
-        service,
-        lostAfterMs !== undefined,
-      ))
-    );
+    const {reachability} = this.options;
+    if (isDisconnected !== true) {
+      return false;
+    }
+    await reachability.check(service, lostAfterMs !== undefined);
+    return reachability.isOwnFault(service);
   }
 
   /** Records the outcome of an attempt; returns whether the server has terminated. */
--- a/src/relay_host/bind_forwarding.ts
+++ b/src/relay_host/bind_forwarding.ts
@@ -26,6 +26,7 @@
         log: context.get(LOG),
         metrics: context.get(Metrics),
         random: context.get(RANDOM),
+        dataCentre: context.get(SELF).dataCentre,
         listServers: service =>
           container
             .get(Fleet)
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -202,6 +202,7 @@
       metrics,
       random: new SeededRandom(1),
       listServers: service => this.fleet.listServers(service),
+      dataCentre: 'here',
       tryConnection: async () => this.connectionOutcome,
       closeIdle: () => undefined,
     });
