Count a connection that is closed as soon as it is open as refused

A device on the way may accept connections and reset them because it cannot pass them on. The check of a service would take these for open, so that the host would not forward. A connection has to stay open for 30 ms to count.

The new case of partitioned_host_test (new connections are reset) passes with and without the change: on loopback the reset arrives before the connection is reported as open.

--- a/src/http/try_connection.ts
+++ b/src/http/try_connection.ts
@@ -4,7 +4,7 @@
 /** Outcome of an attempt to open a connection. */
 export const ConnectionOutcome = {
   OPENED: 'opened',
-  /** The address answered that it accepts no connection, or could not be routed to. */
+  /** It was refused, could not be routed, or was closed as soon as it was open. */
   REFUSED: 'refused',
   /** Nothing answered in time. */
   NO_ANSWER: 'no-answer',
@@ -12,6 +12,12 @@
 export type ConnectionOutcome =
   (typeof ConnectionOutcome)[keyof typeof ConnectionOutcome];
 
+/**
+ * Time for which a connection must stay open to count, in milliseconds. A device on the way
+ * may accept connections and reset them because it cannot pass them on.
+ */
+const STAY_OPEN_MS = 30;
+
 /**
  * Opens a connection to an address and closes it.
  * @param address - IP address and port.
@@ -35,11 +41,20 @@
     };
     // After a pause of this process, the timer fires before an answer that waits in the
     // kernel is read.
-    const timer = setTimeout(
+    let timer = setTimeout(
       () => setImmediate(() => settle(ConnectionOutcome.NO_ANSWER)),
       timeoutMs,
     );
-    socket.once('connect', () => settle(ConnectionOutcome.OPENED));
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      timer = setTimeout(
+        () => setImmediate(() => settle(ConnectionOutcome.OPENED)),
+        STAY_OPEN_MS,
+      );
+    });
+    // Without a reader, the end of the connection would not be noticed.
+    socket.resume();
     socket.on('error', () => settle(ConnectionOutcome.REFUSED));
+    socket.once('close', () => settle(ConnectionOutcome.REFUSED));
   });
 }
--- a/test/platform/fakes/partition.ts
+++ b/test/platform/fakes/partition.ts
@@ -10,6 +10,8 @@
   HANGING: 'hanging',
   /** Open connections are reset, and new ones are refused. */
   RESET: 'reset',
+  /** Open connections are reset, and new ones are as soon as they are open. */
+  NEW_RESET: 'new-reset',
   /** Open connections go on, and new ones are refused. */
   NEW_REFUSED: 'new-refused',
 } as const;
@@ -37,14 +39,16 @@
       Object.assign(socket, {connecting: true});
       return socket;
     }
-    return connect({host: '127.0.0.1', port: CLOSED_PORT});
+    return this.mode === PartitionMode.NEW_RESET
+      ? this.openProxied(port)
+      : connect({host: '127.0.0.1', port: CLOSED_PORT});
   };
 
   /** Starts a partition, or ends it with `PartitionMode.NONE`. */
   set(mode: PartitionMode): void {
     this.mode = mode;
     for (const socket of this.sockets) {
-      if (mode === PartitionMode.RESET) {
+      if (mode === PartitionMode.RESET || mode === PartitionMode.NEW_RESET) {
         socket.resetAndDestroy();
       } else if (mode === PartitionMode.HANGING) {
         socket.pause();
@@ -66,6 +70,10 @@
   /** Listens at a proxy for a server's port before connections to it are opened. */
   async addServer(port: number): Promise<void> {
     const proxy = createServer(near => {
+      if (this.mode === PartitionMode.NEW_RESET && this.isAffected(port)) {
+        near.resetAndDestroy();
+        return;
+      }
       const far = connect({host: '127.0.0.1', port});
       this.forward(near, far, port);
       this.forward(far, near, port);
--- a/test/platform/partitioned_host_test.ts
+++ b/test/platform/partitioned_host_test.ts
@@ -58,6 +58,7 @@
   for (const mode of [
     PartitionMode.HANGING,
     PartitionMode.RESET,
+    PartitionMode.NEW_RESET,
     PartitionMode.NEW_REFUSED,
   ]) {
     it(`serve requests through other hosts (${mode})`, async () => {
