Soak: partition hosts from all servers, and make servers state that they are brittle

Half of the schedules partition one to all hosts from all servers for 4.5 to 7 s, half have servers that state that they are brittle; both are drawn from seeds of their own, so that the other faults of a seed stay as they are. A host opens its connections from a loopback address of its own, by which the links of servers tell the hosts apart.

In backoffs of servers, a partitioned host is excused: its requests go by way of hosts that the server has not asked.

--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -17,6 +17,7 @@
   findArrivalsAfterStatement,
   findLateArrivals,
 } from './find_late_arrivals.js';
+import {findUnservedAtPartitions} from './find_unserved.js';
 import {
   findDisorderedEvents,
   findRepeatedRuns,
@@ -97,6 +98,11 @@
     find: findExcessInBackoffs,
   },
   {name: 'limits of servers', hasTimeBound: true, find: findExcessAtLimits},
+  {
+    name: 'partitioned hosts serve',
+    hasTimeBound: true,
+    find: findUnservedAtPartitions,
+  },
   {name: 'recovery', hasTimeBound: true, find: findIncompleteRecovery},
 ];
 
--- a/test/soak/checks_test.ts
+++ b/test/soak/checks_test.ts
@@ -103,6 +103,34 @@
       }
     },
   ],
+  [
+    'partitioned hosts serve',
+    history => {
+      for (const host of ['front-0', 'front-1']) {
+        for (let count = 0; count < 20; count++) {
+          const status = host === 'front-0' ? 502 : 200;
+          const id = `${host}-${count}`;
+          const request = {id, host, sentMs: 20_000, endMs: 20_100};
+          history.sendings.push(createSentRequest({...request, status}));
+          const answer = `${id} by ${SERVER}`;
+          history.arrivals.push(createArrival({id, atMs: 20_010, answer}));
+          history.logged.get('front-0')?.add(id);
+          history.logged.set(
+            'front-1',
+            history.logged.get('front-0') ?? new Set(),
+          );
+        }
+      }
+      history.faults.push(
+        createFault({
+          kind: 'host-partitioned',
+          fromMs: 15_000,
+          toMs: 22_000,
+          planned: false,
+        }),
+      );
+    },
+  ],
   [
     'at most once',
     ({arrivals}) => {
--- a/test/soak/fault_injector.ts
+++ b/test/soak/fault_injector.ts
@@ -54,6 +54,14 @@
         return this.switchOnDuring(fault, name, on =>
           host.signal(on ? 'SIGSTOP' : 'SIGCONT'),
         );
+      case FaultKind.HOST_PARTITIONED:
+        return this.switchOnDuring(fault, name, on =>
+          system.setPartitioned(host, on),
+        );
+      case FaultKind.SERVERS_BRITTLE:
+        return this.switchOnDuring(fault, 'servers', on =>
+          system.setBrittle(on),
+        );
       case FaultKind.STORE_BUSY:
         return this.switchOnDuring(fault, '', on => (store.faults.busy = on));
       case FaultKind.STORE_SILENT:
--- a/test/soak/find_excess.ts
+++ b/test/soak/find_excess.ts
@@ -149,6 +149,8 @@
 const BACKOFF_LOSING_FAULTS: ReadonlySet<string> = new Set([
   ...LIMIT_LOSING_FAULTS,
   FaultKind.STORE_LINK_CUT,
+  // Its requests go to servers by way of other hosts, which were not asked for the time.
+  FaultKind.HOST_PARTITIONED,
 ]);
 
 /** Returns whether the host, or its link to the server, had a fault recently. */
--- /dev/null
+++ b/test/soak/find_unserved.ts
@@ -0,0 +1,52 @@
+/** Checks that hosts which reach no server serve their callers by way of others. */
+import {History, SentRequest} from './history.js';
+import {hadFault} from './history_queries.js';
+import {FaultKind} from './schedule.js';
+
+const OK = 200;
+/** Requests must be served at least this share as often as at the other hosts. */
+const MIN_SERVED_SHARE = 2 / 3;
+/** Requests that may fail in any case: this number, and this share of all. */
+const TOLERATED_FAILURES = 10;
+const TOLERATED_SHARE = 1 / 50;
+
+/**
+ * Compares requests at hosts that are partitioned from all servers with those at the other
+ * hosts, from the contact bound after the partition began. All hosts that a schedule
+ * partitions are partitioned at the same time.
+ */
+export function* findUnservedAtPartitions(history: History): Iterable<string> {
+  const partitions = history.faults.filter(
+    ({kind}) => kind === FaultKind.HOST_PARTITIONED,
+  );
+  const hosts = new Set(partitions.map(({target}) => target));
+  const fromMs = Math.max(...partitions.map(fault => fault.fromMs));
+  const toMs = Math.min(...partitions.map(fault => fault.toMs));
+  const sent = history.sendings.filter(
+    request =>
+      request.sentMs >= fromMs + history.bounds.contactMs &&
+      request.endMs <= toMs &&
+      !hadOtherFault(history, request),
+  );
+  const cutOff = sent.filter(({host}) => hosts.has(host));
+  const others = sent.filter(({host}) => !hosts.has(host));
+  const failed = cutOff.length - countServed(cutOff);
+  const expected =
+    (MIN_SERVED_SHARE * cutOff.length * countServed(others)) /
+    Math.max(1, others.length);
+  const tolerated = TOLERATED_FAILURES + sent.length * TOLERATED_SHARE;
+  if (countServed(cutOff) < expected && failed > tolerated) {
+    yield `partitioned hosts served ${countServed(cutOff)} of ${cutOff.length} requests, the others ${countServed(others)} of ${others.length}`;
+  }
+}
+
+/** Returns whether the host of a request had another fault than the partition. */
+function hadOtherFault(history: History, {host, sentMs}: SentRequest): boolean {
+  const isOther = (kind: string) => kind !== FaultKind.HOST_PARTITIONED;
+  const sinceMs = sentMs - history.bounds.contactMs;
+  return hadFault(history, host, isOther, sinceMs, sentMs);
+}
+
+function countServed(requests: readonly SentRequest[]): number {
+  return requests.filter(({status, whole}) => status === OK && whole).length;
+}
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -35,6 +35,8 @@
   SERVER_ASKS_FOR_BACKOFF: 'server-asks-for-backoff',
   SERVER_STATES_LEAVING: 'server-states-leaving',
   STORE_RESTORED: 'store-restored',
+  HOST_PARTITIONED: 'host-partitioned',
+  SERVERS_BRITTLE: 'servers-brittle',
 } as const;
 export type FaultKind = (typeof FaultKind)[keyof typeof FaultKind];
 
@@ -45,6 +47,8 @@
   FaultKind.SERVER_ASKS_FOR_BACKOFF,
   FaultKind.SERVER_STATES_LEAVING,
   FaultKind.STORE_RESTORED,
+  FaultKind.HOST_PARTITIONED,
+  FaultKind.SERVERS_BRITTLE,
 ];
 /** Seed offset for server limits, so that other draws stay the same. */
 const LIMITS_SEED_OFFSET = 0x5eed;
@@ -53,6 +57,9 @@
 /** Seed offset for what servers state and for restored stores, so that other draws stay the same. */
 const STATEMENTS_SEED_OFFSET = 0x57a7;
 
+/** Seed offset for partitions and brittle servers, so that other draws stay the same. */
+const PARTITIONS_SEED_OFFSET = 0xca57;
+
 /** A fault in a schedule. */
 export interface Fault {
   readonly kind: FaultKind;
@@ -94,6 +101,11 @@
 /** Share of schedules with each of: backoffs, servers that state that they leave, a restored store. */
 const STATEMENTS_SHARE = 0.5;
 const MAX_STATING_SERVERS = 3;
+/** Share of schedules with each of: partitioned hosts, brittle servers. */
+const PARTITIONS_SHARE = 0.5;
+/** Duration of these, in milliseconds: they count from 3 s after their start. */
+const MIN_PARTITION_MS = 4500;
+const MAX_PARTITION_MS = 7000;
 /** Share of faults that come as a series of the same kind. */
 const SERIES_SHARE = 0.2;
 const SERIES_LENGTH = 3;
@@ -153,6 +165,13 @@
       lengthMs,
     ),
   );
+  faults.push(
+    ...drawPartitions(
+      new SeededRandom(seed + PARTITIONS_SEED_OFFSET),
+      hosts,
+      lengthMs,
+    ),
+  );
   faults.sort((a, b) => a.atMs - b.atMs);
   return {seed, hosts, servers: 2 * hosts, lengthMs, faults};
 }
@@ -213,6 +232,29 @@
   return faults;
 }
 
+/** Draws hosts that are partitioned from all servers, up to all of them, and brittle servers. */
+function drawPartitions(
+  random: Random,
+  hosts: number,
+  lengthMs: number,
+): Fault[] {
+  const faults: Fault[] = [];
+  for (const kind of [FaultKind.HOST_PARTITIONED, FaultKind.SERVERS_BRITTLE]) {
+    const isDrawn = random.next() < PARTITIONS_SHARE;
+    const isPartition = kind === FaultKind.HOST_PARTITIONED;
+    const count = isPartition ? 1 + Math.floor(random.next() * hosts) : 1;
+    const rangeMs = MAX_PARTITION_MS - MIN_PARTITION_MS;
+    const forMs = Math.round(MIN_PARTITION_MS + rangeMs * random.next());
+    const spanMs = Math.max(0, lengthMs - 2 * MARGIN_MS - forMs);
+    const atMs = Math.round(MARGIN_MS + spanMs * random.next());
+    const first = Math.floor(random.next() * 64);
+    for (let index = 0; isDrawn && index < count; index++) {
+      faults.push({kind, atMs, forMs, target: first + index});
+    }
+  }
+  return faults;
+}
+
 /** Draws the duration of a fault, in milliseconds. */
 function drawDurationMs(random: Random): number {
   return Math.round(
--- a/test/soak/soak_host.ts
+++ b/test/soak/soak_host.ts
@@ -17,6 +17,8 @@
   /** Returns the port of the store. */
   readonly getStorePort: () => number;
   readonly cloudAddress: string;
+  /** Loopback address from which it opens connections, different for each host. */
+  readonly sourceAddress: string;
 }
 
 const MS_PER_SECOND = 1000;
@@ -26,6 +28,8 @@
 const PROGRAM = [
   '--require',
   './scripts/early_signals.cjs',
+  '--require',
+  './test/soak/source_address.cjs',
   'dist/platform/sedgefalld.js',
 ];
 const SERVER_LEAVING_LINE =
@@ -85,6 +89,7 @@
       env: {
         PATH: process.env['PATH'],
         SEDGEFALL_BOOT: this.settingsPath,
+        SOAK_SOURCE_ADDRESS: this.options.sourceAddress,
         // Features under test, such as those that are off in a small fleet.
         SEDGEFALL_FEATURES: process.env['SEDGEFALL_FEATURES'] ?? '',
       },
--- a/test/soak/soak_system.ts
+++ b/test/soak/soak_system.ts
@@ -46,6 +46,10 @@
   readonly servers: SoakServer[] = [];
   /** Names of the hosts to which the balancer sends new connections. */
   readonly inRotation = new Set<string>();
+  /** Source addresses of the hosts that are partitioned from all servers. */
+  private readonly cutOff = new Set<string>();
+  /** Every server that was started, also those that have left. */
+  private readonly allServers = new Set<SoakServer>();
   private readonly cloud: Server;
   /** Address at which each incarnation of a server is reached. */
   private readonly addresses = new Map<string, string>();
@@ -57,6 +61,7 @@
   private stopped = false;
   private lastServerStartMs = Date.now();
   private sequence = 0;
+  private isBrittle = false;
   /** What the operator and the servers have written last, by key of the row. */
   private readonly written = new Map<string, () => void>();
 
@@ -110,6 +115,7 @@
         bounds: this.history.bounds,
         getStorePort: () => this.storePort,
         cloudAddress,
+        sourceAddress: `127.0.1.${index + 1}`,
       });
       await host.prepare();
       host.start();
@@ -186,6 +192,26 @@
     return this.getHost(0);
   }
 
+  /** Partitions a host from all servers, or ends that; it reaches everything else. */
+  setPartitioned({options}: SoakHost, isPartitioned: boolean): void {
+    if (!isPartitioned) {
+      this.cutOff.delete(options.sourceAddress);
+      return;
+    }
+    this.cutOff.add(options.sourceAddress);
+    for (const {link} of this.allServers) {
+      link.resetCutOff();
+    }
+  }
+
+  /** Makes all servers state that they are brittle, or no longer. */
+  setBrittle(isBrittle: boolean): void {
+    this.isBrittle = isBrittle;
+    for (const server of this.allServers) {
+      server.faults.isBrittle = isBrittle;
+    }
+  }
+
   /** Kills a host's process; it is restarted after a delay. */
   async killHost(host: SoakHost, restartDelayMs: number): Promise<void> {
     await host.terminate('SIGKILL', restartDelayMs);
@@ -339,11 +365,14 @@
     const server: SoakServer = new SoakServer(name, ++this.lastServerStartMs, {
       history: this.history,
       getNowMs: () => this.getNowMs(),
+      isCutOff: address => this.cutOff.has(address),
       onCrash: crashed => {
         this.history.endsMs.push(this.getNowMs());
         void this.crashServer(crashed);
       },
     });
+    server.faults.isBrittle = this.isBrittle;
+    this.allServers.add(server);
     const address = await server.listen();
     if (this.stopped) {
       server.crash();
