Soak: faults of stores and servers do not excuse partitioned hosts

The check of partitioned hosts left out requests within 3 s of any fault without a target, which is most of a run. Only a host that was stopped or stood still is excused.

--- a/test/soak/find_unserved.ts
+++ b/test/soak/find_unserved.ts
@@ -40,9 +40,17 @@
   }
 }
 
-/** Returns whether the host of a request had another fault than the partition. */
+/** Faults after which a host may fail requests whatever it reaches. */
+const STOPPING_FAULTS: ReadonlySet<string> = new Set([
+  FaultKind.ALL_KILLED,
+  FaultKind.HOST_KILL,
+  FaultKind.HOST_STOP,
+  FaultKind.HOST_FREEZE,
+]);
+
+/** Returns whether the host of a request was stopped or stood still shortly before it. */
 function hadOtherFault(history: History, {host, sentMs}: SentRequest): boolean {
-  const isOther = (kind: string) => kind !== FaultKind.HOST_PARTITIONED;
+  const isOther = (kind: string) => STOPPING_FAULTS.has(kind);
   const sinceMs = sentMs - history.bounds.contactMs;
   return hadFault(history, host, isOther, sinceMs, sentMs);
 }
