--- a/src/forwarding/forwarded_answer.ts
+++ b/src/forwarding/forwarded_answer.ts
@@ -1,5 +1,6 @@
 import {ServerResponse} from 'node:http';
 import {Problem, ProblemKind} from '../errors/index.js';
+import {writeChunk} from '../http/index.js';
 import {encodeFrame} from '../peer/index.js';
 import {AnswerSink, RawHeader} from '../relay/index.js';
 import {DeclineReason, ForwardResponse} from './forward_frame.js';
@@ -31,19 +32,9 @@
   }
 
   write(bytes: Uint8Array): Promise<void> {
-    const {response} = this;
-    if (this.isClosed() || response.write(bytes)) {
-      return Promise.resolve();
-    }
-    return new Promise(resolve => {
-      const settle = () => {
-        response.off('drain', settle);
-        response.off('close', settle);
-        resolve();
-      };
-      response.on('drain', settle);
-      response.on('close', settle);
-    });
+    return this.isClosed()
+      ? Promise.resolve()
+      : writeChunk(this.response, bytes);
   }
 
   end(): void {
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -6,3 +6,4 @@
 export type {OpenConnection} from './open_connection.js';
 export {ConnectionOutcome, tryConnection} from './try_connection.js';
 export {AnswerBody} from './answer_body.js';
+export {writeChunk} from './write_chunk.js';
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -231,7 +231,6 @@
     };
     if (forward !== undefined) {
       const {service} = server;
-      // `Object.assign` would read the getter once.
       return forward(extend(params, {service, excluded}), this.abortSignal);
     }
     return exchange(
--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -46,15 +46,8 @@
     resumeAfter: string | undefined,
   ): void {
     const {request} = this;
-    const {
-      chosen,
-      runnersUp,
-      reason,
-      withheld,
-      backingOff,
-      isUnreachable,
-      isFull,
-    } = decision;
+    const {chosen, runnersUp, reason, withheld, backingOff, isUnreachable} =
+      decision;
     const remainingMs = request.deadlineMs - this.options.clock.monotonicMs();
     this.options.log.info('route', {
       request: request.id,
@@ -72,11 +65,7 @@
       queue_ms: chosen?.queueMs.toFixed(0),
       remaining_ms: remainingMs.toFixed(0),
       runners_up: runnersUp.map(other => other.server).join(',') || undefined,
-      reason: isFull
-        ? 'no-slot'
-        : isUnreachable
-          ? 'servers-unreachable'
-          : reason,
+      reason: isUnreachable ? 'servers-unreachable' : reason,
       resume_after: resumeAfter,
       forwarded_by: request.forwardedBy,
     });
--- a/src/relay/server_choice.ts
+++ b/src/relay/server_choice.ts
@@ -147,7 +147,14 @@
     const isFull =
       decision.chosen === undefined &&
       withoutSlot.some(id => !attempts.excluded.has(id));
-    return {...decision, withheld, backingOff, isUnreachable: false, isFull};
+    return {
+      ...decision,
+      ...(isFull ? {reason: FULL.reason} : {}),
+      withheld,
+      backingOff,
+      isUnreachable: false,
+      isFull,
+    };
   }
 
   /** Returns the chosen server; absent if there is none or it is no longer known. */
