--- a/src/relay/run_observer.ts
+++ b/src/relay/run_observer.ts
@@ -55,10 +55,12 @@
     content.beginRun();
     try {
       const result = await attempt();
+      // Read now: the entry of a server that leaves may be gone once the checks are done.
+      const wasLeaving = this.options.fleet.isLeaving(server.id);
       // A failure of this host's own connections is not held against server or request.
       const isOwnFault = await this.hasLostAllServers(server, result);
       const serverTerminated =
-        !isOwnFault && (await this.recordOutcome(server, result));
+        !isOwnFault && (await this.recordOutcome(server, result, wasLeaving));
       const {firstMs, wholeMs} = result;
       const end = isOwnFault
         ? VersionOutcome.NEUTRAL
@@ -89,6 +91,7 @@
   private async recordOutcome(
     server: FleetServer,
     result: ObservedResult,
+    wasLeaving: boolean,
   ): Promise<boolean> {
     const {content, record} = this.observed;
     const {outcome, lostAfterMs} = result;
@@ -100,7 +103,7 @@
     if (lostAfterMs === undefined) {
       return false;
     }
-    const serverTerminated = await this.recordLoss(server, result);
+    const serverTerminated = await this.recordLoss(server, result, wasLeaving);
     record.addLostRun({
       content: content.getName(),
       server: server.id,
@@ -114,13 +117,13 @@
   private async recordLoss(
     {id, name, address}: FleetServer,
     {serverTerminated}: ObservedResult,
+    wasLeaving: boolean,
   ): Promise<boolean> {
     const {content} = this.observed;
     if (serverTerminated) {
       content.addTermination(nameTermination(address, id));
       return true;
     }
-    const wasLeaving = this.options.fleet.isLeaving(id);
     return content.addLoss({name, incarnation: id, address, wasLeaving});
   }
 }
