--- a/src/forwarding/forward_client.ts
+++ b/src/forwarding/forward_client.ts
@@ -1,5 +1,11 @@
 import {ClientRequest, IncomingMessage, request} from 'node:http';
-import {AnswerBody, ConnectionPool} from '../http/index.js';
+import {ExecutionStatus} from '../errors/index.js';
+import {
+  AnswerBody,
+  ConnectionPool,
+  parseAddress,
+  whenConnected,
+} from '../http/index.js';
 import {Log} from '../log/index.js';
 import {Metrics} from '../metrics/index.js';
 import {encodeFrame} from '../peer/index.js';
@@ -70,16 +76,16 @@
         break;
       }
       const result = await this.sendTo(target, params, signal);
-      const declined = 'declined' in result ? result.declined : undefined;
+      const outcome = 'declined' in result ? result.declined : result.kind;
       metrics.increment('forwarded', {
         service: params.service,
-        result: declined ?? ('kind' in result ? result.kind : ''),
+        result: outcome,
       });
       log.info('forward', {
         request: params.request.id,
         service: params.service,
         to: target.host,
-        result: declined ?? ('kind' in result ? result.kind : ''),
+        result: outcome,
         server: 'server' in result ? result.server : undefined,
       });
       if ('kind' in result) {
@@ -122,8 +128,7 @@
     const proof = computeForwardProof(this.options.key, head);
     const {body} = params.request;
     const clientRequest = request({
-      host: target.address.slice(0, target.address.lastIndexOf(':')),
-      port: Number(target.address.slice(target.address.lastIndexOf(':') + 1)),
+      ...parseAddress(target.address),
       method: 'POST',
       path: '/forward',
       agent: this.getPool(target.address),
@@ -162,7 +167,7 @@
         'response',
         response => void readResponse(clientRequest, response).then(resolve),
       );
-      whenConnected(clientRequest, () => {
+      whenConnected(clientRequest, CONNECT_TIMEOUT_MS, () => {
         if (clientRequest.destroyed) {
           return;
         }
@@ -237,28 +242,6 @@
   }
 }
 
-/** Invokes a callback once the request has an open connection, or destroys the request. */
-function whenConnected(
-  clientRequest: ClientRequest,
-  onConnected: () => void,
-): void {
-  clientRequest.once('socket', socket => {
-    if (!socket.connecting) {
-      onConnected();
-      return;
-    }
-    const timer = setTimeout(
-      () => clientRequest.destroy(new Error('no connection in time')),
-      CONNECT_TIMEOUT_MS,
-    );
-    socket.once('connect', () => {
-      clearTimeout(timer);
-      onConnected();
-    });
-    socket.once('close', () => clearTimeout(timer));
-  });
-}
-
 async function readResponse(
   clientRequest: ClientRequest,
   response: IncomingMessage,
@@ -297,7 +280,7 @@
         ...rest,
         ...(retryAfterSeconds === undefined ? {} : {retryAfterSeconds}),
       };
-      const wasRun = problem.ran !== 'no';
+      const wasRun = problem.ran !== ExecutionStatus.NOT_EXECUTED;
       return {
         kind: wasRun ? ExchangeKind.LOST : ExchangeKind.NOT_RUN,
         detail: problem.detail,
--- a/src/forwarding/forward_listener.ts
+++ b/src/forwarding/forward_listener.ts
@@ -48,10 +48,10 @@
  */
 export class ForwardListener {
   private readonly server: Server;
-  private readonly busy = new Map<Socket, number>();
+  /** Connections on which a request is served; each carries one at a time. */
+  private readonly busy = new Set<Socket>();
   private readonly sockets = new Set<Socket>();
   private heldBytes = 0;
-  private requests = 0;
   private isDraining = false;
 
   constructor(private readonly options: ForwardListenerOptions) {
@@ -71,7 +71,7 @@
     metrics.addGauge(
       'forwards_in_flight',
       'Requests of other hosts that this host serves now',
-      () => this.requests,
+      () => this.busy.size,
     );
   }
 
@@ -116,13 +116,11 @@
     const {socket} = message;
     response.sendDate = false;
     const bytes = Number(message.headers['content-length'] ?? 0);
-    this.busy.set(socket, bytes);
+    this.busy.add(socket);
     this.heldBytes += bytes;
-    this.requests++;
     response.once('close', () => {
       this.busy.delete(socket);
       this.heldBytes -= bytes;
-      this.requests--;
     });
     const answer = new ForwardedAnswer(response);
     try {
@@ -148,7 +146,7 @@
       return DeclineReason.INVALID;
     }
     const isFull =
-      this.heldBytes > MAX_HELD_BYTES || this.requests > MAX_REQUESTS;
+      this.heldBytes > MAX_HELD_BYTES || this.busy.size > MAX_REQUESTS;
     return isFull || isOverloaded() ? DeclineReason.BUSY : undefined;
   }
 
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -7,3 +7,5 @@
 export {ConnectionOutcome, tryConnection} from './try_connection.js';
 export {AnswerBody} from './answer_body.js';
 export {writeChunk} from './write_chunk.js';
+export {parseAddress} from './parse_address.js';
+export {whenConnected} from './when_connected.js';
--- a/src/http/refuses_connections.ts
+++ b/src/http/refuses_connections.ts
@@ -1,5 +1,6 @@
 import {connect} from 'node:net';
 import {OpenConnection} from './open_connection.js';
+import {parseAddress} from './parse_address.js';
 
 /**
  * Timeout in milliseconds. The reply takes one network round trip, and the next attempt
@@ -18,11 +19,8 @@
   address: string,
   openConnection: OpenConnection = connect,
 ): Promise<boolean> {
-  const colon = address.lastIndexOf(':');
-  const host = address.slice(0, colon);
-  const port = Number(address.slice(colon + 1));
   return new Promise(resolve => {
-    const socket = openConnection({host, port});
+    const socket = openConnection(parseAddress(address));
     const timer = setTimeout(() => settle(false), TIMEOUT_MS);
     const settle = (refuses: boolean) => {
       clearTimeout(timer);
--- a/src/http/try_connection.ts
+++ b/src/http/try_connection.ts
@@ -1,5 +1,6 @@
 import {connect} from 'node:net';
 import {OpenConnection} from './open_connection.js';
+import {parseAddress} from './parse_address.js';
 
 /** Outcome of an attempt to open a connection. */
 export const ConnectionOutcome = {
@@ -29,11 +30,8 @@
   timeoutMs: number,
   openConnection: OpenConnection = connect,
 ): Promise<ConnectionOutcome> {
-  const colon = address.lastIndexOf(':');
-  const host = address.slice(0, colon);
-  const port = Number(address.slice(colon + 1));
   return new Promise(resolve => {
-    const socket = openConnection({host, port});
+    const socket = openConnection(parseAddress(address));
     const settle = (outcome: ConnectionOutcome) => {
       clearTimeout(timer);
       socket.destroy();
