--- a/src/forwarding/forward_client.ts
+++ b/src/forwarding/forward_client.ts
@@ -1,4 +1,5 @@
 import {ClientRequest, IncomingMessage, request} from 'node:http';
+import {Framing} from '../answer/index.js';
 import {ExecutionStatus} from '../errors/index.js';
 import {
   AnswerBody,
@@ -270,7 +271,8 @@
     case 'answered': {
       const {status, headers, server} = head;
       const kind = ExchangeKind.ANSWERED;
-      return {kind, status, headers, server, body: concat(rest, body)};
+      const framing = Framing.CHUNKS;
+      return {kind, status, headers, framing, server, body: concat(rest, body)};
     }
     case 'refused': {
       void drain(body);
--- a/src/relay/answer_relay.ts
+++ b/src/relay/answer_relay.ts
@@ -1,3 +1,4 @@
+import {Framing} from '../answer/index.js';
 import {AnswerSink} from './answer_sink.js';
 import {EventSplitter} from './event_splitter.js';
 import {ExchangeAnswer} from './exchange.js';
@@ -8,6 +9,8 @@
  */
 export class AnswerRelay {
   private begun = false;
+  private framing: Framing | undefined;
+  private restBytes = 0;
 
   /**
    * @param sink - Receives the answer.
@@ -28,6 +31,16 @@
     return this.lastEventId;
   }
 
+  /** Returns how the end of the last answer was marked; absent if there was none. */
+  getFraming(): Framing | undefined {
+    return this.framing;
+  }
+
+  /** Returns the number of bytes after the last complete event of a stream. */
+  getRestBytes(): number {
+    return this.restBytes;
+  }
+
   /**
    * Relays a complete answer.
    * @param answer - The answer.
@@ -41,6 +54,7 @@
     maxBufferedBytes: number,
     onBytes: () => void,
   ): Promise<void> {
+    this.framing = answer.framing;
     const buffered: Uint8Array[] = [];
     let remainingBytes = maxBufferedBytes;
     for await (const bytes of answer.body) {
@@ -65,6 +79,7 @@
     answer: ExchangeAnswer,
     onEvents: () => void,
   ): Promise<void> {
+    this.framing = answer.framing;
     const splitter = new EventSplitter();
     for await (const piece of answer.body) {
       const {bytes, lastId} = splitter.add(piece);
@@ -76,7 +91,9 @@
       this.lastEventId = lastId ?? this.lastEventId;
       await this.sink.write(bytes);
     }
-    await this.relayBuffered(answer, [splitter.takeRest()]);
+    const rest = splitter.takeRest();
+    this.restBytes = rest.length;
+    await this.relayBuffered(answer, [rest]);
     this.sink.end();
   }
 
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -1,3 +1,4 @@
+import {Framing} from '../answer/index.js';
 import {Problem} from '../errors/index.js';
 import {FleetServer} from '../fleet/index.js';
 import {RawHeader, RelayRequest} from './relay_request.js';
@@ -53,6 +54,8 @@
   readonly kind: typeof ExchangeKind.ANSWERED;
   readonly status: number;
   readonly headers: readonly RawHeader[];
+  /** How the end of the body is marked. */
+  readonly framing: Framing;
   /** What the answer states about its server. */
   readonly statement?: ServerStatement;
   /** Throws if the answer breaks off; ends only if it is complete. */
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -27,6 +27,10 @@
     );
     metrics.addCounter('relocated', 'Streams moved off leaving servers');
     metrics.addCounter('relayed', 'Relayed requests by route and outcome');
+    metrics.addCounter(
+      'answers',
+      'Answers of servers, by how their end was marked and by outcome',
+    );
     metrics.addCounter(
       'version_runs',
       'Runs by version of their server and end',
--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -1,3 +1,4 @@
+import {Framing} from '../answer/index.js';
 import {RelayOptions} from './relay_options.js';
 import {RelayRequest} from './relay_request.js';
 import {LimitAwareDecision} from './server_choice.js';
@@ -6,6 +7,10 @@
 export interface RelayOutcome {
   readonly outcome: string;
   readonly attempts: number;
+  /** How the end of the last answer was marked; absent if no server answered. */
+  readonly framing: Framing | undefined;
+  /** Bytes after the last complete event of a stream. */
+  readonly restBytes: number;
   /** Description of the last failure; empty on success. */
   readonly detail: string;
 }
@@ -135,7 +140,8 @@
   }
 
   /** Logs and counts the outcome of the request. */
-  addOutcome({outcome, attempts, detail}: RelayOutcome): void {
+  addOutcome(ended: RelayOutcome): void {
+    const {outcome, attempts, framing, restBytes, detail} = ended;
     const {request} = this;
     const {log, metrics, clock} = this.options;
     const {name: route, streaming, targetMs} = request.route;
@@ -143,6 +149,9 @@
     const servedMs = streaming ? (this.firstByteMs ?? tookMs) : tookMs;
     const lateMs = Math.max(0, servedMs - targetMs);
     metrics.increment('relayed', {route, outcome});
+    if (framing !== undefined) {
+      metrics.increment('answers', {framing, outcome});
+    }
     metrics.record('relay_whole', tookMs, {route});
     log.info('relayed', {
       request: request.id,
@@ -153,6 +162,8 @@
       took_ms: tookMs.toFixed(0),
       late_ms: lateMs > 0 ? lateMs.toFixed(0) : undefined,
       forwarded_by: request.forwardedBy,
+      framing,
+      rest_bytes: restBytes > 0 ? restBytes : undefined,
       detail: detail === '' ? undefined : detail,
     });
   }
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -152,6 +152,8 @@
     this.record.addOutcome({
       outcome: this.outcome,
       attempts: this.attempts.count(),
+      framing: this.answer.getFraming(),
+      restBytes: this.answer.getRestBytes(),
       detail: this.outcome === 'answered' ? '' : this.failureDetail,
     });
   }
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -1,4 +1,5 @@
 import {Result} from 'true-myth';
+import {Framing} from '../../src/answer/index.js';
 import {ServerBackoffs} from '../../src/backoff/index.js';
 import {BrittleServices} from '../../src/brittle/index.js';
 import {Catalog, CatalogStore, Route} from '../../src/catalog/index.js';
@@ -77,7 +78,13 @@
       yield Buffer.from(piece);
     }
   }
-  return {kind: ExchangeKind.ANSWERED, status, headers: [], body: read()};
+  return {
+    kind: ExchangeKind.ANSWERED,
+    status,
+    headers: [],
+    framing: Framing.CHUNKS,
+    body: read(),
+  };
 }
 
 /** Loses the request, which may have run. */
