--- a/test/platform/fakes/test_system.ts
+++ b/test/platform/fakes/test_system.ts
@@ -55,6 +55,8 @@
   readonly addresses: string[] = [];
   /** Requests that each server states to run concurrently. */
   slots = 6;
+  /** Retries that all hosts together may make in a window beyond a share of the requests. */
+  retrySlack = 54;
   readonly cloudCalls: CloudCall[] = [];
   readonly hosts: RunningHost[] = [];
   private readonly cloud: Server;
@@ -172,7 +174,7 @@
 usage_window_s = 1
 usage_late_s = 10
 retry_budget_ratio = 0.2
-retry_slack = 54
+retry_slack = ${this.retrySlack}
 exposure_share = 0.8
 exposure_slack = 50
 [platform]
