Take streams that end inside an event for broken off

The end of the body was taken for the end of the stream: an answer with neither length nor chunks ends with its connection, and a server that fails closes it as one that is done does. What was left of an event was sent on. Which answers are complete was decided at the exchange, the body, the splitter and the relay, each with a part of the knowledge.

src/answer now decides it for all framings and ends. A stream that ends inside an event, or closes without one, is incomplete: it is continued at another server after its last whole event where it may be, and broken off otherwise; no part of an event is relayed. The splitter follows the specification of server-sent events (LF, CRLF, CR, comments, retry, a byte order mark). A transfer coding other than chunked ends with the connection. Answers of streaming routes with another content type than text/event-stream are relayed as bodies. attempt_failed has reason, framing and after_event, and tells an exchange that this host aborted by the cause of that.

--- /dev/null
+++ b/src/answer/event_splitter.ts
@@ -0,0 +1,130 @@
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const COLON = 0x3a;
+const BYTE_ORDER_MARK = Buffer.from([0xef, 0xbb, 0xbf]);
+/** The field that sets the id of an event; its value follows after an optional space. */
+const ID_FIELD = /^id(?::[ ]?(.*))?$/;
+/** A field that is no part of an event. */
+const RETRY_FIELD = /^retry:/;
+
+/** Complete events of a stream. */
+export interface SplitEvents {
+  /** Bytes of the events; empty if there are none. */
+  readonly bytes: Buffer;
+  /** Id of the last event that has one. */
+  readonly lastId?: string;
+}
+
+/**
+ * Splits a stream of server-sent events after each event, so that only complete events
+ * are relayed and another server can continue the stream. As in the specification of
+ * server-sent events, lines end with LF, CRLF or CR, and a blank line ends an event.
+ */
+export class EventSplitter {
+  /** Bytes after the last complete event. */
+  private rest: Buffer = Buffer.alloc(0);
+  /** Start of the current line in `rest`. */
+  private lineStart = 0;
+  /** Number of bytes of `rest` whose lines are known. */
+  private scanned = 0;
+  /** Whether the last byte was a CR, so that an LF belongs to the same line end. */
+  private isAfterReturn = false;
+  private isFirstLine = true;
+  /** Whether the current event has any field; comments and `retry` do not count. */
+  private hasField = false;
+  private eventId: string | undefined;
+  private eventCount = 0;
+
+  /** Adds bytes; returns the events that are now complete. */
+  add(bytes: Uint8Array): SplitEvents {
+    const all =
+      this.rest.length === 0
+        ? Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
+        : Buffer.concat([this.rest, bytes]);
+    let end = 0;
+    let lastId: string | undefined;
+    for (let index = this.scanned; index < all.length; index++) {
+      const byte = all[index];
+      if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) {
+        this.isAfterReturn = false;
+        continue;
+      }
+      const isSecondOfLineEnd = byte === LINE_FEED && this.isAfterReturn;
+      this.isAfterReturn = byte === CARRIAGE_RETURN;
+      if (isSecondOfLineEnd) {
+        end = end > 0 && end === index ? index + 1 : end;
+      } else if (index > this.lineStart) {
+        this.readLine(all.subarray(this.lineStart, index));
+      } else {
+        end = index + 1;
+        lastId = this.endEvent() ?? lastId;
+      }
+      this.lineStart = index + 1;
+    }
+    this.rest = all.subarray(end);
+    this.scanned = this.rest.length;
+    this.lineStart -= end;
+    const complete = all.subarray(0, end);
+    return {bytes: complete, ...(lastId === undefined ? {} : {lastId})};
+  }
+
+  /** Returns the number of complete events. */
+  countEvents(): number {
+    return this.eventCount;
+  }
+
+  /**
+   * Tells whether the bytes so far end inside an event: fields of one have arrived, or a
+   * part of a line. Comments, `retry` fields, further blank lines and white space may
+   * follow the last event of a complete stream.
+   */
+  isInsideEvent(): boolean {
+    const line = this.rest.subarray(this.lineStart);
+    const isBlank = this.withoutMark(line).toString('latin1').trim() === '';
+    return this.hasField || !isBlank;
+  }
+
+  /** Returns and removes the bytes after the last complete event. */
+  takeRest(): Buffer {
+    const {rest} = this;
+    this.rest = Buffer.alloc(0);
+    this.lineStart = 0;
+    this.scanned = 0;
+    return rest;
+  }
+
+  private readLine(bytes: Buffer): void {
+    const content = this.withoutMark(bytes);
+    this.isFirstLine = false;
+    if (content.length === 0 || content[0] === COLON) {
+      return;
+    }
+    const line = content.toString('latin1');
+    if (RETRY_FIELD.test(line)) {
+      return;
+    }
+    this.hasField = true;
+    const id = ID_FIELD.exec(line);
+    if (id !== null) {
+      this.eventId = id[1] ?? '';
+    }
+  }
+
+  /** Ends the current event at a blank line; returns its id, if it has one. */
+  private endEvent(): string | undefined {
+    const {eventId} = this;
+    this.isFirstLine = false;
+    this.eventCount += this.hasField ? 1 : 0;
+    this.hasField = false;
+    this.eventId = undefined;
+    return eventId;
+  }
+
+  /** Returns a line without the byte order mark that a stream may begin with. */
+  private withoutMark(line: Buffer): Buffer {
+    const hasMark =
+      this.isFirstLine &&
+      line.subarray(0, BYTE_ORDER_MARK.length).equals(BYTE_ORDER_MARK);
+    return hasMark ? line.subarray(BYTE_ORDER_MARK.length) : line;
+  }
+}
--- a/src/answer/framing.ts
+++ b/src/answer/framing.ts
@@ -23,13 +23,18 @@
 /** Statuses of responses without a body: no content, not modified. */
 const BODILESS: ReadonlySet<number> = new Set([204, 304]);
 
+/** Any other last coding lasts until the end of the connection. */
+const CHUNKED_LAST = /(^|,)\s*chunked\s*$/i;
+
 /** Returns how the end of an answer's body is marked. */
 export function getFraming(head: FramedHead): Framing {
   if (head.method === 'HEAD' || BODILESS.has(head.status)) {
     return Framing.NONE;
   }
   if (head.transferEncoding !== undefined) {
-    return Framing.CHUNKS;
+    return CHUNKED_LAST.test(head.transferEncoding)
+      ? Framing.CHUNKS
+      : Framing.CONNECTION;
   }
   return head.contentLength === undefined ? Framing.CONNECTION : Framing.LENGTH;
 }
--- a/src/forwarding/forward_client.ts
+++ b/src/forwarding/forward_client.ts
@@ -247,7 +247,7 @@
   clientRequest: ClientRequest,
   response: IncomingMessage,
 ): Promise<HostResult> {
-  const body = new AnswerBody(response, Promise.resolve(true));
+  const body = new AnswerBody(response, Framing.CHUNKS);
   try {
     const head = await readHead(body, MAX_HEAD_BYTES);
     const parsed = forwardResponseSchema.safeParse(head?.value);
--- a/src/http/answer_body.ts
+++ b/src/http/answer_body.ts
@@ -1,4 +1,6 @@
 import {IncomingMessage} from 'node:http';
+import {checkBodyEnd, Framing} from '../answer/index.js';
+import {waitForClose} from './wait_for_close.js';
 
 /** Number of buffered chunks at which reading from the connection is paused. */
 const MAX_BUFFERED_CHUNKS = 16;
@@ -23,21 +25,27 @@
   private isFinished = false;
   private failure: Error | undefined;
 
+  /** Resolves to whether the marked end has arrived once the response has ended. */
+  private readonly markedEnd: Promise<boolean>;
+
   /**
    * @param answer - The response; none of its body has been read yet.
-   * @param endsCleanly - For a response that ends with its connection, resolves to
-   *   whether the connection was closed rather than reset; otherwise to true.
+   * @param framing - How the end of its body is marked.
    */
   constructor(
     private readonly answer: IncomingMessage,
-    endsCleanly: Promise<boolean>,
+    private readonly framing: Framing,
   ) {
+    this.markedEnd =
+      framing === Framing.CONNECTION
+        ? waitForClose(answer.socket)
+        : Promise.resolve(true);
     answer.on('data', (chunk: Uint8Array) => this.add(chunk));
-    answer.on('error', error => this.finish(error));
-    answer.once('end', () => void this.finishOnEnd(endsCleanly));
+    answer.on('error', () => this.finish(false));
+    answer.once('end', () => void this.finishOnEnd());
     answer.once('close', () => {
       if (!answer.complete) {
-        this.finish(createIncompleteError());
+        this.finish(false);
       }
     });
   }
@@ -46,7 +54,7 @@
     return this;
   }
 
-  /** @throws Error - When the response ended before its body was complete. */
+  /** @throws IncompleteAnswer - When the response ended before its body was complete. */
   next(): Promise<IteratorResult<Uint8Array>> {
     const chunk = this.chunks.shift();
     if (chunk !== undefined) {
@@ -89,16 +97,16 @@
     }
   }
 
-  private async finishOnEnd(endsCleanly: Promise<boolean>): Promise<void> {
-    const isComplete = this.answer.complete && (await endsCleanly);
-    this.finish(isComplete ? undefined : createIncompleteError());
+  private async finishOnEnd(): Promise<void> {
+    this.finish(this.answer.complete && (await this.markedEnd));
   }
 
-  private finish(failure: Error | undefined): void {
+  private finish(hasMarkedEnd: boolean): void {
     if (this.isFinished) {
       return;
     }
     this.isFinished = true;
+    const failure = checkBodyEnd({framing: this.framing, hasMarkedEnd});
     this.failure = failure;
     const {waiter} = this;
     this.waiter = undefined;
@@ -109,7 +117,3 @@
     }
   }
 }
-
-function createIncompleteError(): Error {
-  return new Error('response ended before its body was complete');
-}
--- a/src/relay/answer_relay.ts
+++ b/src/relay/answer_relay.ts
@@ -1,6 +1,5 @@
-import {Framing} from '../answer/index.js';
+import {checkStreamEnd, EventSplitter, Framing} from '../answer/index.js';
 import {AnswerSink} from './answer_sink.js';
-import {EventSplitter} from './event_splitter.js';
 import {ExchangeAnswer} from './exchange.js';
 
 /**
@@ -47,7 +46,7 @@
    * @param maxBufferedBytes - Bytes that are buffered until the answer is complete: if it
    *   breaks off before more arrived, the answer of another server can replace it.
    * @param onBytes - Called for each chunk received.
-   * @throws Error - If the answer breaks off.
+   * @throws IncompleteAnswer - If the answer breaks off.
    */
   async relayBody(
     answer: ExchangeAnswer,
@@ -70,16 +69,17 @@
   }
 
   /**
-   * Relays a complete stream, event by event.
+   * Relays a complete stream, event by event; no part of an event is relayed.
    * @param answer - The answer.
    * @param onEvents - Called before events are relayed.
-   * @throws Error - If the stream breaks off.
+   * @throws IncompleteAnswer - If the stream breaks off.
    */
   async relayStream(
     answer: ExchangeAnswer,
     onEvents: () => void,
   ): Promise<void> {
     this.framing = answer.framing;
+    const isContinuation = this.lastEventId !== undefined;
     const splitter = new EventSplitter();
     for await (const piece of answer.body) {
       const {bytes, lastId} = splitter.add(piece);
@@ -91,8 +91,17 @@
       this.lastEventId = lastId ?? this.lastEventId;
       await this.sink.write(bytes);
     }
+    const failure = checkStreamEnd({
+      framing: answer.framing,
+      isInsideEvent: splitter.isInsideEvent(),
+      eventCount: splitter.countEvents(),
+      isContinuation,
+    });
     const rest = splitter.takeRest();
     this.restBytes = rest.length;
+    if (failure !== undefined) {
+      throw failure;
+    }
     await this.relayBuffered(answer, [rest]);
     this.sink.end();
   }
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -1,4 +1,4 @@
-import {Framing} from '../answer/index.js';
+import {Framing, IncompleteReason} from '../answer/index.js';
 import {Problem} from '../errors/index.js';
 import {FleetServer} from '../fleet/index.js';
 import {RawHeader, RelayRequest} from './relay_request.js';
@@ -58,7 +58,7 @@
   readonly framing: Framing;
   /** What the answer states about its server. */
   readonly statement?: ServerStatement;
-  /** Throws if the answer breaks off; ends only if it is complete. */
+  /** Throws `IncompleteAnswer` if the body breaks off; ends only if it is complete. */
   readonly body: AsyncIterable<Uint8Array>;
   /** Id of the server that another host chose; absent if the request was not forwarded. */
   readonly server?: string;
@@ -75,6 +75,8 @@
   readonly unsent?: boolean;
   /** Whether nothing was sent because the server no longer accepts requests. */
   readonly notAccepting?: boolean;
+  /** Why the answer is not complete; absent if none had begun. */
+  readonly reason?: IncompleteReason;
   /** Whether an unusable answer arrived, which shows that the server is running. */
   readonly corrupted?: boolean;
   /** Problem with which the host that the request was forwarded to refused it. */
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -2,7 +2,6 @@
 export type {AnswerSink} from './answer_sink.js';
 export {CopyFailure} from './copy_run.js';
 export type {CopyRunParams, CopyRun} from './copy_run.js';
-export {EventSplitter} from './event_splitter.js';
 export * from './exchange.js';
 export {PlaceAdmission} from './place_admission.js';
 export type {PlaceAdmissionOptions} from './place_admission.js';
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -25,6 +25,10 @@
     options.reachability.addListener((service, isReachable) =>
       this.handleReachability(service, isReachable),
     );
+    metrics.addCounter(
+      'incomplete_answers',
+      'Answers that servers broke off, by reason and by how their end was marked',
+    );
     metrics.addCounter('relocated', 'Streams moved off leaving servers');
     metrics.addCounter('relayed', 'Relayed requests by route and outcome');
     metrics.addCounter(
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -1,3 +1,4 @@
+import {IncompleteAnswer} from '../answer/index.js';
 import {Problem} from '../errors/index.js';
 import {TrackedRequest, FleetServer, RequestOutcome} from '../fleet/index.js';
 import {Repeat} from '../catalog/index.js';
@@ -13,7 +14,7 @@
 } from './exchange.js';
 import {RelayOptions} from './relay_options.js';
 import {RelayRecord} from './relay_record.js';
-import {RelayRequest} from './relay_request.js';
+import {RawHeader, RelayRequest} from './relay_request.js';
 import {RequestFeatures} from '../server_model/index.js';
 import {combineSignals, InactivityTimeout} from '../time/index.js';
 
@@ -117,6 +118,8 @@
 const OK_FIRST = 200;
 const OK_LAST = 299;
 const SERVER_ERROR = 500;
+const CONTENT_TYPE = 'content-type';
+const EVENT_STREAM = /^\s*text\/event-stream\s*(;|$)/i;
 /**
  * Bytes of the answer to a repeatable request that are buffered until it is complete.
  * Beyond them, the answer is relayed as it arrives, and no other server can replace it.
@@ -340,11 +343,22 @@
         detail: '',
       });
     } catch (error) {
-      const detail = error instanceof Error ? error.message : String(error);
-      return this.fail({kind: ExchangeKind.LOST, detail});
+      return this.fail(this.toLoss(error));
     }
   }
 
+  /** Describes why an answer that had begun did not become complete. */
+  private toLoss(error: unknown): ExchangeFailure {
+    const {aborted, reason: abortReason} = this.abortSignal;
+    // An exchange that this host aborts ends like one whose server breaks off.
+    const cause: unknown = aborted ? abortReason : error;
+    return {
+      kind: ExchangeKind.LOST,
+      detail: cause instanceof Error ? cause.message : String(cause),
+      ...(cause instanceof IncompleteAnswer ? {reason: cause.reason} : {}),
+    };
+  }
+
   private async receiveFailure(answer: ExchangeAnswer): Promise<AttemptResult> {
     this.recordFirstByte(false);
     const failure = await readAnswer(answer, MAX_FAILURE_BODY_BYTES);
@@ -390,7 +404,7 @@
 
   private async relay(answer: ExchangeAnswer): Promise<void> {
     const {streaming, repeat, timeoutMs} = this.context.request.route;
-    if (streaming) {
+    if (streaming && isEventStream(answer.headers)) {
       await this.context.answer.relayStream(answer, () => {
         this.recordFirstByte();
         // From now on, the pauses between events are limited.
@@ -401,7 +415,7 @@
       return;
     }
     this.recordFirstByte();
-    const maxBufferedBytes = repeat === Repeat.ANY ? MAX_BUFFERED_BYTES : 0;
+    const maxBufferedBytes = repeat === Repeat.ONCE ? 0 : MAX_BUFFERED_BYTES;
     await this.context.answer.relayBody(answer, maxBufferedBytes, () => {
       this.responseWatch?.touch(timeoutMs);
       this.addBytes();
@@ -432,9 +446,17 @@
 
   private fail(failure: ExchangeFailure): AttemptResult {
     const {server, number} = this.params;
-    const {kind} = failure;
+    const {kind, reason} = failure;
     const detail = this.withheldDetail ?? failure.detail;
-    this.context.record.logFailure(server.id, number, kind, detail);
+    const {record, answer} = this.context;
+    record.logFailure(server.id, {
+      kind,
+      detail,
+      reason,
+      framing: answer.getFraming(),
+      afterEvent: answer.getLastEventId(),
+      attempt: number,
+    });
     return this.finish(this.getServerOutcome(failure), {
       // Both kinds of failed exchange have the value of an `AttemptOutcome`.
       outcome: kind,
@@ -500,6 +522,15 @@
   return status >= OK_FIRST && status <= OK_LAST;
 }
 
+/**
+ * Returns whether an answer on a streaming route consists of events: by its content type,
+ * or if it states none. A server may answer with another type, such as JSON.
+ */
+function isEventStream(headers: readonly RawHeader[]): boolean {
+  const type = headers.find(([name]) => name.toLowerCase() === CONTENT_TYPE);
+  return type === undefined || EVENT_STREAM.test(type[1]);
+}
+
 /** Adds properties to an object, and keeps its getters. */
 function extend<T extends object, U extends object>(target: T, more: U): T & U {
   return Object.defineProperties(
--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -1,4 +1,4 @@
-import {Framing} from '../answer/index.js';
+import {Framing, IncompleteReason} from '../answer/index.js';
 import {RelayOptions} from './relay_options.js';
 import {RelayRequest} from './relay_request.js';
 import {LimitAwareDecision} from './server_choice.js';
@@ -15,6 +15,22 @@
   readonly detail: string;
 }
 
+/** An attempt that brought no complete answer. */
+export interface FailedAttempt {
+  /** Value of `ExchangeKind`. */
+  readonly kind: string;
+  /** Description of the failure. */
+  readonly detail: string;
+  /** Why the answer is not complete; absent if none had begun. */
+  readonly reason: IncompleteReason | undefined;
+  /** How the end of the answer was marked; absent if none had begun. */
+  readonly framing: Framing | undefined;
+  /** Id of the last event that was relayed. */
+  readonly afterEvent: string | undefined;
+  /** Index of the attempt, from 0. */
+  readonly attempt: number;
+}
+
 /** A run that was lost because its server terminated or closed the connection. */
 export interface LostRun {
   /**
@@ -90,16 +106,21 @@
   }
 
   /** Logs an attempt that brought no complete answer. */
-  logFailure(
-    server: string,
-    attempt: number,
-    kind: string,
-    detail: string,
-  ): void {
+  logFailure(server: string, failure: FailedAttempt): void {
+    const {kind, detail, reason, framing, afterEvent, attempt} = failure;
+    if (reason !== undefined) {
+      this.options.metrics.increment('incomplete_answers', {
+        reason,
+        framing: framing ?? Framing.NONE,
+      });
+    }
     this.options.log.warn('attempt_failed', {
       request: this.request.id,
       server,
       kind,
+      reason,
+      framing,
+      after_event: afterEvent,
       detail,
       attempt,
     });
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -30,6 +30,7 @@
 const MS_PER_SECOND = 1000;
 /** Created once: an error per request would cost a stack trace each. */
 const DEADLINE_PASSED = new Error('deadline passed');
+const SERVER_TERMINATED = new Error('the server has terminated');
 /**
  * Largest random addition to the retry delay after a refusal because of the servers' rate
  * limits or backoffs, as a share of that delay, so that refused callers do not all retry at
@@ -182,7 +183,7 @@
       this.copiedRun = undefined;
     }
     if (this.server?.id === server.id) {
-      this.serverLost.abort();
+      this.serverLost.abort(SERVER_TERMINATED);
     }
   }
 
--- /dev/null
+++ b/test/answer/event_splitter_test.ts
@@ -0,0 +1,136 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {EventSplitter} from '../../src/answer/index.js';
+
+describe('EventSplitter', () => {
+  it('returns an event only when it is complete', () => {
+    const splitter = new EventSplitter();
+    const first = splitter.add(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
+    expect(first.bytes.toString()).to.equal('id: 1\ndata: a\n\n');
+    expect(first.lastId).to.equal('1');
+    const second = splitter.add(Buffer.from('ta: b\n\n'));
+    expect(second.bytes.toString()).to.equal('id: 2\ndata: b\n\n');
+    expect(second.lastId).to.equal('2');
+  });
+
+  it('accepts line feeds with and without carriage returns', () => {
+    const splitter = new EventSplitter();
+    const {bytes, lastId} = splitter.add(
+      Buffer.from('id: 7\r\ndata: a\r\n\r\nid: 8'),
+    );
+    expect(bytes.toString()).to.equal('id: 7\r\ndata: a\r\n\r\n');
+    expect(lastId).to.equal('7');
+  });
+
+  it('returns every byte once, in complete events, however the stream is split into chunks', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.string({maxLength: 20}), {minLength: 1, maxLength: 8}),
+        fc.array(fc.integer({min: 1, max: 15}), {minLength: 1, maxLength: 40}),
+        (texts, chunkLengths) => {
+          const events = texts.map(
+            (text, index) =>
+              `id: ${index}\ndata: ${text.replaceAll(/[\r\n]/g, ' ')}\n\n`,
+          );
+          const all = Buffer.from(events.join(''));
+          const splitter = new EventSplitter();
+          const returned: Buffer[] = [];
+          let lastId: string | undefined;
+          let offset = 0;
+          for (let chunk = 0; offset < all.length; chunk++) {
+            const length = chunkLengths[chunk % chunkLengths.length] ?? 1;
+            const split = splitter.add(all.subarray(offset, offset + length));
+            offset += length;
+            returned.push(split.bytes);
+            lastId = split.lastId ?? lastId;
+            if (split.bytes.length > 0) {
+              expect(split.bytes.toString().endsWith('\n\n')).to.equal(true);
+            }
+          }
+          expect(Buffer.concat(returned).equals(all)).to.equal(true);
+          expect(lastId).to.equal(String(events.length - 1));
+        },
+      ),
+      {seed: 1, numRuns: 200},
+    );
+  });
+
+  // Guards against ORDER: a stream that is cut inside an event, with line ends other than
+  // LF, counts as complete, or a complete one as cut.
+  it('tells whether a stream is cut inside an event, for all line ends', () => {
+    const lineEnd = fc.constantFrom('\n', '\r\n', '\r');
+    const line = fc.constantFrom(
+      'id: 7',
+      'data: a',
+      'data:',
+      'event: x',
+      'v: 2',
+    );
+    const event = fc.record({
+      lines: fc.array(fc.tuple(line, lineEnd), {minLength: 1, maxLength: 3}),
+      blank: lineEnd,
+    });
+    fc.assert(
+      fc.property(
+        fc.array(event, {minLength: 1, maxLength: 4}),
+        fc.constantFrom('', '\n', '\r\n', ': ping\n', 'retry: 10\n', '  '),
+        fc.array(fc.integer({min: 1, max: 9}), {minLength: 1, maxLength: 9}),
+        (events, tail, sizes) => {
+          const splitter = new EventSplitter();
+          let relayed = '';
+          const add = (text: string) => {
+            for (let offset = 0, count = 0; offset < text.length; count++) {
+              const size = sizes[count % sizes.length] ?? 1;
+              const piece = text.slice(offset, offset + size);
+              relayed += splitter.add(Buffer.from(piece)).bytes.toString();
+              offset += size;
+            }
+          };
+          let all = '';
+          for (const {lines, blank} of events) {
+            const fields = lines.map(pair => pair.join('')).join('');
+            add(fields.slice(0, -1));
+            expect(splitter.isInsideEvent(), 'inside a line').to.equal(true);
+            add(fields.slice(-1));
+            expect(splitter.isInsideEvent(), 'after a line').to.equal(true);
+            // A CR and an LF that follow each other are one line end.
+            const separator =
+              fields.endsWith('\r') && blank === '\n' ? '\n\n' : blank;
+            add(separator);
+            all += fields + separator;
+            expect(splitter.isInsideEvent(), 'after an event').to.equal(false);
+          }
+          add(tail);
+          expect(splitter.isInsideEvent(), 'after the tail').to.equal(false);
+          expect(splitter.countEvents()).to.equal(events.length);
+          expect(relayed + splitter.takeRest().toString()).to.equal(all + tail);
+        },
+      ),
+      {seed: 1, numRuns: 400},
+    );
+  });
+
+  it('reads the ids of events that end with CR, and after a byte order mark', () => {
+    const splitter = new EventSplitter();
+    const marked = splitter.add(Buffer.from('\ufeffid:1\r\r'));
+    expect(marked.lastId).to.equal('1');
+    const {bytes, lastId} = splitter.add(
+      Buffer.from('id: 2\rdata: a\r\rid: 3'),
+    );
+    expect(bytes.toString()).to.equal('id: 2\rdata: a\r\r');
+    expect(lastId).to.equal('2');
+  });
+
+  it('takes neither a part of a comment nor a field of an unknown name for an end', () => {
+    for (const text of [
+      ': pi',
+      'weight-versions: 2\n',
+      'id: 3\n',
+      'retry: 1',
+    ]) {
+      const splitter = new EventSplitter();
+      splitter.add(Buffer.from(`data: a\n\n${text}`));
+      expect(splitter.isInsideEvent(), text).to.equal(true);
+    }
+  });
+});
