Do not relay the length of a stream, which another server may continue

The length belongs to the connection with the first server. Streams are relayed without it: in chunks to callers of HTTP/1.1, and until the end of the connection to others.

--- a/src/relay/answer_relay.ts
+++ b/src/relay/answer_relay.ts
@@ -2,6 +2,8 @@
 import {AnswerSink} from './answer_sink.js';
 import {ExchangeAnswer} from './exchange.js';
 
+const CONTENT_LENGTH = 'content-length';
+
 /**
  * Relays the answer to one request to its caller, over all attempts. An answer that was
  * begun is only ever continued from the same run.
@@ -79,6 +81,7 @@
     onEvents: () => void,
   ): Promise<void> {
     this.framing = answer.framing;
+    const stream = withoutLength(answer);
     const isContinuation = this.lastEventId !== undefined;
     const splitter = new EventSplitter();
     for await (const piece of answer.body) {
@@ -87,7 +90,7 @@
         continue;
       }
       onEvents();
-      this.begin(answer);
+      this.begin(stream);
       this.lastEventId = lastId ?? this.lastEventId;
       await this.sink.write(bytes);
     }
@@ -102,7 +105,7 @@
     if (failure !== undefined) {
       throw failure;
     }
-    await this.relayBuffered(answer, [rest]);
+    await this.relayBuffered(stream, [rest]);
     this.sink.end();
   }
 
@@ -125,3 +128,13 @@
     }
   }
 }
+
+/**
+ * Returns a stream without its length, which another server that continues it does not keep.
+ */
+function withoutLength(answer: ExchangeAnswer): ExchangeAnswer {
+  const headers = answer.headers.filter(
+    ([name]) => name.toLowerCase() !== CONTENT_LENGTH,
+  );
+  return {...answer, headers};
+}
