Reset the connection of a caller whose broken-off answer has no marked end

breakOff knows the framing towards the receiver and resets such a connection; with a length or chunks, the missing end tells, and the connection is closed.

--- a/src/forwarding/forwarded_answer.ts
+++ b/src/forwarding/forwarded_answer.ts
@@ -1,6 +1,7 @@
 import {ServerResponse} from 'node:http';
+import {Framing} from '../answer/index.js';
 import {Problem, ProblemKind} from '../errors/index.js';
-import {writeChunk} from '../http/index.js';
+import {breakOff, writeChunk} from '../http/index.js';
 import {encodeFrame} from '../peer/index.js';
 import {AnswerSink, RawHeader} from '../relay/index.js';
 import {DeclineReason, ForwardResponse} from './forward_frame.js';
@@ -44,7 +45,8 @@
   }
 
   disconnect(): void {
-    this.response.destroy();
+    // Peers use HTTP/1.1, so that each answer to them is sent in chunks.
+    breakOff(this.response, Framing.CHUNKS);
   }
 
   refuse(problem: Problem): void {
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -6,6 +6,7 @@
 export type {OpenConnection} from './open_connection.js';
 export {ConnectionOutcome, tryConnection} from './try_connection.js';
 export {AnswerBody} from './answer_body.js';
+export {breakOff} from './break_off.js';
 export {writeChunk} from './write_chunk.js';
 export {parseAddress} from './parse_address.js';
 export {whenConnected} from './when_connected.js';
