Do not take the close of a stopped stream without a marked end for its end

A stream that is moved off a leaving server is closed there without its end. Where it has neither length nor chunks, that close looks like its end: the caller got the first part framed as a complete stream, and the copy at the other server was never used (ORDER).

The run that is relocated tells the check of the end that its server was asked to stop it, and waits for the result of that. Unless the server had no such run any more, the stream is continued from its copy, or broken off if there is none.

--- a/src/answer/check_end.ts
+++ b/src/answer/check_end.ts
@@ -19,6 +19,8 @@
   readonly eventCount: number;
   /** Whether it continues an earlier answer, which may have brought all events. */
   readonly isContinuation: boolean;
+  /** Whether the server may have stopped the run, as it was asked to. */
+  readonly mayBeStopped: boolean;
 }
 
 /**
@@ -54,6 +56,7 @@
   isInsideEvent,
   eventCount,
   isContinuation,
+  mayBeStopped,
 }: StreamEnd): IncompleteAnswer | undefined {
   if (isInsideEvent) {
     return new IncompleteAnswer(
@@ -61,6 +64,12 @@
       `stream ended inside event ${eventCount + 1}`,
     );
   }
+  if (mayBeStopped && framing === Framing.CONNECTION) {
+    return new IncompleteAnswer(
+      IncompleteReason.STOPPED,
+      'stream closed without a marked end after its run was to be stopped',
+    );
+  }
   const isEmpty = eventCount === 0 && !isContinuation;
   return isEmpty && framing === Framing.CONNECTION
     ? new IncompleteAnswer(
--- a/src/answer/incomplete_answer.ts
+++ b/src/answer/incomplete_answer.ts
@@ -8,6 +8,8 @@
   INSIDE_EVENT: 'inside-event',
   /** A stream without a marked end closed before its first event. */
   NO_EVENT: 'no-event',
+  /** Its run was stopped, so that it can continue at another server. */
+  STOPPED: 'stopped',
 } as const;
 export type IncompleteReason =
   (typeof IncompleteReason)[keyof typeof IncompleteReason];
--- a/src/relay/answer_relay.ts
+++ b/src/relay/answer_relay.ts
@@ -74,11 +74,14 @@
    * Relays a complete stream, event by event; no part of an event is relayed.
    * @param answer - The answer.
    * @param onEvents - Called before events are relayed.
+   * @param mayBeStopped - Resolves to whether the server may have stopped the run, as it
+   *   was asked to.
    * @throws IncompleteAnswer - If the stream breaks off.
    */
   async relayStream(
     answer: ExchangeAnswer,
     onEvents: () => void,
+    mayBeStopped: () => Promise<boolean>,
   ): Promise<void> {
     this.framing = answer.framing;
     const stream = withoutLength(answer);
@@ -99,6 +102,7 @@
       isInsideEvent: splitter.isInsideEvent(),
       eventCount: splitter.countEvents(),
       isContinuation,
+      mayBeStopped: await mayBeStopped(),
     });
     const rest = splitter.takeRest();
     this.restBytes = rest.length;
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -111,6 +111,8 @@
    * open.
    */
   readonly serverLost: AbortSignal;
+  /** Resolves to whether the server may have stopped the run, as it was asked to. */
+  readonly mayBeStopped: () => Promise<boolean>;
 }
 
 /** Created once: an error per request would cost a stack trace each. */
@@ -405,13 +407,15 @@
   private async relay(answer: ExchangeAnswer): Promise<void> {
     const {streaming, repeat, timeoutMs} = this.context.request.route;
     if (streaming && isEventStream(answer.headers)) {
-      await this.context.answer.relayStream(answer, () => {
+      const onEvents = () => {
         this.recordFirstByte();
         // From now on, the pauses between events are limited.
         this.responseWatch?.touch(EVENT_GAP_TIMEOUT_MS);
         this.inFlight.addProgress();
         this.addBytes();
-      });
+      };
+      const {answer: relayed, mayBeStopped} = this.context;
+      await relayed.relayStream(answer, onEvents, mayBeStopped);
       return;
     }
     this.recordFirstByte();
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -1,3 +1,4 @@
+import {Result} from 'true-myth';
 import {decideByWait} from '../admission/index.js';
 import {Attempts} from '../attempts/index.js';
 import {Repeat} from '../catalog/index.js';
@@ -10,6 +11,7 @@
 import {AnswerRelay} from './answer_relay.js';
 import {AnswerSink} from './answer_sink.js';
 import {BufferedAnswer} from './buffered_answer.js';
+import {CopyFailure} from './copy_run.js';
 import {CopiedRun, relocateRun} from './relocate_run.js';
 import {rankUrgency} from './rank_urgency.js';
 import {AttemptOutcome, AttemptResult, RelayAttempt} from './relay_attempt.js';
@@ -89,6 +91,8 @@
   /** Aborts the current attempt when its server has terminated. */
   private serverLost = new AbortController();
   private relocation: Promise<void> | undefined;
+  /** Result of stopping the run of the current attempt; absent if it goes on. */
+  private stopping: Promise<Result<string, CopyFailure>> | undefined;
   /** Ends the count of this request as in flight; absent until it is sent. */
   private releasePlace: (() => void) | undefined;
   /** Server where the run continues, and the copy of its KV cache there. */
@@ -206,6 +210,9 @@
         isAtSource: () => this.isRunningOn(from),
         isDestinationReady: server => this.isReady(server),
         chooseDestination: () => this.chooseDestination(from),
+        onStop: result => {
+          this.stopping = result;
+        },
         cancelled: this.cancelled,
       })) ?? this.copiedRun;
     const {copiedRun} = this;
@@ -227,6 +234,13 @@
     return fleet.isReady(id) && !backoffs.isActive(id);
   }
 
+  /** Tells whether the server of the current attempt may have stopped the run. */
+  private async mayBeStopped(): Promise<boolean> {
+    const result = await this.stopping;
+    const hadEnded = result?.isErr && result.error === CopyFailure.NO_RUN;
+    return result !== undefined && hadEnded !== true;
+  }
+
   private isRunningOn(server: FleetServer): boolean {
     return this.server?.id === server.id && !this.cancelled.aborted;
   }
@@ -325,12 +339,20 @@
   ): Promise<ObservedResult> {
     const {request, answer, record, cancelled} = this;
     this.server = server;
+    this.stopping = undefined;
     this.params.forwarded?.onServer(server.id);
     this.serverLost = new AbortController();
     const serverLost = this.serverLost.signal;
     const attempt = new RelayAttempt(
       this.options,
-      {request, answer, record, cancelled, serverLost},
+      {
+        request,
+        answer,
+        record,
+        cancelled,
+        serverLost,
+        mayBeStopped: () => this.mayBeStopped(),
+      },
       {
         server,
         // A copied run may continue though no server can be chosen for other requests.
@@ -396,6 +418,7 @@
         record,
         cancelled,
         serverLost: new AbortController().signal,
+        mayBeStopped: async () => false,
       },
       {
         server: createForwardTarget(service),
--- a/src/relay/relocate_run.ts
+++ b/src/relay/relocate_run.ts
@@ -1,3 +1,4 @@
+import {Result} from 'true-myth';
 import {FleetServer} from '../fleet/index.js';
 import {CopyFailure} from './copy_run.js';
 import {RunCopy} from './exchange.js';
@@ -18,6 +19,8 @@
   readonly isDestinationReady: (server: FleetServer) => boolean;
   /** Chooses the server where the run continues; absent if there is none. */
   readonly chooseDestination: () => FleetServer | undefined;
+  /** Called when the run is to be stopped at its server, with the result of that. */
+  readonly onStop: (result: Promise<Result<string, CopyFailure>>) => void;
   /** Aborted when the caller disconnects or the deadline passes. */
   readonly cancelled: AbortSignal;
 }
@@ -67,7 +70,9 @@
     const preCopy = await copyRun({requestId, from, to, stops: false});
     // A stopped run can resume only at this destination, so check it before stopping.
     if (preCopy.isOk && run.isAtSource() && run.isDestinationReady(to)) {
-      const finalCopy = await copyRun({requestId, from, to, stops: true});
+      const stopping = copyRun({requestId, from, to, stops: true});
+      run.onStop(stopping);
+      const finalCopy = await stopping;
       if (finalCopy.isOk) {
         return {
           server: to,
--- a/test/answer/check_end_test.ts
+++ b/test/answer/check_end_test.ts
@@ -20,7 +20,12 @@
   // Guards against ORDER: a stream that ends inside an event counts as complete.
   it('is not that of a complete stream inside an event, whatever the framing', () => {
     for (const framing of Object.values(Framing)) {
-      const end = {framing, eventCount: 2, isContinuation: false};
+      const end = {
+        framing,
+        eventCount: 2,
+        isContinuation: false,
+        mayBeStopped: false,
+      };
       expect(checkStreamEnd({...end, isInsideEvent: false})).to.equal(
         undefined,
       );
@@ -32,7 +37,7 @@
 
   // Guards against ORDER: a server that fails before its first event sends an empty stream.
   it('is that of an empty stream only if it is marked, or the stream is continued', () => {
-    const end = {isInsideEvent: false, eventCount: 0};
+    const end = {isInsideEvent: false, eventCount: 0, mayBeStopped: false};
     const connection = {...end, framing: Framing.CONNECTION};
     const first = checkStreamEnd({...connection, isContinuation: false});
     expect(first?.reason).to.equal('no-event');
@@ -44,6 +49,16 @@
     expect(marked).to.equal(undefined);
   });
 
+  // Guards against ORDER: the close by which a server stops a run counts as its end.
+  it('is that of a stopped stream only if it is marked', () => {
+    const end = {isInsideEvent: false, eventCount: 2, isContinuation: false};
+    for (const framing of Object.values(Framing)) {
+      const failure = checkStreamEnd({...end, framing, mayBeStopped: true});
+      const reason = framing === Framing.CONNECTION ? 'stopped' : undefined;
+      expect(failure?.reason).to.equal(reason);
+    }
+  });
+
   it('is marked by chunks, a length, or nothing but the connection', () => {
     const head = {
       method: 'GET',
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -72,6 +72,7 @@
 export function createAnswer(
   status: number,
   pieces: Iterable<string> | AsyncIterable<string>,
+  framing: Framing = Framing.CHUNKS,
 ): ExchangeResult {
   async function* read(): AsyncGenerator<Uint8Array> {
     for await (const piece of pieces) {
@@ -82,7 +83,7 @@
     kind: ExchangeKind.ANSWERED,
     status,
     headers: [],
-    framing: Framing.CHUNKS,
+    framing,
     body: read(),
   };
 }
--- /dev/null
+++ b/test/relay/relocated_streams_test.ts
@@ -0,0 +1,93 @@
+import {expect} from 'chai';
+import {Result} from 'true-myth';
+import {Framing} from '../../src/answer/index.js';
+import {Repeat} from '../../src/catalog/index.js';
+import {FleetState} from '../../src/fleet/index.js';
+import {CopyFailure, Exchange} from '../../src/relay/index.js';
+import {
+  createAnswer,
+  createServer,
+  formatEvents,
+  RelayFixture,
+} from './relay_fixture.js';
+
+const VERSION = 'v2';
+const STREAM = {streaming: true, repeat: Repeat.ONCE, maxAttempts: 1};
+
+describe('a stream that is stopped for its relocation', () => {
+  let fixture: RelayFixture;
+
+  /** Creates a relay whose first server closes its stream as soon as it is stopped. */
+  function create(framing: Framing): void {
+    let sent = 0;
+    const exchange: Exchange = async params => {
+      sent++;
+      return sent === 1
+        ? createAnswer(
+            200,
+            readUntilStopped(params.server.id, framing),
+            framing,
+          )
+        : createAnswer(200, formatEvents(3, 4));
+    };
+    fixture = new RelayFixture(exchange);
+    for (const id of ['s1', 's2', 's3']) {
+      fixture.fleet.register({...createServer(id), version: VERSION}, 'test');
+    }
+  }
+
+  async function* readUntilStopped(
+    server: string,
+    framing: Framing,
+  ): AsyncGenerator<string> {
+    yield* formatEvents(1, 2);
+    const leaving = createServer(server, FleetState.DRAINING);
+    fixture.fleet.register(
+      {...leaving, version: VERSION, leavesMs: 1000},
+      'test',
+    );
+    while (fixture.copies.every(copy => !copy.stops)) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    if (framing !== Framing.CONNECTION) {
+      throw new Error('response ended before its body was complete');
+    }
+  }
+
+  // Guards against ORDER: the close of a stream without a marked end, by which its server
+  // stops it, counts as its end.
+  it('continues from its copy though its end is not marked', async () => {
+    create(Framing.CONNECTION);
+    const sink = await fixture.serve(STREAM);
+    expect(sink.body).to.equal(formatEvents(1, 4).join(''));
+    expect(sink.ended).to.equal(true);
+    expect(fixture.sent[1]?.lastEventId).to.equal('2');
+  });
+
+  // Guards against ORDER: a stopped stream without a copy is ended as complete.
+  it('is broken off if no copy could be made and its end is not marked', async () => {
+    create(Framing.CONNECTION);
+    fixture.onCopy = ({stops}) => {
+      if (stops) {
+        fixture.copyResult = Result.err(CopyFailure.FAILED);
+      }
+    };
+    const sink = await fixture.serve(STREAM);
+    expect(sink.aborted).to.equal(true);
+    expect(sink.ended).to.equal(false);
+    expect(sink.body).to.equal(formatEvents(1, 2).join(''));
+  });
+
+  // Guards against a complete stream that is broken off because it ended first.
+  it('is complete if it had ended before it was to be stopped', async () => {
+    create(Framing.CONNECTION);
+    fixture.onCopy = ({stops}) => {
+      if (stops) {
+        fixture.copyResult = Result.err(CopyFailure.NO_RUN);
+      }
+    };
+    const sink = await fixture.serve(STREAM);
+    expect(sink.ended).to.equal(true);
+    expect(sink.body).to.equal(formatEvents(1, 2).join(''));
+  });
+});
