Do not count runs that are stopped for their relocation against server and version

Each stream that was moved off a leaving server counted as a bad run of its version and as a failure of the server, and was logged as run_lost: a roll-out under way while servers leave could be judged by it.

The attempt knows that its run was to be stopped: such a run is neutral for version and server, no lost run, and no reason to check whether this host reaches its servers. The line attempt_failed says reason=stopped.

--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -1,4 +1,4 @@
-import {IncompleteAnswer} from '../answer/index.js';
+import {IncompleteAnswer, IncompleteReason} from '../answer/index.js';
 import {Problem} from '../errors/index.js';
 import {TrackedRequest, FleetServer, RequestOutcome} from '../fleet/index.js';
 import {Repeat} from '../catalog/index.js';
@@ -345,13 +345,20 @@
         detail: '',
       });
     } catch (error) {
-      return this.fail(this.toLoss(error));
+      return this.fail(await this.toLoss(error));
     }
   }
 
   /** Describes why an answer that had begun did not become complete. */
-  private toLoss(error: unknown): ExchangeFailure {
+  private async toLoss(error: unknown): Promise<ExchangeFailure> {
     const {aborted, reason: abortReason} = this.abortSignal;
+    if (!aborted && (await this.context.mayBeStopped())) {
+      return {
+        kind: ExchangeKind.LOST,
+        detail: 'the run was stopped for its relocation',
+        reason: IncompleteReason.STOPPED,
+      };
+    }
     // An exchange that this host aborts ends like one whose server breaks off.
     const cause: unknown = aborted ? abortReason : error;
     return {
@@ -478,17 +485,24 @@
    * Tells whether the run was lost because the server terminated or closed the connection,
    * and not because this host aborted the exchange.
    */
-  private isServerLoss({kind, corrupted}: ExchangeFailure): boolean {
-    if (kind !== ExchangeKind.LOST || corrupted === true) {
+  private isServerLoss(failure: ExchangeFailure): boolean {
+    const {kind, corrupted} = failure;
+    if (
+      kind !== ExchangeKind.LOST ||
+      corrupted === true ||
+      isStopped(failure)
+    ) {
       return false;
     }
     return this.context.serverLost.aborted || !this.abortSignal.aborted;
   }
 
   /** Tells whether the connection to the server failed, and not because of a cancellation. */
-  private isDisconnected({kind, corrupted, unsent}: ExchangeFailure): boolean {
+  private isDisconnected(failure: ExchangeFailure): boolean {
+    const {kind, corrupted, unsent} = failure;
     const {cancelled, serverLost} = this.context;
     if (
+      isStopped(failure) ||
       this.params.forward !== undefined ||
       cancelled.aborted ||
       serverLost.aborted
@@ -509,6 +523,7 @@
       this.context.cancelled.aborted ||
       full === true ||
       notAccepting === true ||
+      isStopped(failure) ||
       // The failure says nothing about the server.
       this.options.reachability.isOwnFault(this.params.server.service)
     ) {
@@ -522,6 +537,11 @@
   }
 }
 
+/** Returns whether the run ended since this host had it stopped. */
+function isStopped({reason}: ExchangeFailure): boolean {
+  return reason === IncompleteReason.STOPPED;
+}
+
 function isSuccess(status: number): boolean {
   return status >= OK_FIRST && status <= OK_LAST;
 }
--- a/test/relay/relocated_streams_test.ts
+++ b/test/relay/relocated_streams_test.ts
@@ -90,4 +90,24 @@
     expect(sink.ended).to.equal(true);
     expect(sink.body).to.equal(formatEvents(1, 2).join(''));
   });
+
+  // Guards against roll-outs that are judged by the runs that hosts stop themselves.
+  for (const framing of [Framing.CHUNKS, Framing.CONNECTION]) {
+    it(`does not count against its version or server (${framing})`, async () => {
+      create(framing);
+      await fixture.serve(STREAM);
+      const count = (end: string) =>
+        fixture.metrics.getCount('version_runs', {
+          service: 'desk',
+          version: VERSION,
+          end,
+        });
+      expect([count('bad'), count('neutral'), count('good')]).to.deep.equal([
+        0, 1, 1,
+      ]);
+      expect(fixture.metrics.getCount('runs_lost', {ended: 'false'})).to.equal(
+        0,
+      );
+    });
+  }
 });
