Do not join a stream with one that a server starts over

A server that ignores Last-Event-Id starts a stream over, and its events were relayed after those that the caller already had (ORDER: events come twice).

The check of a continuation compares the first id with the last one that was relayed. A server that repeats events is left like one that broke off (reason=repeated-event), and another one continues the stream within the attempts of its route.

A stream whose server sent all events before it broke off is complete if the next one has none.

--- a/src/answer/event_splitter.ts
+++ b/src/answer/event_splitter.ts
@@ -11,7 +11,8 @@
 export interface SplitEvents {
   /** Bytes of the events; empty if there are none. */
   readonly bytes: Buffer;
-  /** Id of the last event that has one. */
+  /** Ids of the first and the last event that have one. */
+  readonly firstId?: string;
   readonly lastId?: string;
 }
 
@@ -42,6 +43,7 @@
         ? Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
         : Buffer.concat([this.rest, bytes]);
     let end = 0;
+    let firstId: string | undefined;
     let lastId: string | undefined;
     for (let index = this.scanned; index < all.length; index++) {
       const byte = all[index];
@@ -58,6 +60,7 @@
       } else {
         end = index + 1;
         lastId = this.endEvent() ?? lastId;
+        firstId ??= lastId;
       }
       this.lineStart = index + 1;
     }
@@ -65,7 +68,9 @@
     this.scanned = this.rest.length;
     this.lineStart -= end;
     const complete = all.subarray(0, end);
-    return {bytes: complete, ...(lastId === undefined ? {} : {lastId})};
+    return firstId === undefined || lastId === undefined
+      ? {bytes: complete}
+      : {bytes: complete, firstId, lastId};
   }
 
   /** Returns the number of complete events. */
--- a/src/answer/incomplete_answer.ts
+++ b/src/answer/incomplete_answer.ts
@@ -8,6 +8,8 @@
   INSIDE_EVENT: 'inside-event',
   /** A stream without a marked end closed before its first event. */
   NO_EVENT: 'no-event',
+  /** A server that was to continue a stream repeats events of it. */
+  REPEATED_EVENT: 'repeated-event',
   /** Its run was stopped, so that it can continue at another server. */
   STOPPED: 'stopped',
 } as const;
--- a/src/relay/answer_relay.ts
+++ b/src/relay/answer_relay.ts
@@ -1,4 +1,10 @@
-import {checkStreamEnd, EventSplitter, Framing} from '../answer/index.js';
+import {
+  checkContinuation,
+  checkStreamEnd,
+  EventSplitter,
+  Framing,
+  SplitEvents,
+} from '../answer/index.js';
 import {AnswerSink} from './answer_sink.js';
 import {ExchangeAnswer} from './exchange.js';
 
@@ -86,12 +92,19 @@
     this.framing = answer.framing;
     const stream = withoutLength(answer);
     const isContinuation = this.lastEventId !== undefined;
+    /** Id after which the stream is to go on; absent once it did, or if it begins. */
+    let continued = this.begun ? this.lastEventId : undefined;
     const splitter = new EventSplitter();
     for await (const piece of answer.body) {
-      const {bytes, lastId} = splitter.add(piece);
+      const events = splitter.add(piece);
+      const {bytes, lastId} = events;
       if (bytes.length === 0) {
         continue;
       }
+      if (continued !== undefined) {
+        this.checkContinuation(continued, events);
+        continued = events.firstId === undefined ? continued : undefined;
+      }
       onEvents();
       this.begin(stream);
       this.lastEventId = lastId ?? this.lastEventId;
@@ -113,6 +126,15 @@
     this.sink.end();
   }
 
+  /** @throws IncompleteAnswer - If events are repeated. */
+  private checkContinuation(lastId: string, {firstId}: SplitEvents): void {
+    const failure =
+      firstId === undefined ? undefined : checkContinuation(lastId, firstId);
+    if (failure !== undefined) {
+      throw failure;
+    }
+  }
+
   private async relayBuffered(
     answer: ExchangeAnswer,
     buffered: Uint8Array[],
--- a/test/relay/relay_test.ts
+++ b/test/relay/relay_test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {Framing} from '../../src/answer/index.js';
 import {Repeat} from '../../src/catalog/index.js';
 import {ExecutionStatus} from '../../src/errors/index.js';
 import {createIncarnationId, FleetState} from '../../src/fleet/index.js';
@@ -383,6 +384,33 @@
       expect(fixture.sent[1]?.lastEventId).to.equal('3');
     });
 
+    // Guards against ORDER: events come twice if a server ignores Last-Event-Id.
+    it('is not continued by a server that starts over', async () => {
+      const fixture = new RelayFixture(
+        answerInTurn(
+          disconnectAfter(1, 3),
+          async () => createAnswer(200, formatEvents(1, 6)),
+          async () => createAnswer(200, formatEvents(4, 6)),
+        ),
+      );
+      const sink = await fixture.serve({...streaming, maxAttempts: 3});
+      expect(sink.body).to.equal(formatEvents(1, 6).join(''));
+      expect(sink.ended).to.equal(true);
+      expect(fixture.sent.length).to.equal(3);
+    });
+
+    // Guards against an answer without events that is taken for a failed continuation.
+    it('is complete if the server that continues it has no more events', async () => {
+      const fixture = new RelayFixture(
+        answerInTurn(disconnectAfter(1, 3), async () =>
+          createAnswer(200, [], Framing.CONNECTION),
+        ),
+      );
+      const sink = await fixture.serve(streaming);
+      expect(sink.body).to.equal(formatEvents(1, 3).join(''));
+      expect(sink.ended).to.equal(true);
+    });
+
     it('is broken off, not ended, if it may not continue', async () => {
       const fixture = new RelayFixture(disconnectAfter(1, 3));
       const sink = await fixture.serve({...streaming, repeat: Repeat.ONCE});
