Do not read a row as absent from an answer of the table that broke off

An answer of the table service that ends with its connection and breaks off is no JSON. It was read as an empty one: get() reported the row as absent, list() and transact() gave no value, and a conflict threw. A reader that finds its lease or configuration absent acts on that.

Such an answer now counts as none (UNANSWERED). Looked at for the same cause: the client of the platform's store, copies of runs and load reports check the format of each answer; the cloud's answers are read by status only; peers' frames have a length; streams of the project's own engines have an end marker.

--- a/src/table/http_table_service.ts
+++ b/src/table/http_table_service.ts
@@ -56,11 +56,11 @@
       timeoutMs: this.timeoutMs,
     });
     if (answer.isOk && answer.value.status === 412) {
-      const body = answer.value.body as {rows: readonly Row[]};
+      const body = answer.value.body as {rows: readonly Row[]} | undefined;
       return Result.err({
         kind: TableFailureKind.CONFLICT,
         detail: 'a row does not have the expected version',
-        rows: body.rows,
+        ...(body === undefined ? {} : {rows: body.rows}),
       });
     }
     return readAnswer<Commit>(answer);
@@ -85,5 +85,11 @@
       detail: `unexpected status ${answer.value.status}`,
     });
   }
+  if (answer.value.body === undefined) {
+    return Result.err({
+      kind: TableFailureKind.UNANSWERED,
+      detail: 'response body is incomplete or not JSON',
+    });
+  }
   return Result.ok(answer.value.body as T);
 }
