Soak: answers without a marked end that break off, and callers of HTTP/1.0

No server of the soak sent an answer with neither length nor chunks, and no caller used HTTP/1.0, so that no run could show an answer whose end only the connection marks.

The fault server-unframed makes servers send such answers: whole ones, and ones that are closed or reset inside an event, between events, before the first one, or in a body. Each sixth request uses HTTP/1.0 on a connection of its own, read byte by byte. It is drawn separately: older seeds keep their other faults. An answer to HTTP/1.0 of a host that is killed meanwhile is not judged, since the system closes its connections.

--- a/test/platform/fakes/raw_caller.ts
+++ b/test/platform/fakes/raw_caller.ts
@@ -21,6 +21,9 @@
   readonly version: HttpVersion;
   readonly headers: Readonly<Record<string, string>>;
   readonly method?: string;
+  readonly body?: string;
+  /** Aborted when the caller leaves. */
+  readonly signal?: AbortSignal;
 }
 
 /** What a connection has delivered until its end. */
@@ -34,12 +37,13 @@
  * Sends one request on a connection of its own and reads the answer byte by byte, since
  * clients of libraries differ in which answers they take for complete.
  * @param address - Address of the host.
- * @param request - The request; it has no body.
+ * @param request - The request.
  */
 export async function callRaw(
   address: string,
-  {path, version, headers, method = 'GET'}: RawRequest,
+  request: RawRequest,
 ): Promise<RawAnswer> {
+  const {path, version, headers, method = 'GET', body = '', signal} = request;
   const lines = Object.entries(headers).map(
     ([name, value]) => `${name}: ${value}`,
   );
@@ -50,12 +54,17 @@
   ];
   const {bytes, isReset} = await receive(
     address,
-    `${head.join('\r\n')}\r\n\r\n`,
+    `${head.join('\r\n')}\r\n\r\n${body}`,
+    signal,
   );
   return parseAnswer(bytes, isReset);
 }
 
-function receive(address: string, sent: string): Promise<ReceivedBytes> {
+function receive(
+  address: string,
+  sent: string,
+  signal: AbortSignal | undefined,
+): Promise<ReceivedBytes> {
   return new Promise(resolve => {
     const socket = connect({...parseAddress(address), allowHalfOpen: true});
     let bytes = '';
@@ -69,6 +78,7 @@
     socket.once('end', () =>
       socket.write('\r\n', error => finish(Boolean(error))),
     );
+    signal?.addEventListener('abort', () => finish(true), {once: true});
     socket.write(sent);
   });
 }
--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -1,4 +1,5 @@
 import {Agent, request as openRequest} from 'node:http';
+import {callRaw, HttpVersion} from '../platform/fakes/raw_caller.js';
 import {Random} from '../../src/random/index.js';
 import {History, RequestKind, SentRequest} from './history.js';
 import {SoakHost} from './soak_host.js';
@@ -29,6 +30,8 @@
 const CRASHING_PAUSE_MS = 150;
 const ABANDON_AFTER_MS = 25;
 const ABANDON_SHARE = 0.3;
+/** Of this many requests, one uses HTTP/1.0, on a connection of its own. */
+const HTTP_1_0_INTERVAL = 6;
 /** Share of requests that probe a route which a configuration change added. */
 const PROBE_SHARE = 0.15;
 
@@ -40,6 +43,7 @@
   readonly key: string;
   readonly customer: string;
   readonly abandonAfterMs: number | undefined;
+  readonly version: HttpVersion;
 }
 
 /** Dependencies of a caller. */
@@ -75,11 +79,15 @@
       status: 0,
       answer: '',
       whole: false,
+      endsWithConnection: false,
       signed: false,
       retryAfter: undefined,
     };
     history.sendings.push(sent);
-    const canReuse = await this.exchange(host, outgoing, sent);
+    const canReuse =
+      outgoing.version === HttpVersion.HTTP_1_0
+        ? await this.exchangeOnce(host, outgoing, sent)
+        : await this.exchange(host, outgoing, sent);
     sent.endMs = getNowMs();
     if (!canReuse) {
       this.disconnect();
@@ -104,6 +112,32 @@
     return this.host;
   }
 
+  /** Sends a request on a connection of its own; keeps the connection of the other ones. */
+  private async exchangeOnce(
+    host: SoakHost,
+    outgoing: OutgoingRequest,
+    sent: SentRequest,
+  ): Promise<boolean> {
+    const {path, version, body, abandonAfterMs = DEADLINE_MS} = outgoing;
+    const answer = await callRaw(host.callers, {
+      path,
+      version,
+      method: 'POST',
+      body,
+      headers: createHeaders(outgoing, sent.id),
+      signal: AbortSignal.timeout(Math.min(abandonAfterMs, DEADLINE_MS)),
+    });
+    const {status, headers, isWhole} = answer;
+    const retryAfter = headers.get('retry-after');
+    sent.status = status;
+    sent.answer = answer.body;
+    sent.whole = isWhole;
+    sent.signed = headers.has('server-signature');
+    sent.retryAfter = retryAfter === undefined ? undefined : Number(retryAfter);
+    sent.endsWithConnection = !headers.has('content-length');
+    return status !== 0;
+  }
+
   /** Sends a request and records its answer; returns whether the connection can be reused. */
   private exchange(
     host: SoakHost,
@@ -118,13 +152,7 @@
         agent: this.agent,
         method: 'POST',
         path: outgoing.path,
-        headers: {
-          Host: HOST_NAME,
-          'Request-Id': sent.id,
-          Credential: outgoing.key,
-          'Deadline-Remaining': String(DEADLINE_MS),
-          'Content-Length': String(outgoing.body.length),
-        },
+        headers: createHeaders(outgoing, sent.id),
       });
       const deadlineTimer = setTimeout(() => request.destroy(), DEADLINE_MS);
       const abandonTimer =
@@ -155,6 +183,20 @@
   }
 }
 
+/** Creates the headers of a request. */
+function createHeaders(
+  {key, body}: OutgoingRequest,
+  id: string,
+): Readonly<Record<string, string>> {
+  return {
+    Host: HOST_NAME,
+    'Request-Id': id,
+    Credential: key,
+    'Deadline-Remaining': String(DEADLINE_MS),
+    'Content-Length': String(body.length),
+  };
+}
+
 /** All callers of a run. */
 export class Callers {
   readonly faults: CallerFaults = {
@@ -267,6 +309,10 @@
       key: KEY,
       customer: CUSTOMER,
       abandonAfterMs: isAbandoned ? ABANDON_AFTER_MS : undefined,
+      version:
+        this.sent % HTTP_1_0_INTERVAL === 0
+          ? HttpVersion.HTTP_1_0
+          : HttpVersion.HTTP_1_1,
     };
   }
 
--- a/test/soak/checks_test.ts
+++ b/test/soak/checks_test.ts
@@ -46,6 +46,7 @@
     status: 200,
     answer: `${id} by ${SERVER}`,
     whole: true,
+    endsWithConnection: false,
     signed: true,
     retryAfter: undefined,
     ...overrides,
--- a/test/soak/fault_injector.ts
+++ b/test/soak/fault_injector.ts
@@ -178,6 +178,12 @@
           name,
           on => (faults.corruptsAnswers = on),
         );
+      case FaultKind.SERVER_UNFRAMED:
+        return this.switchOnDuring(
+          fault,
+          name,
+          on => (faults.omitsFraming = on),
+        );
       case FaultKind.SERVER_FAILS:
         return this.switchOnDuring(fault, name, on => (faults.fails = on));
       case FaultKind.SERVER_SHEDS:
--- a/test/soak/find_wrong_answers.ts
+++ b/test/soak/find_wrong_answers.ts
@@ -1,6 +1,10 @@
 /** Checks of requests and answers that hold without any bound of time or number. */
 import {History, RequestKind} from './history.js';
-import {groupRunsById, mayHaveLostLogLines} from './history_queries.js';
+import {
+  groupRunsById,
+  isMarkedWhole,
+  mayHaveLostLogLines,
+} from './history_queries.js';
 
 /** Statuses that guarantee that a request has not run and never will. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -29,8 +33,9 @@
 export function* findMismatchedAnswers(history: History): Iterable<string> {
   const runs = groupRunsById(history);
   for (const request of history.sendings) {
-    const {id, kind, status, whole, answer, signed} = request;
-    if (status !== OK || !whole || kind === RequestKind.STREAM) {
+    const {id, kind, status, answer, signed} = request;
+    const isWhole = isMarkedWhole(history, request);
+    if (status !== OK || !isWhole || kind === RequestKind.STREAM) {
       continue;
     }
     const ownRuns = runs.get(id) ?? [];
@@ -41,7 +46,8 @@
 }
 
 export function* findDisorderedEvents(history: History): Iterable<string> {
-  for (const {id, kind, status, whole, answer} of history.sendings) {
+  for (const request of history.sendings) {
+    const {id, kind, status, answer} = request;
     if (kind !== RequestKind.STREAM || status !== OK) {
       continue;
     }
@@ -55,7 +61,10 @@
     );
     if (wrongIndex >= 0) {
       yield `${id}: event ${wrongIndex + 1} is "${completeEvents[wrongIndex]}"`;
-    } else if (whole && completeEvents.length < EVENT_COUNT) {
+    } else if (
+      isMarkedWhole(history, request) &&
+      (completeEvents.length < EVENT_COUNT || !answer.endsWith('\n\n'))
+    ) {
       yield `${id}: complete answer with only ${completeEvents.length} events`;
     }
   }
--- a/test/soak/history.ts
+++ b/test/soak/history.ts
@@ -26,6 +26,8 @@
   answer: string;
   /** Whether the answer arrived completely. */
   whole: boolean;
+  /** Whether nothing but the end of the connection marks the end of the answer. */
+  endsWithConnection: boolean;
   signed: boolean;
   retryAfter: number | undefined;
 }
--- a/test/soak/history_queries.ts
+++ b/test/soak/history_queries.ts
@@ -1,4 +1,4 @@
-import {Arrival, FaultSpan, History} from './history.js';
+import {Arrival, FaultSpan, History, SentRequest} from './history.js';
 import {FaultKind} from './schedule.js';
 
 /** Time for which a log line may not have left its process, in milliseconds. */
@@ -66,6 +66,21 @@
   return hadFault(history, host, isKill, fromMs, toMs);
 }
 
+/**
+ * Returns whether the host marked an answer as complete. The system closes the connections
+ * of a killed process, which looks like the end of an answer that ends with its connection.
+ */
+export function isMarkedWhole(
+  history: History,
+  {whole, endsWithConnection, host, sentMs, endMs}: SentRequest,
+): boolean {
+  const isKill = (kind: string) => kind.includes('kill');
+  return (
+    whole &&
+    !(endsWithConnection && hadFault(history, host, isKill, sentMs, endMs))
+  );
+}
+
 /** Returns whether a fault of a matching kind affected a host, or all, in a time span. */
 export function hadFault(
   history: History,
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -37,6 +37,7 @@
   STORE_RESTORED: 'store-restored',
   HOST_PARTITIONED: 'host-partitioned',
   SERVERS_BRITTLE: 'servers-brittle',
+  SERVER_UNFRAMED: 'server-unframed',
 } as const;
 export type FaultKind = (typeof FaultKind)[keyof typeof FaultKind];
 
@@ -49,6 +50,7 @@
   FaultKind.STORE_RESTORED,
   FaultKind.HOST_PARTITIONED,
   FaultKind.SERVERS_BRITTLE,
+  FaultKind.SERVER_UNFRAMED,
 ];
 /** Seed offset for server limits, so that other draws stay the same. */
 const LIMITS_SEED_OFFSET = 0x5eed;
@@ -59,6 +61,8 @@
 
 /** Seed offset for partitions and brittle servers, so that other draws stay the same. */
 const PARTITIONS_SEED_OFFSET = 0xca57;
+/** Seed offset for answers without a marked end, so that other draws stay the same. */
+const UNFRAMED_SEED_OFFSET = 0xf4a3;
 
 /** A fault in a schedule. */
 export interface Fault {
@@ -106,6 +110,9 @@
 /** Duration of these, in milliseconds: they count from 3 s after their start. */
 const MIN_PARTITION_MS = 4500;
 const MAX_PARTITION_MS = 7000;
+/** Share of schedules in which servers send answers without a marked end, and how many do. */
+const UNFRAMED_SHARE = 0.6;
+const MAX_UNFRAMED_SERVERS = 5;
 /** Share of faults that come as a series of the same kind. */
 const SERIES_SHARE = 0.2;
 const SERIES_LENGTH = 3;
@@ -172,6 +179,9 @@
       lengthMs,
     ),
   );
+  faults.push(
+    ...drawUnframed(new SeededRandom(seed + UNFRAMED_SEED_OFFSET), lengthMs),
+  );
   faults.sort((a, b) => a.atMs - b.atMs);
   return {seed, hosts, servers: 2 * hosts, lengthMs, faults};
 }
@@ -255,6 +265,21 @@
   return faults;
 }
 
+/** Draws servers that send answers with neither length nor chunks and break some off. */
+function drawUnframed(random: Random, lengthMs: number): Fault[] {
+  if (random.next() >= UNFRAMED_SHARE) {
+    return [];
+  }
+  const count = 1 + Math.floor(random.next() * MAX_UNFRAMED_SERVERS);
+  const spanMs = lengthMs - 2 * MARGIN_MS;
+  return Array.from({length: count}, () => ({
+    kind: FaultKind.SERVER_UNFRAMED,
+    atMs: Math.round(MARGIN_MS + spanMs * random.next()),
+    forMs: drawDurationMs(random),
+    target: Math.floor(random.next() * 64),
+  }));
+}
+
 /** Draws the duration of a fault, in milliseconds. */
 function drawDurationMs(random: Random): number {
   return Math.round(
--- a/test/soak/soak_server.ts
+++ b/test/soak/soak_server.ts
@@ -15,6 +15,8 @@
   losesAnswers: boolean;
   /** Cuts some answers off, and sends others with the id of another request. */
   corruptsAnswers: boolean;
+  /** Sends answers with neither length nor chunks, and breaks some off. */
+  omitsFraming: boolean;
   /** Answers with an error of its own. */
   fails: boolean;
   /** Answers that it has no capacity. */
@@ -49,6 +51,26 @@
 /** Headers that callers send or hosts set, and that no server may see as they were sent. */
 const SECRET_HEADERS = ['credential', 'hold', 'kv-backup'];
 const STREAM_PREFIX = '/s/';
+/** Pause before a reset, after which the bytes before it have arrived, in milliseconds. */
+const RESET_DELAY_MS = 10;
+
+/** Where a stream without a marked end is broken off. */
+interface StreamEnd {
+  readonly event: number;
+  /** Characters of that event that are sent. */
+  readonly length: number;
+  readonly isReset: boolean;
+}
+
+/** The ends of streams without a marked end, in turn; absent for a complete stream. */
+const STREAM_ENDS: readonly (StreamEnd | undefined)[] = [
+  undefined,
+  {event: 3, length: 6, isReset: false},
+  {event: 5, length: 12, isReset: false},
+  {event: 4, length: 0, isReset: true},
+  {event: 8, length: 9, isReset: true},
+  {event: 1, length: 0, isReset: false},
+];
 
 /** A backend server, the name of its entry, and the link through which hosts reach it. */
 export class SoakServer {
@@ -56,6 +78,7 @@
     unresponsive: false,
     losesAnswers: false,
     corruptsAnswers: false,
+    omitsFraming: false,
     fails: false,
     shedsLoad: false,
     limits: false,
@@ -178,10 +201,33 @@
       socket.write(response.replace(/Request-Id: .*/, 'Request-Id: another'));
       return;
     }
+    if (this.faults.omitsFraming) {
+      this.answerUnframed(socket, request, status, body, arrival);
+      return;
+    }
     arrival.answer = status === 200 ? body : undefined;
     socket.write(response);
   }
 
+  /** Answers with a body that ends with its connection; resets two of three. */
+  private answerUnframed(
+    socket: Socket,
+    request: ReceivedRequest,
+    status: number,
+    body: string,
+    arrival: {readonly id: string; answer: string | undefined},
+  ): void {
+    const head = formatHead(
+      request,
+      status,
+      this.createStatementHeaders(arrival.id),
+    );
+    const isWhole = this.served % 3 === 0;
+    const sent = this.served % 3 === 1 ? body.slice(0, -5) : body;
+    arrival.answer = isWhole && status === 200 ? body : undefined;
+    socket.write(head + sent, () => endConnection(socket, !isWhole));
+  }
+
   private createBackoffHeader(id: string): string[] {
     const {history, getNowMs} = this.options;
     const forMs = BACKOFF_S * 1000;
@@ -208,10 +254,12 @@
     request: ReceivedRequest,
     {id, after}: {readonly id: string; readonly after: number},
   ): void {
+    const {omitsFraming} = this.faults;
+    const end = omitsFraming ? drawStreamEnd(this.served) : undefined;
     socket.write(
       formatHead(request, 200, [
         'Content-Type: text/event-stream',
-        'Transfer-Encoding: chunked',
+        ...(omitsFraming ? [] : ['Transfer-Encoding: chunked']),
         ...this.createStatementHeaders(id),
       ]),
     );
@@ -220,7 +268,12 @@
       event++;
       if (event > EVENT_COUNT || socket.destroyed || this.port === undefined) {
         clearInterval(timer);
-        socket.write('0\r\n\r\n');
+        if (omitsFraming) {
+          // The close of a server that crashes would mark the end of the stream.
+          endConnection(socket, event <= EVENT_COUNT);
+        } else {
+          socket.write('0\r\n\r\n');
+        }
         return;
       }
       if (
@@ -233,10 +286,31 @@
       }
       if (!this.faults.unresponsive) {
         const text = `id: ${event}\ndata: ${id}.${event}\n\n`;
-        socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
+        if (end !== undefined && event >= end.event) {
+          clearInterval(timer);
+          socket.write(text.slice(0, end.length), () =>
+            endConnection(socket, end.isReset),
+          );
+          return;
+        }
+        const chunk = `${text.length.toString(16)}\r\n${text}\r\n`;
+        socket.write(omitsFraming ? text : chunk);
       } else {
         event--;
       }
     }, EVENT_INTERVAL_MS);
   }
 }
+
+function drawStreamEnd(served: number): StreamEnd | undefined {
+  return STREAM_ENDS[served % STREAM_ENDS.length];
+}
+
+/** Ends a connection whose close marks the end of an answer. */
+function endConnection(socket: Socket, isReset: boolean): void {
+  if (isReset) {
+    setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+    return;
+  }
+  socket.end();
+}
