--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -112,7 +112,11 @@
 const MAX_PARTITION_MS = 7000;
 /** Share of schedules in which servers send answers without a marked end, and how many do. */
 const UNFRAMED_SHARE = 0.6;
-const MAX_UNFRAMED_SERVERS = 5;
+const MIN_UNFRAMED_SERVERS = 2;
+const MAX_UNFRAMED_SERVERS = 6;
+/** Duration of these, in milliseconds: a server gets a few requests in a second. */
+const MIN_UNFRAMED_MS = 2000;
+const MAX_UNFRAMED_MS = 6000;
 /** Share of faults that come as a series of the same kind. */
 const SERIES_SHARE = 0.2;
 const SERIES_LENGTH = 3;
@@ -270,12 +274,14 @@
   if (random.next() >= UNFRAMED_SHARE) {
     return [];
   }
-  const count = 1 + Math.floor(random.next() * MAX_UNFRAMED_SERVERS);
+  const range = MAX_UNFRAMED_SERVERS - MIN_UNFRAMED_SERVERS + 1;
+  const count = MIN_UNFRAMED_SERVERS + Math.floor(random.next() * range);
   const spanMs = lengthMs - 2 * MARGIN_MS;
+  const rangeMs = MAX_UNFRAMED_MS - MIN_UNFRAMED_MS;
   return Array.from({length: count}, () => ({
     kind: FaultKind.SERVER_UNFRAMED,
     atMs: Math.round(MARGIN_MS + spanMs * random.next()),
-    forMs: drawDurationMs(random),
+    forMs: Math.round(MIN_UNFRAMED_MS + rangeMs * random.next()),
     target: Math.floor(random.next() * 64),
   }));
 }
