Split streams with CRLF behind the whole line end; generated ends of streams

With lines that end with CRLF, an event was taken for complete at its last CR: where the bytes arrived in two pieces, or the server broke off there, another server could continue the stream between CR and LF, and a stream that lacks its last LF counted as complete. A CR at the end of the bytes now waits for its LF where lines end with both.

Found by ending_streams_property_test: 500 generated runs of a relay (framing, share of the bytes that is sent, marked end or not, up to four servers that continue or start over, LF, CRLF, CR).

--- a/src/answer/event_splitter.ts
+++ b/src/answer/event_splitter.ts
@@ -30,6 +30,8 @@
   private scanned = 0;
   /** Whether the last byte was a CR, so that an LF belongs to the same line end. */
   private isAfterReturn = false;
+  /** Whether lines of the stream end with CRLF. */
+  private usesPairs = false;
   private isFirstLine = true;
   /** Whether the current event has any field; comments and `retry` do not count. */
   private hasField = false;
@@ -45,7 +47,8 @@
     let end = 0;
     let firstId: string | undefined;
     let lastId: string | undefined;
-    for (let index = this.scanned; index < all.length; index++) {
+    const length = this.getScannableLength(all);
+    for (let index = this.scanned; index < length; index++) {
       const byte = all[index];
       if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) {
         this.isAfterReturn = false;
@@ -54,6 +57,7 @@
       const isSecondOfLineEnd = byte === LINE_FEED && this.isAfterReturn;
       this.isAfterReturn = byte === CARRIAGE_RETURN;
       if (isSecondOfLineEnd) {
+        this.usesPairs = true;
         end = end > 0 && end === index ? index + 1 : end;
       } else if (index > this.lineStart) {
         this.readLine(all.subarray(this.lineStart, index));
@@ -65,7 +69,7 @@
       this.lineStart = index + 1;
     }
     this.rest = all.subarray(end);
-    this.scanned = this.rest.length;
+    this.scanned = length - end;
     this.lineStart -= end;
     const complete = all.subarray(0, end);
     return firstId === undefined || lastId === undefined
@@ -84,9 +88,9 @@
    * follow the last event of a complete stream.
    */
   isInsideEvent(): boolean {
-    const line = this.rest.subarray(this.lineStart);
-    const isBlank = this.withoutMark(line).toString('latin1').trim() === '';
-    return this.hasField || !isBlank;
+    const line = this.withoutMark(this.rest.subarray(this.lineStart));
+    const isInsideLine = line.toString('latin1').trim() !== '';
+    return this.hasField || isInsideLine;
   }
 
   /** Returns and removes the bytes after the last complete event. */
@@ -98,18 +102,23 @@
     return rest;
   }
 
+  /**
+   * Returns how many bytes can be read now. Where lines end with CRLF, a CR at the end is half
+   * of a line end, and another server must not continue the stream there.
+   */
+  private getScannableLength(all: Buffer): number {
+    const waits = this.usesPairs && all.at(-1) === CARRIAGE_RETURN;
+    return waits ? all.length - 1 : all.length;
+  }
+
   private readLine(bytes: Buffer): void {
-    const content = this.withoutMark(bytes);
+    const line = this.withoutMark(bytes);
     this.isFirstLine = false;
-    if (content.length === 0 || content[0] === COLON) {
-      return;
-    }
-    const line = content.toString('latin1');
-    if (RETRY_FIELD.test(line)) {
+    if (!isField(line)) {
       return;
     }
     this.hasField = true;
-    const id = ID_FIELD.exec(line);
+    const id = ID_FIELD.exec(line.toString('latin1'));
     if (id !== null) {
       this.eventId = id[1] ?? '';
     }
@@ -133,3 +142,11 @@
     return hasMark ? line.subarray(BYTE_ORDER_MARK.length) : line;
   }
 }
+
+/** Returns whether a line is a field of an event; comments and `retry` are not. */
+function isField(line: Buffer): boolean {
+  const isComment = line[0] === COLON;
+  return (
+    line.length > 0 && !isComment && !RETRY_FIELD.test(line.toString('latin1'))
+  );
+}
