Take an empty answer without a marked end for incomplete also where it continues a stream

An empty continuation counted as complete, since the server before may have sent all events. Only a marked end can tell that: a server that fails closes in the same way. Another server is tried now, or the stream is broken off, and its caller can resume it. The two tests that expected otherwise for an answer without a marked end were wrong; the marked one is expected to be complete as before.

relay_test and check_end_test, changed, failed on the code before.

--- a/src/answer/check_end.ts
+++ b/src/answer/check_end.ts
@@ -17,8 +17,6 @@
   readonly isInsideEvent: boolean;
   /** Events of this answer. */
   readonly eventCount: number;
-  /** Whether it continues an earlier answer, which may have brought all events. */
-  readonly isContinuation: boolean;
   /** Whether the server may have stopped the run, as it was asked to. */
   readonly mayBeStopped: boolean;
 }
@@ -55,7 +53,6 @@
   framing,
   isInsideEvent,
   eventCount,
-  isContinuation,
   mayBeStopped,
 }: StreamEnd): IncompleteAnswer | undefined {
   if (isInsideEvent) {
@@ -70,8 +67,7 @@
       'stream closed without a marked end after its run was to be stopped',
     );
   }
-  const isEmpty = eventCount === 0 && !isContinuation;
-  return isEmpty && framing === Framing.CONNECTION
+  return eventCount === 0 && framing === Framing.CONNECTION
     ? new IncompleteAnswer(
         IncompleteReason.NO_EVENT,
         'stream ended before its first event',
--- a/src/relay/answer_relay.ts
+++ b/src/relay/answer_relay.ts
@@ -91,7 +91,6 @@
   ): Promise<void> {
     this.framing = answer.framing;
     const stream = withoutLength(answer);
-    const isContinuation = this.lastEventId !== undefined;
     /** Id after which the stream is to go on; absent once it did, or if it begins. */
     let continued = this.begun ? this.lastEventId : undefined;
     const splitter = new EventSplitter();
@@ -114,7 +113,6 @@
       framing: answer.framing,
       isInsideEvent: splitter.isInsideEvent(),
       eventCount: splitter.countEvents(),
-      isContinuation,
       mayBeStopped: await mayBeStopped(),
     });
     const rest = splitter.takeRest();
--- a/test/answer/check_end_test.ts
+++ b/test/answer/check_end_test.ts
@@ -23,7 +23,6 @@
       const end = {
         framing,
         eventCount: 2,
-        isContinuation: false,
         mayBeStopped: false,
       };
       expect(checkStreamEnd({...end, isInsideEvent: false})).to.equal(
@@ -35,23 +34,19 @@
     }
   });
 
-  // Guards against ORDER: a server that fails before its first event sends an empty stream.
-  it('is that of an empty stream only if it is marked, or the stream is continued', () => {
+  // Guards against ORDER: a server that fails before its first event sends an empty stream,
+  // also where it was to continue one.
+  it('is that of an empty stream only if it is marked', () => {
     const end = {isInsideEvent: false, eventCount: 0, mayBeStopped: false};
-    const connection = {...end, framing: Framing.CONNECTION};
-    const first = checkStreamEnd({...connection, isContinuation: false});
-    expect(first?.reason).to.equal('no-event');
-    // The server that the stream was broken off by may have sent all events.
-    const rest = checkStreamEnd({...connection, isContinuation: true});
-    expect(rest).to.equal(undefined);
-    const chunks = {...end, framing: Framing.CHUNKS};
-    const marked = checkStreamEnd({...chunks, isContinuation: false});
+    const closed = checkStreamEnd({...end, framing: Framing.CONNECTION});
+    expect(closed?.reason).to.equal('no-event');
+    const marked = checkStreamEnd({...end, framing: Framing.CHUNKS});
     expect(marked).to.equal(undefined);
   });
 
   // Guards against ORDER: the close by which a server stops a run counts as its end.
   it('is that of a stopped stream only if it is marked', () => {
-    const end = {isInsideEvent: false, eventCount: 2, isContinuation: false};
+    const end = {isInsideEvent: false, eventCount: 2};
     for (const framing of Object.values(Framing)) {
       const failure = checkStreamEnd({...end, framing, mayBeStopped: true});
       const reason = framing === Framing.CONNECTION ? 'stopped' : undefined;
--- a/test/relay/relay_test.ts
+++ b/test/relay/relay_test.ts
@@ -399,16 +399,20 @@
       expect(fixture.sent.length).to.equal(3);
     });
 
-    // Guards against an answer without events that is taken for a failed continuation.
-    it('is complete if the server that continues it has no more events', async () => {
-      const fixture = new RelayFixture(
-        answerInTurn(disconnectAfter(1, 3), async () =>
-          createAnswer(200, [], Framing.CONNECTION),
-        ),
-      );
-      const sink = await fixture.serve(streaming);
-      expect(sink.body).to.equal(formatEvents(1, 3).join(''));
-      expect(sink.ended).to.equal(true);
+    // Guards against ORDER: a server that fails before it continues a stream seems to have
+    // no more events. Only a marked end tells that it has none.
+    it('is complete if the server that continues it marks the end without an event', async () => {
+      for (const framing of [Framing.CHUNKS, Framing.CONNECTION]) {
+        const fixture = new RelayFixture(
+          answerInTurn(disconnectAfter(1, 3), async () =>
+            createAnswer(200, [], framing),
+          ),
+        );
+        const sink = await fixture.serve(streaming);
+        expect(sink.body).to.equal(formatEvents(1, 3).join(''));
+        expect(sink.ended).to.equal(framing === Framing.CHUNKS);
+        expect(sink.aborted).to.equal(framing === Framing.CONNECTION);
+      }
     });
 
     it('is broken off, not ended, if it may not continue', async () => {
