--- a/test/soak/find_unserved.ts
+++ b/test/soak/find_unserved.ts
@@ -30,6 +30,8 @@
       request.sentMs >= fromMs + history.bounds.contactMs &&
       request.endMs <= toMs &&
       !NOT_OWED.has(request.status) &&
+      // The request that crashes servers is quarantined.
+      request.body !== history.endingBody &&
       !wasStopped(history, request.host, request) &&
       // Without another host that can take it, a request has no way to a server.
       others.some(host => !wasStopped(history, host, request)),
