Explain: name why a server's answer was incomplete

The cause of a request that was broken off was the detail of its last failure, the same word ('aborted') for a server that broke off, a caller that left and a deadline. It is the reason now where the server broke off (broken-off: inside-event), and what this host aborted it for otherwise. explain_test has the five cases; the reason was not read before.

--- a/src/explain/classify_request.ts
+++ b/src/explain/classify_request.ts
@@ -54,7 +54,7 @@
   }
   const outcome = end.members.get('outcome') ?? NONE;
   if (outcome !== 'answered') {
-    const detail = stripServer(end.members.get('detail') ?? '');
+    const detail = findIncompleteReason(lines, outcome) ?? getDetail(end);
     const cause = detail === '' ? outcome : `${outcome}: ${detail}`;
     const isRefused = REFUSALS.has(outcome);
     return {...common, outcome: isRefused ? 'refused' : 'failed', cause};
@@ -65,12 +65,37 @@
   return {...common, outcome: 'late', cause: findDelayCause(lines)};
 }
 
+/** Outcomes of requests whose last server may have broken off its answer. */
+const SERVER_BREAKS: ReadonlySet<string> = new Set([
+  'broken-off',
+  ProblemKind.SERVER_FAILED,
+]);
+
+/**
+ * Returns why the last answer was not complete; `undefined` if no server broke it off, or
+ * the request ended for another reason, such as its deadline.
+ */
+function findIncompleteReason(
+  lines: readonly LogLine[],
+  outcome: string,
+): string | undefined {
+  if (!SERVER_BREAKS.has(outcome)) {
+    return undefined;
+  }
+  const failures = lines.filter(({event}) => event === 'attempt_failed');
+  return failures.at(-1)?.members.get('reason');
+}
+
+function getDetail({members}: LogLine): string {
+  return stripServer(members.get('detail') ?? '');
+}
+
 /** Returns why a response was late, as far as the host logged it. */
 function findDelayCause(lines: readonly LogLine[]): string {
   const failure = lines.find(({event}) => event === 'attempt_failed');
   if (failure !== undefined) {
     const {members} = failure;
-    const detail = stripServer(members.get('detail') ?? '');
+    const detail = members.get('reason') ?? getDetail(failure);
     return `retried after ${members.get('kind') ?? NONE}: ${detail}`;
   }
   if (lines.some(({event}) => event === 'relocated')) {
--- a/test/explain/explain_test.ts
+++ b/test/explain/explain_test.ts
@@ -73,6 +73,39 @@
     ]);
   });
 
+  describe('a request whose answer was broken off', () => {
+    // Guards against breaks by servers that cannot be told from cancellations and deadlines.
+    it('has as its cause where the server broke it off, or why this host aborted it', () => {
+      const failure =
+        'time=2030-01-01T00:00:01.050Z level=warn event=attempt_failed host=h1 request=';
+      const end =
+        'time=2030-01-01T00:00:01.060Z level=info event=relayed host=h1 request=';
+      const requests = read([
+        `${failure}r1 server=i-1 kind=lost reason=inside-event framing=connection after_event=4 detail="stream ended inside event 5"`,
+        `${end}r1 outcome=broken-off attempts=1 framing=connection detail="i-1: stream ended inside event 5"`,
+        `${failure}r2 server=i-1 kind=lost reason=no-event framing=connection detail="stream ended before its first event"`,
+        `${end}r2 outcome=server-failed attempts=1 detail="i-1: stream ended before its first event"`,
+        `${failure}r3 server=i-1 kind=lost framing=chunks after_event=2 detail="deadline passed"`,
+        `${end}r3 outcome=broken-off attempts=1 framing=chunks detail="i-1: deadline passed; deadline passed"`,
+        `${failure}r4 server=i-1 kind=lost framing=chunks after_event=2 detail="the caller closed the connection"`,
+        `${end}r4 outcome=caller-left attempts=1 detail="i-1: the caller closed the connection"`,
+        `${failure}r5 server=i-1 kind=lost reason=inside-event framing=connection detail="stream ended inside event 2"`,
+        `${end}r5 outcome=answered attempts=2 late_ms=40`,
+      ])
+        .list()
+        .map(classifyRequest);
+      expect(
+        requests.map(({outcome, cause}) => [outcome, cause]),
+      ).to.deep.equal([
+        ['failed', 'broken-off: inside-event'],
+        ['failed', 'server-failed: no-event'],
+        ['failed', 'broken-off: deadline passed; deadline passed'],
+        ['failed', 'caller-left: the caller closed the connection'],
+        ['late', 'retried after lost: inside-event'],
+      ]);
+    });
+  });
+
   describe('a request sent to servers of several versions', () => {
     const MULTI_VERSION_LINES = [
       'time=2030-01-01T00:00:01.000Z level=info event=route host=h1 request=r1 route=chat attempt=0 server=i-1 version=v1',
