--- a/src/answer/event_splitter.ts
+++ b/src/answer/event_splitter.ts
@@ -1,6 +1,8 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
+const LETTER_I = 0x69;
+const LETTER_R = 0x72;
 const BYTE_ORDER_MARK = Buffer.from([0xef, 0xbb, 0xbf]);
 /** The field that sets the id of an event; its value follows after an optional space. */
 const ID_FIELD = /^id(?::[ ]?(.*))?$/;
@@ -60,7 +62,7 @@
         this.usesPairs = true;
         end = end > 0 && end === index ? index + 1 : end;
       } else if (index > this.lineStart) {
-        this.readLine(all.subarray(this.lineStart, index));
+        this.readLine(all, this.lineStart, index);
       } else {
         end = index + 1;
         lastId = this.endEvent() ?? lastId;
@@ -88,8 +90,9 @@
    * follow the last event of a complete stream.
    */
   isInsideEvent(): boolean {
-    const line = this.withoutMark(this.rest.subarray(this.lineStart));
-    const isInsideLine = line.toString('latin1').trim() !== '';
+    const {rest, lineStart} = this;
+    const from = lineStart + this.getMarkLength(rest, lineStart);
+    const isInsideLine = rest.toString('latin1', from).trim() !== '';
     return this.hasField || isInsideLine;
   }
 
@@ -111,14 +114,19 @@
     return waits ? all.length - 1 : all.length;
   }
 
-  private readLine(bytes: Buffer): void {
-    const line = this.withoutMark(bytes);
+  /** Reads the line between two positions, without its line end. */
+  private readLine(bytes: Buffer, start: number, end: number): void {
+    const from = start + this.getMarkLength(bytes, start);
     this.isFirstLine = false;
-    if (!isField(line)) {
+    if (!isField(bytes, from, end)) {
       return;
     }
     this.hasField = true;
-    const id = ID_FIELD.exec(line.toString('latin1'));
+    // Most lines are data; only lines that may be an id are decoded.
+    const id =
+      bytes[from] === LETTER_I
+        ? ID_FIELD.exec(bytes.toString('latin1', from, end))
+        : null;
     if (id !== null) {
       this.eventId = id[1] ?? '';
     }
@@ -134,19 +142,24 @@
     return eventId;
   }
 
-  /** Returns a line without the byte order mark that a stream may begin with. */
-  private withoutMark(line: Buffer): Buffer {
-    const hasMark =
-      this.isFirstLine &&
-      line.subarray(0, BYTE_ORDER_MARK.length).equals(BYTE_ORDER_MARK);
-    return hasMark ? line.subarray(BYTE_ORDER_MARK.length) : line;
+  /** Returns the length of the byte order mark that a stream may begin with. */
+  private getMarkLength(bytes: Buffer, start: number): number {
+    if (!this.isFirstLine) {
+      return 0;
+    }
+    const first = bytes.subarray(start, start + BYTE_ORDER_MARK.length);
+    return first.equals(BYTE_ORDER_MARK) ? BYTE_ORDER_MARK.length : 0;
   }
 }
 
 /** Returns whether a line is a field of an event; comments and `retry` are not. */
-function isField(line: Buffer): boolean {
-  const isComment = line[0] === COLON;
+function isField(bytes: Buffer, start: number, end: number): boolean {
+  const first = bytes[start];
+  if (start === end || first === COLON) {
+    return false;
+  }
   return (
-    line.length > 0 && !isComment && !RETRY_FIELD.test(line.toString('latin1'))
+    first !== LETTER_R ||
+    !RETRY_FIELD.test(bytes.toString('latin1', start, end))
   );
 }
