Continue streams only with events, from a known position, and end marked ones at once

Three gaps of the earlier commits, found by reading them: - An answer of another content type that was to continue a stream was relayed behind its events, and ended as complete. Once events were relayed, only events may follow. - After an event with an empty id, the position in the stream is not known, and a server that was asked to continue it started over. Such a stream is broken off. - The end of a stream with a marked end was held back while its server was asked to stop it, up to 2.5 s. Only an end that is not marked waits. The rest of an event is copied, so that it does not keep the buffer of a read in memory, and attempt_failed names the framing of its own attempt.

The three cases of relay_test and relocated_streams_test failed before.

--- a/src/answer/event_splitter.ts
+++ b/src/answer/event_splitter.ts
@@ -70,7 +70,8 @@
       }
       this.lineStart = index + 1;
     }
-    this.rest = all.subarray(end);
+    // A copy, so that a few bytes do not keep the whole buffer of a read in memory.
+    this.rest = Buffer.from(all.subarray(end));
     this.scanned = length - end;
     this.lineStart -= end;
     const complete = all.subarray(0, end);
--- a/src/relay/answer_relay.ts
+++ b/src/relay/answer_relay.ts
@@ -109,11 +109,13 @@
       this.lastEventId = lastId ?? this.lastEventId;
       await this.sink.write(bytes);
     }
+    const {framing} = answer;
     const failure = checkStreamEnd({
-      framing: answer.framing,
+      framing,
       isInsideEvent: splitter.isInsideEvent(),
       eventCount: splitter.countEvents(),
-      mayBeStopped: await mayBeStopped(),
+      // A marked end is not delayed until it is known.
+      mayBeStopped: framing === Framing.CONNECTION && (await mayBeStopped()),
     });
     const rest = splitter.takeRest();
     this.restBytes = rest.length;
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -1,4 +1,4 @@
-import {IncompleteAnswer, IncompleteReason} from '../answer/index.js';
+import {Framing, IncompleteAnswer, IncompleteReason} from '../answer/index.js';
 import {Problem} from '../errors/index.js';
 import {TrackedRequest, FleetServer, RequestOutcome} from '../fleet/index.js';
 import {Repeat} from '../catalog/index.js';
@@ -156,6 +156,8 @@
    * Time until the first byte of the answer, in milliseconds; absent before it arrives.
    */
   private firstMs: number | undefined;
+  /** How the end of the answer is marked; absent before its head arrives. */
+  private framing: Framing | undefined;
   /** Why the request was not sent although the server accepts it; absent if it was. */
   private withheldDetail: string | undefined;
   /** Aborted when the request is to be sent by another way. */
@@ -335,6 +337,7 @@
   }
 
   private async receive(answer: ExchangeAnswer): Promise<AttemptResult> {
+    this.framing = answer.framing;
     try {
       if (!isSuccess(answer.status)) {
         return await this.receiveFailure(answer);
@@ -413,7 +416,10 @@
 
   private async relay(answer: ExchangeAnswer): Promise<void> {
     const {streaming, repeat, timeoutMs} = this.context.request.route;
-    if (streaming && isEventStream(answer.headers)) {
+    // Once events were relayed, only events may follow.
+    const isStream =
+      isEventStream(answer.headers) || this.context.answer.hasBegun();
+    if (streaming && isStream) {
       const onEvents = () => {
         this.recordFirstByte();
         // From now on, the pauses between events are limited.
@@ -464,7 +470,7 @@
       kind,
       detail,
       reason,
-      framing: answer.getFraming(),
+      framing: this.framing,
       afterEvent: answer.getLastEventId(),
       attempt: number,
     });
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -479,7 +479,8 @@
     }
     const {repeat} = this.request.route;
     const after = this.answer.getLastEventId();
-    return repeat === Repeat.RESUME && after !== undefined;
+    // An event with an empty id resets the id, so that the position is not known.
+    return repeat === Repeat.RESUME && after !== undefined && after !== '';
   }
 
   /**
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -155,6 +155,8 @@
   selectVersion: (isFirst: boolean) => string | undefined = () => undefined;
   /** Called for each requested copy, before its result is returned. */
   onCopy: (params: CopyRunParams) => void = () => undefined;
+  /** Resolves when a requested copy has been made. */
+  waitForCopy: (params: CopyRunParams) => Promise<void> = async () => undefined;
 
   constructor(
     exchange: Exchange,
@@ -253,6 +255,7 @@
       copyRun: async params => {
         this.copies.push(params);
         this.onCopy(params);
+        await this.waitForCopy(params);
         return this.copyResult;
       },
       terminatedServers: new TerminatedServers(clock, async address =>
--- a/test/relay/relay_test.ts
+++ b/test/relay/relay_test.ts
@@ -399,6 +399,36 @@
       expect(fixture.sent.length).to.equal(3);
     });
 
+    // Guards against ORDER: an answer that consists of no events is joined with a stream.
+    it('is not continued by an answer of another content type', async () => {
+      const fixture = new RelayFixture(
+        answerInTurn(disconnectAfter(1, 3), async () => ({
+          ...createAnswer(200, ['{"object":"completion"}']),
+          headers: [['Content-Type', 'application/json']],
+        })),
+      );
+      const sink = await fixture.serve(streaming);
+      expect(sink.body).to.equal(formatEvents(1, 3).join(''));
+      expect(sink.aborted).to.equal(true);
+    });
+
+    // Guards against ORDER: events come twice if the position in the stream is not known.
+    it('is broken off after an event with an empty id', async () => {
+      const fixture = new RelayFixture(async () =>
+        createAnswer(
+          200,
+          (function* () {
+            yield 'id: 1\ndata: x\n\nid:\ndata: y\n\n';
+            throw new Error('reset');
+          })(),
+        ),
+      );
+      const sink = await fixture.serve(streaming);
+      expect(sink.body).to.equal('id: 1\ndata: x\n\nid:\ndata: y\n\n');
+      expect(sink.aborted).to.equal(true);
+      expect(fixture.sent).to.have.length(1);
+    });
+
     // Guards against ORDER: a server that fails before it continues a stream seems to have
     // no more events. Only a marked end tells that it has none.
     it('is complete if the server that continues it marks the end without an event', async () => {
--- a/test/relay/relocated_streams_test.ts
+++ b/test/relay/relocated_streams_test.ts
@@ -17,15 +17,21 @@
 describe('a stream that is stopped for its relocation', () => {
   let fixture: RelayFixture;
 
-  /** Creates a relay whose first server closes its stream as soon as it is stopped. */
-  function create(framing: Framing): void {
+  /**
+   * Creates a relay whose first server closes its stream as soon as it is to be stopped,
+   * with its marked end if it is complete.
+   */
+  function create(framing: Framing, isComplete = false): void {
     let sent = 0;
     const exchange: Exchange = async params => {
       sent++;
       return sent === 1
         ? createAnswer(
             200,
-            readUntilStopped(params.server.id, framing),
+            readUntilStopped(
+              params.server.id,
+              isComplete || framing === Framing.CONNECTION,
+            ),
             framing,
           )
         : createAnswer(200, formatEvents(3, 4));
@@ -38,7 +44,7 @@
 
   async function* readUntilStopped(
     server: string,
-    framing: Framing,
+    hasMarkedEnd: boolean,
   ): AsyncGenerator<string> {
     yield* formatEvents(1, 2);
     const leaving = createServer(server, FleetState.DRAINING);
@@ -49,7 +55,7 @@
     while (fixture.copies.every(copy => !copy.stops)) {
       await new Promise(resolve => setImmediate(resolve));
     }
-    if (framing !== Framing.CONNECTION) {
+    if (!hasMarkedEnd) {
       throw new Error('response ended before its body was complete');
     }
   }
@@ -91,6 +97,22 @@
     expect(sink.body).to.equal(formatEvents(1, 2).join(''));
   });
 
+  // Guards against a complete stream whose end is held back until its copy was made.
+  it('ends at its marked end while it is being stopped', async () => {
+    create(Framing.LENGTH, true);
+    let finishCopy: (() => void) | undefined;
+    fixture.waitForCopy = ({stops}) =>
+      stops
+        ? new Promise(resolve => {
+            finishCopy = resolve;
+          })
+        : Promise.resolve();
+    const sink = await fixture.serve(STREAM);
+    expect(sink.ended).to.equal(true);
+    expect(finishCopy).not.to.equal(undefined);
+    finishCopy?.();
+  });
+
   // Guards against roll-outs that are judged by the runs that hosts stop themselves.
   for (const framing of [Framing.CHUNKS, Framing.CONNECTION]) {
     it(`does not count against its version or server (${framing})`, async () => {
