Take no half answer of a plain service for the outcome of a call

A call to a plain service (the product's own interface) whose answer has neither length nor chunks got its first half as a complete answer if the server reset the connection with the last bytes; the half was recorded as the outcome of a call that runs at most once. The client library takes such a reset for the end of the body.

--- a/src/backend/http_plain_service.ts
+++ b/src/backend/http_plain_service.ts
@@ -1,7 +1,8 @@
 import {Agent} from 'node:http';
 import {got, TimeoutError} from 'got';
 import {Result} from 'true-myth';
-import {toHttpFailure} from '../http/index.js';
+import {IncompleteAnswer} from '../answer/index.js';
+import {toHttpFailure, waitForBodyEnd} from '../http/index.js';
 import {PlainService, ServiceAnswer, ServiceCall} from './plain_service.js';
 import {DeliveryState, ServerFailure} from './server_failure.js';
 
@@ -24,7 +25,7 @@
     timeoutMs: number,
   ): Promise<Result<ServiceAnswer, ServerFailure>> {
     try {
-      const response = await got(this.url + call.path, {
+      const sending = got(this.url + call.path, {
         method: call.method as 'GET' | 'POST',
         headers: getHeaders(call),
         ...(call.body.length === 0 ? {} : {body: Buffer.from(call.body)}),
@@ -38,6 +39,16 @@
           request: timeoutMs,
         },
       });
+      const bodyEnd = new Promise<IncompleteAnswer | undefined>(resolve => {
+        void sending.on('request', sent => resolve(waitForBodyEnd(sent)));
+      });
+      const response = await sending;
+      const failure = await bodyEnd;
+      if (failure !== undefined) {
+        return Result.err(
+          new ServerFailure(DeliveryState.SENT, failure.message),
+        );
+      }
       const echoed = response.headers[REQUEST_ID_HEADER];
       if (echoed !== undefined && echoed !== call.requestId) {
         return Result.err(
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -9,4 +9,5 @@
 export {breakOff} from './break_off.js';
 export {writeChunk} from './write_chunk.js';
 export {parseAddress} from './parse_address.js';
+export {waitForBodyEnd} from './wait_for_body_end.js';
 export {whenConnected} from './when_connected.js';
