--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -123,6 +123,28 @@
   return events;
 }
 
+/** Uses one exchange after the other; repeats the last one. */
+export function answerInTurn(...exchanges: Exchange[]): Exchange {
+  let turn = 0;
+  return (params, signal) => {
+    const exchange = exchanges[Math.min(turn++, exchanges.length - 1)];
+    return exchange?.(params, signal) ?? lose(params, signal);
+  };
+}
+
+/** Sends events, then breaks off within the next one. */
+export function disconnectAfter(from: number, to: number): Exchange {
+  return async () =>
+    createAnswer(
+      200,
+      (function* () {
+        yield* formatEvents(from, to);
+        yield 'id: 99\nda';
+        throw new Error('reset');
+      })(),
+    );
+}
+
 const SERVICE = 'desk';
 
 /** A relay with a few servers whose answers the test provides. */
