Do not avoid another host because a caller left before its request was sent there

The request ended before it was sent since it was cancelled, and was taken for a host that cannot be reached. A cancelled request now says nothing about the host.

forward_client_test: the case failed before (no answer: not-run).

--- a/src/forwarding/forward_client.ts
+++ b/src/forwarding/forward_client.ts
@@ -92,6 +92,10 @@
       if ('kind' in result) {
         return result;
       }
+      if (signal.aborted) {
+        // A cancelled request says nothing about the host.
+        break;
+      }
       this.avoid(target, result.declined, params.service);
     }
     return {
--- a/test/forwarding/forward_client_test.ts
+++ b/test/forwarding/forward_client_test.ts
@@ -191,6 +191,17 @@
   });
 
   // Guards against a host whose memory is used up by answers that a slow caller reads.
+  // Guards against RECOVER: one caller that leaves while its request is being forwarded has
+  // the other host avoided for a second, and all requests of that time refused.
+  it('does not have the other host avoided when a caller leaves before it is sent', async () => {
+    await fixture.addHost(serveAnswer);
+    const caller = new AbortController();
+    const cancelled = fixture.send({}, caller.signal);
+    caller.abort();
+    expect((await cancelled).kind).to.equal(ExchangeKind.NOT_RUN);
+    expect(await readBody(await fixture.send())).to.equal('firstother');
+  });
+
   it('holds up the other host while the answer is not read', async () => {
     const chunk = Buffer.alloc(65_536);
     const CHUNKS = 400;
