Test of incomplete answers: wait until the partitioned host has another to forward to

The test did not wait until the hosts know each other: the partitioned one refused all requests with 503 until then. Shown by a run beside six busy processes: 73 calls got 503 before the first 200. The set-up now waits for the first forwarded answer; what is expected of the answers is unchanged.

--- a/test/platform/incomplete_answers_test.ts
+++ b/test/platform/incomplete_answers_test.ts
@@ -105,6 +105,15 @@
       );
     }
     partition.set(PartitionMode.NEW_REFUSED);
+    // Until the hosts know each other, there is none that requests can be forwarded to.
+    await system.waitFor(async () => {
+      const path = '/br/';
+      const {status} = await call(forwarding, path, HttpVersion.HTTP_1_1);
+      const {body} = await system.get(forwarding.metrics, '/metrics');
+      return (
+        status === 200 && /forwarded\{.*result="answered".*\} [1-9]/.test(body)
+      );
+    });
   });
 
   after(async () => {
