One function each reads the framing of a response and ends a stand-in's connection

Found by reading the whole change: the exchange with servers and the client of plain services both took the four parts of the framing from a response, and two stand-ins closed or reset a connection in the same way, with 5 and 10 ms before a reset (10 ms now). Behaviour of the product and expectations of the tests are unchanged.

Format, lint and dependency rules pass; 125 tests of answer, backend, http, forwarding, five files of platform and the soak's checks pass. The whole script was not run again.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -9,5 +9,6 @@
 export {breakOff} from './break_off.js';
 export {writeChunk} from './write_chunk.js';
 export {parseAddress} from './parse_address.js';
+export {getResponseFraming} from './get_response_framing.js';
 export {waitForBodyEnd} from './wait_for_body_end.js';
 export {whenConnected} from './when_connected.js';
--- a/src/http/wait_for_body_end.ts
+++ b/src/http/wait_for_body_end.ts
@@ -1,10 +1,6 @@
 import {ClientRequest} from 'node:http';
-import {
-  checkBodyEnd,
-  Framing,
-  getFraming,
-  IncompleteAnswer,
-} from '../answer/index.js';
+import {checkBodyEnd, Framing, IncompleteAnswer} from '../answer/index.js';
+import {getResponseFraming} from './get_response_framing.js';
 import {waitForClose} from './wait_for_close.js';
 
 /**
@@ -18,18 +14,13 @@
   request: ClientRequest,
 ): Promise<IncompleteAnswer | undefined> {
   return new Promise(resolve => {
-    request.once('response', ({headers, socket, statusCode = 0}) => {
-      const framing = getFraming({
-        method: request.method,
-        status: statusCode,
-        contentLength: headers['content-length'],
-        transferEncoding: headers['transfer-encoding'],
-      });
+    request.once('response', response => {
+      const framing = getResponseFraming(request.method, response);
       if (framing !== Framing.CONNECTION) {
         resolve(undefined);
         return;
       }
-      void waitForClose(socket).then(hasMarkedEnd =>
+      void waitForClose(response.socket).then(hasMarkedEnd =>
         resolve(checkBodyEnd({framing, hasMarkedEnd})),
       );
     });
--- a/test/platform/fakes/ending_answers.ts
+++ b/test/platform/fakes/ending_answers.ts
@@ -1,5 +1,9 @@
-import {Socket} from 'node:net';
-import {formatHead, ReceivedRequest, Script} from './fake_server.js';
+import {
+  endConnection,
+  formatHead,
+  ReceivedRequest,
+  Script,
+} from './fake_server.js';
 
 /** How the end of a server's answer is marked. */
 export const AnswerFraming = {
@@ -37,8 +41,6 @@
 const EVENT_COUNT = 4;
 /** Events that are sent whole before an answer ends early. */
 const EVENTS_BEFORE_END = 2;
-/** Pause before a connection is reset, so that the bytes before it arrive, in ms. */
-const RESET_DELAY_MS = 5;
 
 /** Formats the events of the complete stream after an event id. */
 export function formatStream(after = 0, until = EVENT_COUNT): string {
@@ -129,7 +131,7 @@
     const whole = isStream ? formatStream(after) : WHOLE_BODY;
     const body = cut(whole, ending.endPoint, isStream);
     socket.write(formatAnswer(ending, request, body, whole), () =>
-      endConnection(socket, ending.connectionEnd),
+      endConnection(socket, ending.connectionEnd === ConnectionEnd.RESET),
     );
   };
 }
@@ -184,11 +186,3 @@
       return formatHead(request, 200, [type]) + body;
   }
 }
-
-function endConnection(socket: Socket, end: ConnectionEnd): void {
-  if (end === ConnectionEnd.CLOSED) {
-    socket.end();
-    return;
-  }
-  setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
-}
--- a/test/platform/fakes/fake_server.ts
+++ b/test/platform/fakes/fake_server.ts
@@ -86,6 +86,18 @@
   return {request: {line, headers, body}, length};
 }
 
+/** Pause before a reset, after which the bytes before it have arrived, in milliseconds. */
+const RESET_DELAY_MS = 10;
+
+/** Ends a connection whose end marks that of a response: closes or resets it. */
+export function endConnection(socket: Socket, isReset: boolean): void {
+  if (isReset) {
+    setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+    return;
+  }
+  socket.end();
+}
+
 /** Formats the head of a valid response. */
 export function formatHead(
   request: ReceivedRequest,
--- a/test/soak/soak_server.ts
+++ b/test/soak/soak_server.ts
@@ -1,5 +1,6 @@
 import {Socket} from 'node:net';
 import {
+  endConnection,
   formatHead,
   ReceivedRequest,
   FakeServer,
@@ -51,8 +52,6 @@
 /** Headers that callers send or hosts set, and that no server may see as they were sent. */
 const SECRET_HEADERS = ['credential', 'hold', 'kv-backup'];
 const STREAM_PREFIX = '/s/';
-/** Pause before a reset, after which the bytes before it have arrived, in milliseconds. */
-const RESET_DELAY_MS = 10;
 
 /** Where a stream without a marked end is broken off. */
 interface StreamEnd {
@@ -305,12 +304,3 @@
 function drawStreamEnd(served: number): StreamEnd | undefined {
   return STREAM_ENDS[served % STREAM_ENDS.length];
 }
-
-/** Ends a connection whose close marks the end of an answer. */
-function endConnection(socket: Socket, isReset: boolean): void {
-  if (isReset) {
-    setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
-    return;
-  }
-  socket.end();
-}
