Log the versions of a stream, and which request a caller takes up

The line route now has resumes, the id of the attempt that began a stream, as its caller names it, and relayed has versions, those of the servers whose events were relayed. Without them, logs cannot tell whether callers that take a stream up get another version than the one that began it. No decision changes.

--- a/src/relay/answer_relay.ts
+++ b/src/relay/answer_relay.ts
@@ -9,6 +9,8 @@
 import {ExchangeAnswer} from './exchange.js';
 
 const CONTENT_LENGTH = 'content-length';
+/** Logged in place of the version of a server that another host has chosen. */
+const UNKNOWN_VERSION = 'unknown';
 
 /**
  * Relays the answer to one request to its caller, over all attempts. An answer that was
@@ -18,6 +20,7 @@
   private begun = false;
   private framing: Framing | undefined;
   private restBytes = 0;
+  private readonly versions = new Set<string>();
 
   /**
    * @param sink - Receives the answer.
@@ -48,6 +51,11 @@
     return this.restBytes;
   }
 
+  /** Returns the versions of the servers whose events were relayed, in order. */
+  listVersions(): readonly string[] {
+    return [...this.versions];
+  }
+
   /**
    * Relays a complete answer.
    * @param answer - The answer.
@@ -79,6 +87,7 @@
   /**
    * Relays a complete stream, event by event; no part of an event is relayed.
    * @param answer - The answer.
+   * @param version - Version of the server's software; `undefined` if it is not known.
    * @param onEvents - Called before events are relayed.
    * @param mayBeStopped - Resolves to whether the server may have stopped the run, as it
    *   was asked to.
@@ -86,6 +95,7 @@
    */
   async relayStream(
     answer: ExchangeAnswer,
+    version: string | undefined,
     onEvents: () => void,
     mayBeStopped: () => Promise<boolean>,
   ): Promise<void> {
@@ -106,6 +116,7 @@
       }
       onEvents();
       this.begin(stream);
+      this.versions.add(version ?? UNKNOWN_VERSION);
       this.lastEventId = lastId ?? this.lastEventId;
       await this.sink.write(bytes);
     }
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -428,7 +428,8 @@
         this.addBytes();
       };
       const {answer: relayed, mayBeStopped} = this.context;
-      await relayed.relayStream(answer, onEvents, mayBeStopped);
+      const {version} = this.params.server;
+      await relayed.relayStream(answer, version, onEvents, mayBeStopped);
       return;
     }
     this.recordFirstByte();
--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -11,6 +11,8 @@
   readonly framing: Framing | undefined;
   /** Bytes after the last complete event of a stream. */
   readonly restBytes: number;
+  /** Versions of the servers whose events were relayed, in order. */
+  readonly versions: readonly string[];
   /** Description of the last failure; empty on success. */
   readonly detail: string;
 }
@@ -88,6 +90,7 @@
       runners_up: runnersUp.map(other => other.server).join(',') || undefined,
       reason: isUnreachable ? 'servers-unreachable' : reason,
       resume_after: resumeAfter,
+      resumes: request.resumes,
       forwarded_by: request.forwardedBy,
     });
   }
@@ -162,7 +165,7 @@
 
   /** Logs and counts the outcome of the request. */
   addOutcome(ended: RelayOutcome): void {
-    const {outcome, attempts, framing, restBytes, detail} = ended;
+    const {outcome, attempts, framing, restBytes, versions, detail} = ended;
     const {request} = this;
     const {log, metrics, clock} = this.options;
     const {name: route, streaming, targetMs} = request.route;
@@ -185,6 +188,7 @@
       forwarded_by: request.forwardedBy,
       framing,
       rest_bytes: restBytes > 0 ? restBytes : undefined,
+      versions: versions.join(',') || undefined,
       detail: detail === '' ? undefined : detail,
     });
   }
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -170,6 +170,7 @@
       attempts: this.attempts.count(),
       framing: this.answer.getFraming(),
       restBytes: this.answer.getRestBytes(),
+      versions: this.answer.listVersions(),
       detail: this.outcome === 'answered' ? '' : this.failureDetail,
     });
   }
