--- a/test/platform/fakes/test_system.ts
+++ b/test/platform/fakes/test_system.ts
@@ -57,6 +57,10 @@
   slots = 6;
   /** Retries that all hosts together may make in a window beyond a share of the requests. */
   retrySlack = 54;
+  /** Parts of the rules in force; absent if the settings of the hosts do not list them. */
+  contracts: readonly string[] | undefined;
+  /** Whether the hosts are told that the whole system starts for the first time. */
+  bootstrap = false;
   readonly cloudCalls: CloudCall[] = [];
   readonly hosts: RunningHost[] = [];
   private readonly cloud: Server;
@@ -163,6 +167,8 @@
 zone = "here"
 internal_ports = [${first}, ${last}]
 seeds = ${JSON.stringify(seeds)}
+bootstrap = ${this.bootstrap}
+${this.contracts === undefined ? '' : `contracts = ${JSON.stringify(this.contracts)}`}
 [listen]
 front = "127.0.0.1:${front}"
 ready = "127.0.0.1:${ready}"
