--- a/src/errors/problem.ts
+++ b/src/errors/problem.ts
@@ -39,6 +39,10 @@
   SERVERS_UNREACHABLE: 'servers-unreachable',
   SERVICE_BACKING_OFF: 'service-backing-off',
   SERVICE_BRITTLE: 'service-brittle',
+  /** No host knows at which version of a service a stream began that a caller takes up. */
+  STREAM_ORIGIN_UNKNOWN: 'stream-origin-unknown',
+  /** No server of the version at which a stream began can go on with it. */
+  STREAM_VERSION_UNAVAILABLE: 'stream-version-unavailable',
   SERVICE_LIMITED: 'service-limited',
   STORE_UNAVAILABLE: 'store-unavailable',
   UNAUTHENTICATED: 'unauthenticated',
--- a/src/errors/problems.ts
+++ b/src/errors/problems.ts
@@ -320,6 +320,30 @@
   retryAfterSeconds,
 });
 
+export const streamOriginUnknown = (retryAfterSeconds: number): Problem => ({
+  kind: ProblemKind.STREAM_ORIGIN_UNKNOWN,
+  status: 503,
+  detail:
+    'It is not known at which version of the service the stream began, so that no server may go on with it.',
+  remedy:
+    'Retry after the given time on a new connection, with the id of the request that brought the first event in "Resumes"; or request the stream anew, without "Last-Event-Id".',
+  ran: ExecutionStatus.NOT_EXECUTED,
+  retryAfterSeconds,
+});
+
+export const streamVersionUnavailable = (
+  service: string,
+  retryAfterSeconds: number,
+): Problem => ({
+  kind: ProblemKind.STREAM_VERSION_UNAVAILABLE,
+  status: 503,
+  detail: `No server of "${service}" with the version at which the stream began can go on with it now.`,
+  remedy:
+    'Retry after the given time, or request the stream anew, without "Last-Event-Id".',
+  ran: ExecutionStatus.NOT_EXECUTED,
+  retryAfterSeconds,
+});
+
 export const serversUnreachable = (
   service: string,
   retryAfterSeconds: number,
--- a/src/forwarding/forward_client.ts
+++ b/src/forwarding/forward_client.ts
@@ -195,7 +195,13 @@
   }
 
   private createHead(params: ForwardParams): ForwardRequest {
-    const {request: relayed, service, excluded, lastEventId} = params;
+    const {
+      request: relayed,
+      service,
+      excluded,
+      lastEventId,
+      boundVersion,
+    } = params;
     const {id, method, path, headers, route, account, prompt} = relayed;
     const {urgency} = account ?? {};
     return {
@@ -232,6 +238,7 @@
       ),
       remainingMs: Math.max(0, params.remainingMs),
       ...(lastEventId === undefined ? {} : {lastEventId}),
+      ...(boundVersion === undefined ? {} : {boundVersion}),
       excluded: [...excluded],
     };
   }
@@ -273,10 +280,16 @@
 ): HostResult {
   switch (head.outcome) {
     case 'answered': {
-      const {status, headers, server} = head;
-      const kind = ExchangeKind.ANSWERED;
-      const framing = Framing.CHUNKS;
-      return {kind, status, headers, framing, server, body: concat(rest, body)};
+      const {status, headers, server, version} = head;
+      return {
+        kind: ExchangeKind.ANSWERED,
+        status,
+        headers,
+        framing: Framing.CHUNKS,
+        server,
+        ...(version === undefined ? {} : {version}),
+        body: concat(rest, body),
+      };
     }
     case 'refused': {
       void drain(body);
--- a/src/forwarding/forward_frame.ts
+++ b/src/forwarding/forward_frame.ts
@@ -44,6 +44,8 @@
   /** Time until the deadline, in milliseconds. */
   remainingMs: count,
   lastEventId: z.string().optional(),
+  /** Version at which a stream that goes on began; absent if the stream begins. */
+  boundVersion: z.string().optional(),
   /** Ids of the servers that must not get the request again. */
   excluded: z.array(name).max(MAX_LISTED),
 });
@@ -83,6 +85,8 @@
     headers: rawHeaders,
     /** Id of the server. */
     server: name,
+    /** Version of its software; omitted by hosts of the previous release. */
+    version: z.string().optional(),
   }),
   z.object({
     /** No answer of a server can be passed on. */
--- a/src/forwarding/forward_listener.ts
+++ b/src/forwarding/forward_listener.ts
@@ -183,7 +183,10 @@
     const request = this.createRequest(head, body);
     const attempts = {
       excluded: head.excluded,
-      onServer: (server: string) => answer.setServer(server),
+      onServer: answer.setServer.bind(answer),
+      ...(head.boundVersion === undefined
+        ? {}
+        : {boundVersion: head.boundVersion}),
     };
     await relay.serveForwarded(
       request,
--- a/src/forwarding/forwarded_answer.ts
+++ b/src/forwarding/forwarded_answer.ts
@@ -1,6 +1,7 @@
 import {ServerResponse} from 'node:http';
 import {Framing} from '../answer/index.js';
 import {Problem, ProblemKind} from '../errors/index.js';
+import {FleetServer} from '../fleet/index.js';
 import {breakOff, writeChunk} from '../http/index.js';
 import {encodeFrame} from '../peer/index.js';
 import {AnswerSink, RawHeader} from '../relay/index.js';
@@ -15,12 +16,14 @@
 /** The answer to a forwarded request, on the connection of the host that forwarded it. */
 export class ForwardedAnswer implements AnswerSink {
   private server = '';
+  private version = '';
 
   constructor(private readonly response: ServerResponse) {}
 
-  /** Sets the id of the server to which the request is sent. */
-  setServer(server: string): void {
-    this.server = server;
+  /** Sets the server to which the request is sent. */
+  setServer({id, version = ''}: Pick<FleetServer, 'id' | 'version'>): void {
+    this.server = id;
+    this.version = version;
   }
 
   begin(status: number, headers: readonly RawHeader[]): void {
@@ -29,6 +32,7 @@
       status,
       headers: headers.map(([name, value]) => [name, value] as const),
       server: this.server,
+      version: this.version,
     });
   }
 
--- a/src/peering/peer_messages.ts
+++ b/src/peering/peer_messages.ts
@@ -5,6 +5,7 @@
 import {PeerIdentity} from '../peer/index.js';
 import {createSuspectMessages, SuspectPage} from '../quarantine/index.js';
 import {rolloutReportSchema} from '../rollout/index.js';
+import {originQuestionSchema, originsSchema} from '../stream_versions/index.js';
 import {bulkAbilitySchema, segmentRequestSchema} from '../transfer/index.js';
 import {ReportReceiver} from './report_receiver.js';
 import {
@@ -41,6 +42,8 @@
   z.object({kind: z.literal('usage'), window: z.number().int().min(0)}),
   rowsSchema,
   rolloutReportSchema,
+  originsSchema,
+  originQuestionSchema,
 ]);
 
 /**
@@ -178,6 +181,11 @@
       case 'rows':
         this.rows.receive(from.host, message);
         return {};
+      case 'origins':
+        this.options.streamVersions.receive(message);
+        return {};
+      case 'origin':
+        return this.options.streamVersions.answer(message);
       case 'rollout':
         return this.options.answerRollout(
           message,
--- a/src/peering/peer_messages_options.ts
+++ b/src/peering/peer_messages_options.ts
@@ -8,6 +8,7 @@
 import {Quarantine} from '../quarantine/index.js';
 import {RowReplica} from '../replica/index.js';
 import {RolloutReply, RolloutReport} from '../rollout/index.js';
+import {StreamVersions} from '../stream_versions/index.js';
 import {Clock} from '../time/index.js';
 import {BulkTransfer} from '../transfer/index.js';
 import {HostUsage, ReferenceTime, UsageLedger} from '../usage/index.js';
@@ -48,6 +49,7 @@
     report: RolloutReport,
     origin: string,
   ) => RolloutReply;
+  readonly streamVersions: Pick<StreamVersions, 'answer' | 'receive'>;
   readonly isStopping: () => boolean;
   readonly holdsDuties: () => boolean;
   readonly requestPeer: Peers['request'];
--- a/src/relay/answer_relay.ts
+++ b/src/relay/answer_relay.ts
@@ -21,14 +21,19 @@
   private framing: Framing | undefined;
   private restBytes = 0;
   private readonly versions = new Set<string>();
+  private version: string | undefined;
 
   /**
    * @param sink - Receives the answer.
    * @param lastEventId - Id of the last event that the caller already has of a stream.
+   * @param onFirstEvent - Called when the first event of a stream is relayed, with the version
+   *   of its server's software, if that is known.
    */
   constructor(
     private readonly sink: AnswerSink,
     private lastEventId: string | undefined,
+    private readonly onFirstEvent: (version: string | undefined) => void = () =>
+      undefined,
   ) {}
 
   /** Tells whether any part of an answer was relayed. */
@@ -51,6 +56,14 @@
     return this.restBytes;
   }
 
+  /**
+   * Returns the version of the server's software that wrote the first event of a stream; absent
+   * if there was none, or if the version is not known.
+   */
+  getVersion(): string | undefined {
+    return this.version;
+  }
+
   /** Returns the versions of the servers whose events were relayed, in order. */
   listVersions(): readonly string[] {
     return [...this.versions];
@@ -115,8 +128,8 @@
         continued = events.firstId === undefined ? continued : undefined;
       }
       onEvents();
+      this.addVersion(version);
       this.begin(stream);
-      this.versions.add(version ?? UNKNOWN_VERSION);
       this.lastEventId = lastId ?? this.lastEventId;
       await this.sink.write(bytes);
     }
@@ -137,6 +150,14 @@
     this.sink.end();
   }
 
+  private addVersion(version: string | undefined): void {
+    this.versions.add(version ?? UNKNOWN_VERSION);
+    if (!this.begun) {
+      this.version = version;
+      this.onFirstEvent(version);
+    }
+  }
+
   /** @throws IncompleteAnswer - If events are repeated. */
   private checkContinuation(lastId: string, {firstId}: SplitEvents): void {
     const failure =
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -62,6 +62,8 @@
   readonly body: AsyncIterable<Uint8Array>;
   /** Id of the server that another host chose; absent if the request was not forwarded. */
   readonly server?: string;
+  /** Version of that server's software, if the other host tells it. */
+  readonly version?: string;
 }
 
 /** An exchange that brought no answer that can be relayed. */
@@ -108,6 +110,8 @@
   readonly service: string;
   /** Ids of the servers that must not get the request again. */
   readonly excluded: ReadonlySet<string>;
+  /** Version at which a stream that goes on began; absent if the stream begins. */
+  readonly boundVersion?: string;
   /** Problem with which the request is refused if no other host takes it. */
   readonly refusal: Problem;
 }
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -2,7 +2,9 @@
 import {Problem, problems, ExecutionStatus} from '../errors/index.js';
 import {FleetServer, FleetState} from '../fleet/index.js';
 import {WatchedContent, WatchedSender} from '../quarantine/index.js';
+import {FoundOrigin, OriginSource} from '../stream_versions/index.js';
 import {AnswerSink} from './answer_sink.js';
+import {nameStream} from './name_stream.js';
 import {PlaceAdmission} from './place_admission.js';
 import {RelayOptions} from './relay_options.js';
 import {RelayRequest} from './relay_request.js';
@@ -14,6 +16,11 @@
  * do not all retry at once.
  */
 const RETRY_JITTER = 0.3;
+/**
+ * Shortest retry delay of a stream whose origin no host knows, in seconds. A random addition at
+ * most doubles it. The caller then meets another host, which may reach one that knows.
+ */
+const ORIGIN_RETRY_S = 0.25;
 
 /** Serves opaque requests: admission, server choice, retries and relaying. */
 export class Relay {
@@ -64,14 +71,25 @@
     disconnected: AbortSignal,
   ): Promise<void> {
     const content = this.createContent(request);
-    const refusal = refuseQuarantined(content) ?? this.admit(request);
+    const drawn = this.chooseService(request.route);
+    let refusal = refuseQuarantined(content);
+    let origin: FoundOrigin | undefined;
+    if (refusal === undefined && isContinuation(request)) {
+      origin = await this.options.streamVersions.find(
+        request.resumes && nameStream(request, request.resumes),
+        drawn,
+      );
+      refusal = this.checkOrigin(request, origin);
+    }
+    refusal ??= this.admit(request);
     if (refusal !== undefined) {
-      this.logRefusal(request, refusal);
+      this.logRefusal(request, refusal, origin);
       sink.refuse(refusal);
       return;
     }
-    const service = this.chooseService(request.route);
-    await this.execute({request, content, service, sink, disconnected});
+    const service = origin?.origin?.service ?? drawn;
+    const params = {request, content, service, sink, disconnected};
+    await this.execute(origin === undefined ? params : {...params, origin});
   }
 
   /**
@@ -92,7 +110,14 @@
   ): Promise<void> {
     const content = this.createContent(request);
     const params = {request, content, service, sink, disconnected};
-    await this.execute({...params, forwarded: attempts});
+    const version = attempts.boundVersion;
+    await this.execute({
+      ...params,
+      forwarded: attempts,
+      ...(version === undefined
+        ? {}
+        : {origin: {source: OriginSource.KNOWN, origin: {service, version}}}),
+    });
   }
 
   private async execute(params: RelayRunParams): Promise<void> {
@@ -142,6 +167,21 @@
     }
   }
 
+  /** Refuses a stream that cannot go on at the service and version that began it. */
+  private checkOrigin(
+    {route}: RelayRequest,
+    {origin}: FoundOrigin,
+  ): Problem | undefined {
+    const retryS = ORIGIN_RETRY_S * (1 + this.options.random.next());
+    if (origin === undefined) {
+      return problems.streamOriginUnknown(retryS);
+    }
+    const {service} = origin;
+    return route.split.some(target => target.service === service)
+      ? undefined
+      : problems.streamVersionUnavailable(service, retryS);
+  }
+
   private admit(request: RelayRequest): Problem | undefined {
     const {account} = request;
     if (account === undefined) {
@@ -190,7 +230,11 @@
     return route.split.at(-1)?.service ?? '';
   }
 
-  private logRefusal(request: RelayRequest, problem: Problem): void {
+  private logRefusal(
+    request: RelayRequest,
+    problem: Problem,
+    origin: FoundOrigin | undefined,
+  ): void {
     const {log, metrics, quota} = this.options;
     const {account} = request;
     const {urgency} = request.route;
@@ -204,6 +248,9 @@
       rank: urgency,
       customer: account?.name,
       reason: problem.kind,
+      resumes: request.resumes,
+      bound_by: origin?.source,
+      bound_version: origin?.origin?.version,
       ran: ExecutionStatus.NOT_EXECUTED,
       units: countUnits(request),
       rate: account?.rate.perSecond,
@@ -213,6 +260,11 @@
   }
 }
 
+/** Returns whether a caller takes up a stream whose first events it already has. */
+function isContinuation({lastEventId, route}: RelayRequest): boolean {
+  return lastEventId !== undefined && route.streaming;
+}
+
 /**
  * Returns the units that a request uses of its customer's rate: tokens or requests, as
  * the rate is defined.
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -97,6 +97,8 @@
   ) => Promise<ExchangeResult>;
   /** Ids of the servers that must not get the request again. */
   readonly excluded: ReadonlySet<string>;
+  /** Version at which a stream that goes on began; absent if the stream begins. */
+  readonly boundVersion?: string;
 }
 
 /** State of the request that its attempts share. */
@@ -224,7 +226,8 @@
 
   private send(): Promise<ExchangeResult> {
     const {request, answer} = this.context;
-    const {server, urgency, copy, forward, excluded} = this.params;
+    const {server, urgency, copy, forward, excluded, boundVersion} =
+      this.params;
     const {clock, exchange, handlePendingEvents} = this.options;
     const lastEventId = answer.getLastEventId();
     const params = {
@@ -238,7 +241,11 @@
     };
     if (forward !== undefined) {
       const {service} = server;
-      return forward(extend(params, {service, excluded}), this.abortSignal);
+      const bound = boundVersion === undefined ? {} : {boundVersion};
+      return forward(
+        extend(params, {service, excluded, ...bound}),
+        this.abortSignal,
+      );
     }
     return exchange(
       extend(params, {server, urgency, ...(copy === undefined ? {} : {copy})}),
@@ -428,7 +435,9 @@
         this.addBytes();
       };
       const {answer: relayed, mayBeStopped} = this.context;
-      const {version} = this.params.server;
+      const {server, forward} = this.params;
+      const version =
+        forward === undefined ? (server.version ?? '') : answer.version;
       await relayed.relayStream(answer, version, onEvents, mayBeStopped);
       return;
     }
--- a/src/relay/relay_options.ts
+++ b/src/relay/relay_options.ts
@@ -15,6 +15,7 @@
 import {ServiceReachability} from '../reachability/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
 import {VersionSelector, VersionCounter} from '../rollout/index.js';
+import {StreamVersions} from '../stream_versions/index.js';
 import {Clock} from '../time/index.js';
 import {UsageLedger} from '../usage/index.js';
 import {CopyRun} from './copy_run.js';
@@ -45,7 +46,8 @@
   readonly copyRun: CopyRun;
   readonly terminatedServers: TerminatedServers;
   readonly senderRuns: SenderRuns;
-  readonly versionSelector: Pick<VersionSelector, 'select'>;
+  readonly versionSelector: Pick<VersionSelector, 'select' | 'permits'>;
+  readonly streamVersions: Pick<StreamVersions, 'begin' | 'find'>;
   readonly versionLedger: VersionCounter;
   /** Shares scarce places of servers; if absent, only the predicted wait decides. */
   readonly placeAdmission?: PlaceAdmission;
--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -1,4 +1,5 @@
 import {Framing, IncompleteReason} from '../answer/index.js';
+import {OriginSource} from '../stream_versions/index.js';
 import {RelayOptions} from './relay_options.js';
 import {RelayRequest} from './relay_request.js';
 import {LimitAwareDecision} from './server_choice.js';
@@ -33,6 +34,18 @@
   readonly attempt: number;
 }
 
+/** What an attempt goes on from. */
+export interface AttemptOrigin {
+  /** Index of the attempt, from 0. */
+  readonly attempt: number;
+  /** Id of the event after which a stream goes on; absent if it begins. */
+  readonly resumeAfter: string | undefined;
+  /** Version at which that stream began. */
+  readonly boundVersion: string | undefined;
+  /** How the version of a stream that a caller takes up became known. */
+  readonly boundBy: OriginSource | undefined;
+}
+
 /** A run that was lost because its server terminated or closed the connection. */
 export interface LostRun {
   /**
@@ -63,12 +76,9 @@
   ) {}
 
   /** Logs which server was chosen for an attempt, and why. */
-  logDecision(
-    decision: LimitAwareDecision,
-    attempt: number,
-    resumeAfter: string | undefined,
-  ): void {
+  logDecision(decision: LimitAwareDecision, origin: AttemptOrigin): void {
     const {request} = this;
+    const {attempt, resumeAfter, boundVersion, boundBy} = origin;
     const {chosen, runnersUp, reason, withheld, backingOff, isUnreachable} =
       decision;
     const remainingMs = request.deadlineMs - this.options.clock.monotonicMs();
@@ -91,6 +101,8 @@
       reason: isUnreachable ? 'servers-unreachable' : reason,
       resume_after: resumeAfter,
       resumes: request.resumes,
+      bound_version: boundVersion,
+      bound_by: boundBy,
       forwarded_by: request.forwardedBy,
     });
   }
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -6,6 +6,7 @@
 import {FleetServer, FleetState} from '../fleet/index.js';
 import {WatchedContent} from '../quarantine/index.js';
 import {ScoredServer} from '../routing/index.js';
+import {FoundOrigin} from '../stream_versions/index.js';
 import {combineSignals} from '../time/index.js';
 import {SlotRequest} from '../brittle/index.js';
 import {AnswerRelay} from './answer_relay.js';
@@ -13,6 +14,7 @@
 import {BufferedAnswer} from './buffered_answer.js';
 import {CopyFailure} from './copy_run.js';
 import {CopiedRun, relocateRun} from './relocate_run.js';
+import {nameStream} from './name_stream.js';
 import {rankUrgency} from './rank_urgency.js';
 import {AttemptOutcome, AttemptResult, RelayAttempt} from './relay_attempt.js';
 import {RelayOptions} from './relay_options.js';
@@ -44,6 +46,11 @@
  * addition at most doubles it.
  */
 const NO_CAPACITY_RETRY_S = 0.25;
+/**
+ * Retry delay of a stream that no server of its version can go on with, in milliseconds. One
+ * that has crashed is back after some seconds.
+ */
+const VERSION_RETRY_MS = 1000;
 
 /**
  * Share of the spare time that a request waits for a slot of a brittle server at the host
@@ -60,8 +67,10 @@
 export interface ForwardedAttempts {
   /** Ids of the servers that must not get the request again. */
   readonly excluded: readonly string[];
-  /** Called with the id of each server that the request is sent to. */
-  readonly onServer: (server: string) => void;
+  /** Called with each server that the request is sent to. */
+  readonly onServer: (server: Pick<FleetServer, 'id' | 'version'>) => void;
+  /** Version at which a stream that goes on began; absent if the stream begins. */
+  readonly boundVersion?: string;
 }
 
 /** Parameters of a `RelayRun`. */
@@ -76,6 +85,8 @@
   readonly disconnected: AbortSignal;
   /** Present if another host has forwarded the request. */
   readonly forwarded?: ForwardedAttempts;
+  /** Where a stream that the caller takes up, or another host forwards, began. */
+  readonly origin?: FoundOrigin;
 }
 
 /**
@@ -126,7 +137,9 @@
     this.sink = sink;
     this.disconnected = disconnected;
     this.cancelled = combineSignals([disconnected, this.deadline.signal]);
-    this.answer = new AnswerRelay(sink, request.lastEventId);
+    this.answer = new AnswerRelay(sink, request.lastEventId, version =>
+      this.recordOrigin(version),
+    );
     this.record = new RelayRecord(options, request);
     this.observer = new RunObserver(options, {
       route: request.route.name,
@@ -140,7 +153,12 @@
       spendRetry: () => options.retryBudget.spend(service),
     });
     const {attempts} = this;
-    this.choice = new ServerChoice(options, {request, service, attempts});
+    this.choice = new ServerChoice(options, {
+      request,
+      service,
+      attempts,
+      getBoundVersion: () => this.getBoundVersion(),
+    });
     for (const server of params.forwarded?.excluded ?? []) {
       attempts.exclude(server);
     }
@@ -175,6 +193,27 @@
     });
   }
 
+  /** Returns the version at which the stream began; absent if it begins, or is not known. */
+  private getBoundVersion(): string | undefined {
+    return this.params.origin?.origin?.version ?? this.answer.getVersion();
+  }
+
+  /** Records at which version the stream began, for hosts at which its caller takes it up. */
+  private recordOrigin(relayed: string | undefined): void {
+    const {streamVersions} = this.options;
+    const {request} = this;
+    const {id, resumes, route} = request;
+    const version = this.params.origin?.origin?.version ?? relayed;
+    if (route.repeat !== Repeat.RESUME || version === undefined) {
+      return;
+    }
+    const isSplit = route.split.length > 1;
+    const origin = {service: this.service, version};
+    for (const name of resumes === undefined ? [id] : [id, resumes]) {
+      streamVersions.begin(nameStream(request, name), origin, isSplit);
+    }
+  }
+
   /**
    * Relocates the run from a server that is leaving, if it is there and the request may
    * not be run a second time: a stream of such a request can continue only from a copy of
@@ -299,11 +338,12 @@
     if (decision.isFull && this.endIfOver()) {
       return false;
     }
-    this.record.logDecision(
-      decision,
-      this.attempts.count() - 1,
-      this.answer.getLastEventId(),
-    );
+    this.record.logDecision(decision, {
+      attempt: this.attempts.count() - 1,
+      resumeAfter: this.answer.getLastEventId(),
+      boundVersion: this.getBoundVersion(),
+      boundBy: this.params.origin?.source,
+    });
     if (decision.isUnreachable && copiedRun === undefined) {
       const retryS = NO_CAPACITY_RETRY_S * (1 + this.options.random.next());
       return this.forward(problems.serversUnreachable(this.service, retryS));
@@ -352,7 +392,7 @@
     const {request, answer, record, cancelled} = this;
     this.server = server;
     this.stopping = undefined;
-    this.params.forwarded?.onServer(server.id);
+    this.params.forwarded?.onServer(server);
     this.serverLost = new AbortController();
     const serverLost = this.serverLost.signal;
     const attempt = new RelayAttempt(
@@ -453,6 +493,7 @@
         urgency: rankUrgency(request),
         mayRetry: this.attempts.mayRetryAfterFailure(),
         excluded: this.attempts.excluded,
+        ...this.createBinding(),
         forward: (params, signal) => forward({...params, refusal}, signal),
       },
     );
@@ -467,6 +508,11 @@
     return this.handleFailure(result.forwardedTo ?? '', result);
   }
 
+  private createBinding(): {readonly boundVersion?: string} {
+    const boundVersion = this.getBoundVersion();
+    return boundVersion === undefined ? {} : {boundVersion};
+  }
+
   /**
    * Handles an attempt after which the answer is not complete, or which got an error
    * response; returns whether another one follows.
@@ -505,7 +551,12 @@
     const {repeat} = this.request.route;
     const after = this.answer.getLastEventId();
     // An event with an empty id resets the id, so that the position is not known.
-    return repeat === Repeat.RESUME && after !== undefined && after !== '';
+    const isPositionKnown = after !== undefined && after !== '';
+    return (
+      repeat === Repeat.RESUME &&
+      isPositionKnown &&
+      this.getBoundVersion() !== undefined
+    );
   }
 
   /**
@@ -573,6 +624,16 @@
       const retryS = this.toRetryS(this.getBackoffMs(backingOff));
       return this.fail(problems.serviceBackingOff(this.service, retryS));
     }
+    const boundVersion = this.getBoundVersion();
+    if (boundVersion !== undefined) {
+      this.addDetail(`no server of version ${boundVersion} available`);
+      return this.fail(
+        problems.streamVersionUnavailable(
+          this.service,
+          this.toRetryS(VERSION_RETRY_MS),
+        ),
+      );
+    }
     this.failureDetail ||= 'no server available';
     return this.fail();
   }
--- a/src/relay/server_choice.ts
+++ b/src/relay/server_choice.ts
@@ -13,6 +13,8 @@
   readonly service: string;
   /** Attempts made so far: the servers that were tried must not get the request again. */
   readonly attempts: Attempts;
+  /** Returns the version at which a stream that goes on began; absent if the stream begins. */
+  readonly getBoundVersion: () => string | undefined;
 }
 
 /** A routing decision that respects the rate limits and backoffs of servers. */
@@ -64,10 +66,18 @@
       return this.chooseConnected();
     }
     const {request, service} = this.params;
-    const {brittle} = this.options;
+    const {brittle, fleet} = this.options;
+    const bound = this.allowBoundVersion();
+    if (bound !== undefined && !fleet.hasReady(service, bound)) {
+      // Its caller is not kept waiting for a slot at servers of other versions.
+      return this.chooseAllowed(bound);
+    }
     if (!isNext && brittle.mustQueue(service, rankUrgency(request))) {
       return FULL;
     }
+    if (bound !== undefined) {
+      return this.chooseAllowed(bound);
+    }
     const decision = this.chooseVersion(isFirst);
     // During a trial of a version, later attempts go to the previous one. A first attempt does
     // as well if no server of the version on trial takes requests now.
@@ -81,8 +91,12 @@
     const {reachability, hasIdleConnection} = this.options;
     const {service} = this.params;
     const isUsable = reachability.trustsOpenConnections(service);
+    const allows = this.allowBoundVersion();
     const decision = this.chooseAllowed(
-      ({id}) => isUsable && hasIdleConnection?.(id) === true,
+      server =>
+        isUsable &&
+        hasIdleConnection?.(server.id) === true &&
+        allows?.(server) !== false,
     );
     return {...decision, isUnreachable: decision.chosen === undefined};
   }
@@ -94,6 +108,20 @@
     );
   }
 
+  /**
+   * Returns the condition for a server that goes on with a stream; `undefined` if the stream
+   * begins. What two versions write does not fit together.
+   */
+  private allowBoundVersion(): ServerPredicate | undefined {
+    const bound = this.params.getBoundVersion();
+    if (bound === undefined) {
+      return undefined;
+    }
+    const {versionSelector} = this.options;
+    const isPermitted = versionSelector.permits(this.params.service, bound);
+    return ({version = ''}) => isPermitted && version === bound;
+  }
+
   /**
    * Chooses a server of the same version, where a run can continue from a copy of its KV
    * cache.
@@ -112,8 +140,8 @@
     const {fleet, limits, random} = this.options;
     const {request, service, attempts} = this.params;
     const {prompt} = request;
-    const backingOff = this.listBackingOff();
-    const withoutSlot = this.listWithoutSlot();
+    const backingOff = this.listBackingOff(allows);
+    const withoutSlot = this.listWithoutSlot(allows);
     const allowsNow = excludeServers(
       excludeServers(allows, backingOff),
       withoutSlot,
@@ -165,7 +193,9 @@
   }
 
   /** Lists the brittle servers of the service at which this host has no free slot. */
-  private listWithoutSlot(): readonly string[] {
+  private listWithoutSlot(
+    allows: ServerPredicate | undefined,
+  ): readonly string[] {
     const {brittle, fleet} = this.options;
     const {service} = this.params;
     if (!brittle.isBrittle(service)) {
@@ -174,19 +204,28 @@
     return fleet
       .listServers(service)
       .filter(
-        ({id, state}) =>
-          state === FleetState.READY && !brittle.hasFreeSlot(service, id),
+        server =>
+          server.state === FleetState.READY &&
+          allows?.(server) !== false &&
+          !brittle.hasFreeSlot(service, server.id),
       )
       .map(({id}) => id);
   }
 
   /** Lists the ids of the ready servers of the service that backoffs exclude. */
-  private listBackingOff(): readonly string[] {
+  private listBackingOff(
+    allows: ServerPredicate | undefined,
+  ): readonly string[] {
     const {backoffs, fleet} = this.options;
     const {service} = this.params;
-    return backoffs
-      .listBlocked()
-      .filter(id => fleet.isReady(id) && fleet.get(id)?.service === service);
+    return backoffs.listBlocked().filter(id => {
+      const server = fleet.get(id);
+      return (
+        server?.service === service &&
+        server.state === FleetState.READY &&
+        allows?.(server) !== false
+      );
+    });
   }
 
   /**
--- a/src/relay_host/bind_peering.ts
+++ b/src/relay_host/bind_peering.ts
@@ -18,6 +18,7 @@
 import {Quarantine} from '../quarantine/index.js';
 import {RolloutDriver} from '../rollout/index.js';
 import {Quota} from '../quota/index.js';
+import {StreamVersions} from '../stream_versions/index.js';
 import {BulkTransfer, FetchProgress} from '../transfer/index.js';
 import {HostUsage, ReferenceTime, UsageLedger} from '../usage/index.js';
 import {createPeerKey} from './create_peer_key.js';
@@ -89,6 +90,7 @@
       ]),
       answerRollout: (report, origin) =>
         container.get(RolloutDriver).handleReport(report, origin),
+      streamVersions: context.get(StreamVersions),
       isStopping: () => state.isStopping(),
       holdsDuties: () => container.get(Duty).isHeld(),
       requestPeer: (...request) => container.get(Peers).request(...request),
--- a/src/relay_host/bind_relay_host.ts
+++ b/src/relay_host/bind_relay_host.ts
@@ -21,6 +21,7 @@
 import {VersionSelector, VersionCounter} from '../rollout/index.js';
 import {PlaceAdmission, Relay} from '../relay/index.js';
 import {SharedRetryBudget} from '../routing/index.js';
+import {StreamVersions} from '../stream_versions/index.js';
 import {UsageLedger} from '../usage/index.js';
 import {HostLoad} from '../host_load/index.js';
 import {bindDuties} from './bind_duties.js';
@@ -28,6 +29,7 @@
 import {bindForwarding} from './bind_forwarding.js';
 import {bindHostLoad} from './bind_host_load.js';
 import {bindRollouts} from './bind_rollouts.js';
+import {bindStreamVersions} from './bind_stream_versions.js';
 import {bindPeering} from './bind_peering.js';
 import {
   CLOCK,
@@ -47,6 +49,7 @@
   bindPeering(container);
   bindForwarding(container);
   bindRollouts(container);
+  bindStreamVersions(container);
   bind(container, PlaceAdmission, context => {
     const features = context.get(Features);
     const reports = context.get(HostReports);
@@ -91,6 +94,7 @@
       ),
       senderRuns: new SenderRuns(context.get(CLOCK)),
       versionSelector: context.get(VersionSelector),
+      streamVersions: context.get(StreamVersions),
       versionLedger: context.get(VersionCounter),
       placeAdmission: context.get(PlaceAdmission),
       handlePendingEvents: () => hostLoad.handlePendingEvents(),
--- a/src/relay_host/bind_rollouts.ts
+++ b/src/relay_host/bind_rollouts.ts
@@ -12,6 +12,7 @@
   VersionSelector,
   VersionCounter,
 } from '../rollout/index.js';
+import {VersionHistory} from '../stream_versions/index.js';
 import {ReferenceTime} from '../usage/index.js';
 import {createOrigin} from './create_origin.js';
 import {
@@ -34,11 +35,15 @@
   );
   bind(container, VersionSelector, context => {
     const fleet = context.get(Fleet);
+    const history = context.get(VersionHistory);
     return new VersionSelector({
       clock: context.get(CLOCK),
       random: context.get(RANDOM),
       orders: context.get(RolloutOrders),
       directives: context.get(RolloutDirectives),
+      needsOrders: () => context.get(GET_SETTINGS)().ordersVersions,
+      isEstablished: (service, version) =>
+        history.isEstablished(service, version),
       countReady: service => fleet.countReady(service),
     });
   });
--- /dev/null
+++ b/src/relay_host/bind_stream_versions.ts
@@ -0,0 +1,109 @@
+import {Container} from 'inversify';
+import {CatalogStore} from '../catalog/index.js';
+import {bind} from '../container/index.js';
+import {Fleet} from '../fleet/index.js';
+import {Metrics} from '../metrics/index.js';
+import {Peers} from '../peer/index.js';
+import {KnownHosts, ReadAge} from '../peering/index.js';
+import {
+  OriginExchange,
+  StreamOrigins,
+  StreamVersions,
+  VersionHistory,
+} from '../stream_versions/index.js';
+import {CLOCK, GET_SETTINGS, SELF} from './identifiers.js';
+import {REPLICA} from './replica_names.js';
+
+/** Shortest time for which a stream can be taken up, in milliseconds. */
+const MIN_LIFE_MS = 20_000;
+/** Longest time for which callers wait, as a multiple of the longest timeout of a stream. */
+const LIFE_FACTOR = 2;
+/** Aggregators of its data centre that a host tells and asks: one, and its standby. */
+const AGGREGATORS = 2;
+
+/** Binds what is known of the versions at which streams began. */
+export function bindStreamVersions(container: Container): void {
+  bind(
+    container,
+    StreamOrigins,
+    context =>
+      new StreamOrigins(context.get(CLOCK), () => getLifeMs(container)),
+  );
+  bind(container, VersionHistory, context => {
+    const fleet = context.get(Fleet);
+    const readAge = context.get(ReadAge);
+    const history = new VersionHistory({
+      clock: context.get(CLOCK),
+      countReady: service => fleet.countReady(service),
+      getTableAgeMs: () => readAge.getMs(REPLICA.SERVERS),
+      getLifeMs: () => getLifeMs(container),
+      isFirstStart: context.get(GET_SETTINGS)().isFirstStart,
+      onSeveralVersions: service =>
+        container.get(StreamVersions).tellAll(service),
+    });
+    fleet.addListener(server => history.add(server));
+    return history;
+  });
+  bind(
+    container,
+    OriginExchange,
+    context =>
+      new OriginExchange({
+        clock: context.get(CLOCK),
+        listTold: () => listTold(container),
+        listAsked: () => listAsked(container),
+        isLargeFleet: () => container.get(KnownHosts).isLargeFleet(),
+        requestPeer: (...request) => container.get(Peers).request(...request),
+      }),
+  );
+  bind(
+    container,
+    StreamVersions,
+    context =>
+      new StreamVersions({
+        origins: context.get(StreamOrigins),
+        history: context.get(VersionHistory),
+        exchange: context.get(OriginExchange),
+        metrics: context.get(Metrics),
+      }),
+  );
+}
+
+/** Returns the time for which a stream can be taken up, in milliseconds. */
+function getLifeMs(container: Container): number {
+  const view = container.get(CatalogStore).getView();
+  let longestMs = 0;
+  for (const {streaming, timeoutMs} of view?.catalog.routes ?? []) {
+    longestMs = streaming ? Math.max(longestMs, timeoutMs) : longestMs;
+  }
+  return Math.max(MIN_LIFE_MS, LIFE_FACTOR * longestMs);
+}
+
+/** Lists the connected hosts, or in a large fleet the aggregators of this data centre. */
+function listTold(container: Container): readonly string[] {
+  const known = container.get(KnownHosts);
+  if (!known.isLargeFleet()) {
+    return container.get(Peers).listConnected();
+  }
+  const {host, dataCentre} = container.get(SELF);
+  return known
+    .rankAggregators(dataCentre)
+    .slice(0, AGGREGATORS)
+    .map(aggregator => aggregator.host)
+    .filter(aggregator => aggregator !== host);
+}
+
+/** Lists the same hosts, and for an aggregator those of the other data centres. */
+function listAsked(container: Container): readonly string[] {
+  const known = container.get(KnownHosts);
+  const told = listTold(container);
+  if (!known.isLargeFleet() || !known.isAggregator()) {
+    return told;
+  }
+  const {dataCentre} = container.get(SELF);
+  const others = known
+    .listDataCentres()
+    .filter(other => other !== dataCentre)
+    .map(other => known.rankAggregators(other)[0]?.host ?? '');
+  return [...told, ...others.filter(other => other !== '')];
+}
--- a/src/relay_host/relay_host_settings.ts
+++ b/src/relay_host/relay_host_settings.ts
@@ -36,6 +36,13 @@
   /** How long a duty is held without renewal, in milliseconds. */
   readonly leaseMs: number;
   readonly quota: QuotaBound;
+  /**
+   * Whether servers of a further version serve only once an order names it. Otherwise servers
+   * of several versions may serve side by side.
+   */
+  readonly ordersVersions: boolean;
+  /** Whether the whole system starts for the first time. */
+  readonly isFirstStart: boolean;
   /** Bound on the part of its service's requests that a bad version may get. */
   readonly exposure: ExposureBound;
   /** Whether usage is to be reported. */
--- a/src/rollout/version_selector.ts
+++ b/src/rollout/version_selector.ts
@@ -9,6 +9,8 @@
 
 /** Returns whether a server may receive a request. */
 export type ServerPredicate = (server: FleetServer) => boolean;
+/** The same if only the version matters. */
+type VersionPredicate = (server: Pick<FleetServer, 'version'>) => boolean;
 
 /** Options of the version selection. */
 export interface VersionSelectorOptions {
@@ -16,6 +18,13 @@
   readonly random: Random;
   readonly orders: RolloutOrders;
   readonly directives: RolloutDirectives;
+  /**
+   * Returns whether servers of a further version serve only once an order names it. Otherwise
+   * servers of several versions serve side by side.
+   */
+  readonly needsOrders: () => boolean;
+  /** Returns whether a version has been known for long enough for new streams. */
+  readonly isEstablished: (service: string, version: string) => boolean;
   /** Counts the servers of a service that accept work, by version. */
   readonly countReady: (service: string) => ReadonlyMap<string, number>;
 }
@@ -56,8 +65,7 @@
     const order = this.options.orders.get(service);
     const {versions, majority} = this.count(service);
     if (order === undefined) {
-      // Servers of a version that no order names must not be used yet.
-      return versions.size === 0 ? undefined : hasVersion(majority);
+      return this.selectWithoutOrder(service, versions, majority);
     }
     const directive = this.options.directives.get(service, order.number);
     if (directive === undefined) {
@@ -66,6 +74,58 @@
     return this.selectByDirective(directive, isFirst);
   }
 
+  /**
+   * Returns whether a stream that began at a version may go on there. Nothing more is sent to a
+   * version that was rolled back, or that another one has replaced.
+   */
+  permits(service: string, version: string): boolean {
+    const order = this.options.orders.get(service);
+    if (order === undefined) {
+      return true;
+    }
+    const isOrdered = version === order.to;
+    const directive = this.options.directives.get(service, order.number);
+    if (directive === undefined) {
+      const isAllowed = this.selectWithoutDirective(
+        order,
+        this.count(service).versions,
+      );
+      return isAllowed({version});
+    }
+    switch (directive.state) {
+      case RolloutState.COMPLETED:
+        return isOrdered;
+      case RolloutState.ROLLED_BACK:
+        return !isOrdered;
+      default:
+        return (
+          !isOrdered ||
+          (directive.share > 0 && this.options.directives.isFresh(service))
+        );
+    }
+  }
+
+  private selectWithoutOrder(
+    service: string,
+    versions: ReadonlyMap<string, number>,
+    majority: string,
+  ): ServerPredicate | undefined {
+    const {needsOrders, isEstablished} = this.options;
+    if (versions.size === 0) {
+      return undefined;
+    }
+    if (needsOrders()) {
+      // Servers of a version that no order names must not be used yet.
+      return hasVersion(majority);
+    }
+    const established = [...versions.keys()].filter(version =>
+      isEstablished(service, version),
+    );
+    return established.length === 0 || established.length === versions.size
+      ? undefined
+      : ({version = ''}) => established.includes(version);
+  }
+
   private selectByDirective(
     directive: RolloutDirective,
     isFirst: boolean,
@@ -85,7 +145,7 @@
   private selectWithoutDirective(
     {to, number}: RolloutOrder,
     versions: ReadonlyMap<string, number>,
-  ): ServerPredicate {
+  ): VersionPredicate {
     const nowMs = this.options.clock.monotonicMs();
     const sinceMs = this.waitingSinceMs.get(number) ?? nowMs;
     this.waitingSinceMs.set(number, sinceMs);
@@ -125,6 +185,6 @@
   return majority;
 }
 
-function hasVersion(version: string): ServerPredicate {
+function hasVersion(version: string): VersionPredicate {
   return server => (server.version ?? '') === version;
 }
--- /dev/null
+++ b/src/stream_versions/version_history.ts
@@ -0,0 +1,109 @@
+import {FleetServer} from '../fleet/index.js';
+import {Clock} from '../time/index.js';
+
+/** Dependencies of a `VersionHistory`. */
+export interface VersionHistoryOptions {
+  readonly clock: Clock;
+  /** Counts the servers of a service that accept work, by version. */
+  readonly countReady: (service: string) => ReadonlyMap<string, number>;
+  /** Returns the age of this host's knowledge of the servers, in milliseconds. */
+  readonly getTableAgeMs: () => number;
+  /** Returns the time for which a stream can be taken up, in milliseconds. */
+  readonly getLifeMs: () => number;
+  /** Whether no stream can have begun before this host started. */
+  readonly isFirstStart: boolean;
+  /** Called when a service turns out to have servers of several versions. */
+  readonly onSeveralVersions: (service: string) => void;
+}
+
+/** When servers of one version were seen, in monotonic milliseconds. */
+interface SeenVersion {
+  readonly firstMs: number;
+  lastMs: number;
+}
+
+/**
+ * Time for which a host knows a further version before it sends new streams there, in
+ * milliseconds. A host whose knowledge of the servers is younger than `MAX_TABLE_AGE_MS`
+ * knows the version by then, so that it does not take the other one for the only one.
+ */
+const ESTABLISHED_MS = 3000;
+/** Largest age of the knowledge of the servers from which a version counts as the only one. */
+const MAX_TABLE_AGE_MS = 2500;
+/** Time in which the first reading of the servers arrives, in milliseconds. */
+const FIRST_READING_MS = 100;
+
+/** The versions that the servers of each service had for as long as streams can be taken up. */
+export class VersionHistory {
+  private readonly versions = new Map<string, Map<string, SeenVersion>>();
+  /** When the first server became known, monotonic milliseconds; absent before. */
+  private firstReadingMs: number | undefined;
+
+  constructor(private readonly options: VersionHistoryOptions) {}
+
+  /** Records that a server has registered, or that its state has changed. */
+  add({service, version = ''}: FleetServer): void {
+    const nowMs = this.options.clock.monotonicMs();
+    this.firstReadingMs ??= nowMs;
+    const seen = this.versions.get(service) ?? new Map<string, SeenVersion>();
+    this.versions.set(service, seen);
+    const known = seen.get(version);
+    if (known !== undefined) {
+      known.lastMs = nowMs;
+      return;
+    }
+    const hadOne = this.listRecent(service).length === 1;
+    seen.set(version, {firstMs: nowMs, lastMs: nowMs});
+    if (hadOne) {
+      this.options.onSeveralVersions(service);
+    }
+  }
+
+  /**
+   * Returns whether new streams may begin at a version: it has been known for
+   * `ESTABLISHED_MS`, or since the first reading of the servers.
+   */
+  isEstablished(service: string, version: string): boolean {
+    const seen = this.versions.get(service)?.get(version);
+    if (seen === undefined || this.firstReadingMs === undefined) {
+      return false;
+    }
+    const {firstMs} = seen;
+    return (
+      firstMs - this.firstReadingMs <= FIRST_READING_MS ||
+      this.options.clock.monotonicMs() - firstMs >= ESTABLISHED_MS
+    );
+  }
+
+  /**
+   * Returns the version at which all streams of a service began that can still be taken up, at
+   * whichever host; absent if there were several, or if this host cannot know.
+   */
+  getSole(service: string): string | undefined {
+    const {clock, getLifeMs, getTableAgeMs, isFirstStart} = this.options;
+    const [version, ...others] = this.listRecent(service);
+    if (version === undefined || others.length > 0) {
+      return undefined;
+    }
+    const knownMs =
+      clock.monotonicMs() - (this.firstReadingMs ?? Number.POSITIVE_INFINITY);
+    const isComplete = isFirstStart || knownMs >= getLifeMs();
+    return isComplete && getTableAgeMs() <= MAX_TABLE_AGE_MS
+      ? version
+      : undefined;
+  }
+
+  /** Lists the versions of which a stream can still be taken up. */
+  private listRecent(service: string): string[] {
+    const {clock, getLifeMs, countReady} = this.options;
+    const ready = countReady(service);
+    const oldestMs = clock.monotonicMs() - getLifeMs();
+    const seen = this.versions.get(service) ?? new Map<string, SeenVersion>();
+    for (const [version, {lastMs}] of seen) {
+      if (lastMs < oldestMs && !ready.has(version)) {
+        seen.delete(version);
+      }
+    }
+    return [...seen.keys()];
+  }
+}
--- a/test/forwarding/forwarding_fixture.ts
+++ b/test/forwarding/forwarding_fixture.ts
@@ -111,7 +111,7 @@
   _cancelled,
   attempts,
 ) => {
-  attempts.onServer('i-1');
+  attempts.onServer({id: 'i-1', version: 'v1'});
   sink.begin(200, [
     ['Request-Id', request.id],
     ['Server-Signature', 'sig'],
--- a/test/peering/peer_host.ts
+++ b/test/peering/peer_host.ts
@@ -124,6 +124,10 @@
       referenceTime: new ReferenceTime(clock, self.host),
       replicas: new Map([[TABLE, this.replica]]),
       answerRollout: () => ({isHolder: false}),
+      streamVersions: {
+        receive: () => undefined,
+        answer: async () => ({}),
+      },
       isStopping: () => false,
       holdsDuties: () => this.holdsDuties,
       requestPeer: links.requestPeer as never,
--- a/test/platform/stream_versions_test.ts
+++ b/test/platform/stream_versions_test.ts
@@ -14,7 +14,7 @@
 describe('a stream of a service whose servers have different versions', () => {
   const HOSTS = ['front-1', 'front-2', 'front-3'];
   const SERVERS = 6;
-  const EVENTS = 6;
+  const EVENTS = 12;
   const STREAMS = 30;
   /** Share of the resumed streams that must go on, as the users' page states it. */
   const MIN_RESUMED_SHARE = 0.5;
@@ -120,6 +120,12 @@
     });
   }
 
+  /** Lists the ids of the events that follow those that a caller has. */
+  function listRest(stream: ReceivedStream | undefined): number[] {
+    const last = stream?.ids.at(-1) ?? 0;
+    return [...Array(EVENTS - last).keys()].map(index => last + 1 + index);
+  }
+
   it('goes on at its version within its answer when the majority changes', async () => {
     let breakOff = (): void => undefined;
     const broken = new Promise<void>(resolve => (breakOff = resolve));
@@ -150,7 +156,7 @@
         if (stream.status === 200) {
           goneOnCount++;
           expect(stream.versions).to.eql(begun[turn]?.versions);
-          expect(stream.ids).to.eql([3, 4, 5, 6]);
+          expect(stream.ids).to.eql(listRest(begun[turn]));
         }
       }
     }
@@ -175,6 +181,8 @@
   }).timeout(30_000);
 
   it('goes on after the host that began it has stopped', async () => {
+    // The hosts are connected by then.
+    await waitForHosts();
     const begun = [];
     for (let turn = 0; turn < STREAMS; turn += hosts.length) {
       begun.push(await begin(turn, 2));
@@ -193,19 +201,20 @@
   }).timeout(30_000);
 
   it('goes on from a resumption under the id of the request that began it', async () => {
+    await waitForHosts();
     const begun = await begin(0, 2);
     const host = getHost(1);
     const second = await readStream(host, {
       id: 'second',
       path: PATH,
-      headers: {'Last-Event-Id': '2', Resumes: begun.id},
+      headers: {'Last-Event-Id': String(begun.ids.at(-1)), Resumes: begun.id},
       leavesAfter: 2,
     });
     await changeMajority();
     const third = await takeUp(2, {...second, id: begun.id});
     expect(third.status).to.equal(200);
     expect(third.versions).to.eql(begun.versions);
-    expect(third.ids).to.eql([5, 6]);
+    expect(third.ids).to.eql(listRest(second));
   }).timeout(30_000);
 
   // Guards against a guess: a host that knows nothing of a stream chooses any version.
@@ -253,6 +262,6 @@
     const begun = await begin(0, 2);
     const taken = await takeUp(1, begun, {Resumes: 'a-host-that-is-gone'});
     expect(taken.status).to.equal(200);
-    expect(taken.ids).to.eql([3, 4, 5, 6]);
+    expect(taken.ids).to.eql(listRest(begun));
   });
 });
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -36,6 +36,11 @@
 import {ModelSum, ServerModels} from '../../src/server_model/index.js';
 import {SystemClock} from '../../src/time/index.js';
 import {VersionCounter} from '../../src/rollout/index.js';
+import {
+  FoundOrigin,
+  OriginSource,
+  StreamOrigin,
+} from '../../src/stream_versions/index.js';
 import {UsageLedger} from '../../src/usage/index.js';
 import {createRoute} from './route_fixture.js';
 
@@ -175,6 +180,15 @@
   copyResult: Result<string, CopyFailure> = Result.ok('h1');
   /** Returns the version that an attempt may go to; any if `undefined`. */
   selectVersion: (isFirst: boolean) => string | undefined = () => undefined;
+  /** Returns whether streams that began at a version may go on there. */
+  permitsVersion: (version: string) => boolean = () => true;
+  /** Streams whose first event was relayed. */
+  readonly begunStreams: (StreamOrigin & {readonly id: string})[] = [];
+  /** Returns what is known of the origin of a stream that a caller takes up. */
+  findOrigin: (id: string | undefined, service: string) => FoundOrigin = (
+    _id,
+    service,
+  ) => ({source: OriginSource.SOLE, origin: {service, version: ''}});
   /** Called for each requested copy, before its result is returned. */
   onCopy: (params: CopyRunParams) => void = () => undefined;
   /** Resolves when a requested copy has been made. */
@@ -244,7 +258,11 @@
       forward: (params, signal) => {
         params.maySend();
         this.forwarded.push(params);
-        return this.forward(params, signal);
+        return this.forward(params, signal).then(result =>
+          result.kind === ExchangeKind.ANSWERED
+            ? {version: '', ...result}
+            : result,
+        );
       },
       clock,
       log,
@@ -285,6 +303,7 @@
       ),
       senderRuns: new SenderRuns(clock),
       versionSelector: {
+        permits: (_service, version) => this.permitsVersion(version),
         select: (_service, isFirst) => {
           const selected = this.selectVersion(isFirst);
           return selected === undefined
@@ -292,6 +311,10 @@
             : ({version}) => version === selected;
         },
       },
+      streamVersions: {
+        begin: (id, origin) => this.begunStreams.push({id, ...origin}),
+        find: async (id, service) => this.findOrigin(id, service),
+      },
       versionLedger: new VersionCounter(),
       ...(createPlaceAdmission === undefined
         ? {}
--- a/test/relay/unreachable_servers_test.ts
+++ b/test/relay/unreachable_servers_test.ts
@@ -112,7 +112,7 @@
       'desk',
       sink,
       new AbortController().signal,
-      {excluded: ['s1', 's2'], onServer: server => servers.push(server)},
+      {excluded: ['s1', 's2'], onServer: ({id}) => servers.push(id)},
     );
     expect(servers).to.deep.equal(['s3']);
     expect(fixture.forwarded).to.have.length(0);
--- a/test/rollout/rollout_simulation.ts
+++ b/test/rollout/rollout_simulation.ts
@@ -214,6 +214,8 @@
         random: this.random,
         orders,
         directives,
+        needsOrders: () => true,
+        isEstablished: () => true,
         countReady,
       }),
       client: new RolloutClient({
--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -1,7 +1,8 @@
 import {Agent, request as openRequest} from 'node:http';
 import {callRaw, HttpVersion} from '../platform/fakes/raw_caller.js';
 import {Random} from '../../src/random/index.js';
-import {History, RequestKind, SentRequest} from './history.js';
+import {History, RequestKind, ResumedStream, SentRequest} from './history.js';
+import {listEvents} from './stream_events.js';
 import {SoakHost} from './soak_host.js';
 import {
   CUSTOMER,
@@ -30,6 +31,12 @@
 const CRASHING_PAUSE_MS = 150;
 const ABANDON_AFTER_MS = 25;
 const ABANDON_SHARE = 0.3;
+/** Times that a caller takes up a stream that was broken off. */
+const MAX_RESUMPTIONS = 3;
+const MS_PER_SECOND = 1000;
+/** Time after which a caller leaves one of this many streams, and takes it up again. */
+const LEFT_STREAM_INTERVAL = 4;
+const LEAVE_STREAM_AFTER_MS = 90;
 /** Of this many requests, one uses HTTP/1.0, on a connection of its own. */
 const HTTP_1_0_INTERVAL = 6;
 /** Share of requests that probe a route which a configuration change added. */
@@ -44,6 +51,7 @@
   readonly customer: string;
   readonly abandonAfterMs: number | undefined;
   readonly version: HttpVersion;
+  readonly resumed?: ResumedStream;
 }
 
 /** Dependencies of a caller. */
@@ -82,6 +90,7 @@
       endsWithConnection: false,
       signed: false,
       retryAfter: undefined,
+      ...(outgoing.resumed === undefined ? {} : {resumed: outgoing.resumed}),
     };
     history.sendings.push(sent);
     const canReuse =
@@ -185,10 +194,13 @@
 
 /** Creates the headers of a request. */
 function createHeaders(
-  {key, body}: OutgoingRequest,
+  {key, body, resumed}: OutgoingRequest,
   id: string,
 ): Readonly<Record<string, string>> {
   return {
+    ...(resumed === undefined
+      ? {}
+      : {Resumes: resumed.id, 'Last-Event-Id': String(resumed.eventCount)}),
     Host: HOST_NAME,
     'Request-Id': id,
     Credential: key,
@@ -273,13 +285,39 @@
     while (!this.stopped) {
       const outgoing = draw();
       if (outgoing !== undefined) {
-        await caller.send(outgoing, this.createId());
+        const sent = await caller.send(outgoing, this.createId());
+        await this.takeUp(caller, outgoing, sent);
       }
       await wait(pauseMs * (0.5 + this.random.next()));
     }
     caller.disconnect();
   }
 
+  /** Takes a stream that has begun and is not complete up at other hosts, if any. */
+  private async takeUp(
+    caller: Caller,
+    outgoing: OutgoingRequest,
+    first: SentRequest,
+  ): Promise<void> {
+    let resumed: ResumedStream = {id: first.id, eventCount: 0};
+    let sent = first;
+    for (let tries = 0; tries < MAX_RESUMPTIONS; tries++) {
+      resumed = {
+        ...resumed,
+        eventCount: resumed.eventCount + listEvents(sent).length,
+      };
+      const mayTakeUp =
+        outgoing.kind === RequestKind.STREAM && resumed.eventCount > 0;
+      if (!mayTakeUp || sent.whole || this.stopped) {
+        return;
+      }
+      await wait((sent.retryAfter ?? 0) * MS_PER_SECOND);
+      caller.disconnect();
+      const next = {...outgoing, abandonAfterMs: undefined, resumed};
+      sent = await caller.send(next, this.createId());
+    }
+  }
+
   private createId(): string {
     return `r${++this.sent}`;
   }
@@ -296,7 +334,15 @@
     }
     return sample < 0.75
       ? this.createRequest(RequestKind.REPEATABLE, '/i/x')
-      : this.createRequest(RequestKind.STREAM, '/s/x');
+      : this.createStreamRequest();
+  }
+
+  private createStreamRequest(): OutgoingRequest {
+    const request = this.createRequest(RequestKind.STREAM, '/s/x');
+    const isLeft = this.sent % LEFT_STREAM_INTERVAL === 0;
+    return isLeft
+      ? {...request, abandonAfterMs: LEAVE_STREAM_AFTER_MS}
+      : request;
   }
 
   private createRequest(kind: RequestKind, path: string): OutgoingRequest {
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -21,6 +21,7 @@
 import {findUnservedAtPartitions} from './find_unserved.js';
 import {
   findDisorderedEvents,
+  findMixedVersions,
   findRepeatedRuns,
   findFalseRefusals,
   findMismatchedAnswers,
@@ -56,6 +57,11 @@
     hasTimeBound: false,
     find: findDisorderedEvents,
   },
+  {
+    name: 'streams of one version',
+    hasTimeBound: false,
+    find: findMixedVersions,
+  },
   {name: 'nothing unasked', hasTimeBound: false, find: findUnsentRequests},
   {name: 'retry budget', hasTimeBound: false, find: findExcessRetries},
   {name: 'quota', hasTimeBound: false, find: findExcessUnits},
--- a/test/soak/checks_test.ts
+++ b/test/soak/checks_test.ts
@@ -163,6 +163,22 @@
       });
     },
   ],
+  [
+    'streams of one version',
+    history => {
+      addRequest(history, 'r2', {
+        kind: RequestKind.STREAM,
+        whole: false,
+        answer: 'id: 1\ndata: r2.1@v1\n\n',
+      });
+      addRequest(history, 'r3', {
+        kind: RequestKind.STREAM,
+        whole: false,
+        answer: 'id: 2\ndata: r3.2@v2\n\n',
+        resumed: {id: 'r2', eventCount: 1},
+      });
+    },
+  ],
   [
     'nothing unasked',
     ({arrivals}) => {
--- a/test/soak/find_wrong_answers.ts
+++ b/test/soak/find_wrong_answers.ts
@@ -1,5 +1,6 @@
 /** Checks of requests and answers that hold without any bound of time or number. */
 import {History, RequestKind} from './history.js';
+import {listEvents} from './stream_events.js';
 import {
   groupRunsById,
   isMarkedWhole,
@@ -47,25 +48,41 @@
 
 export function* findDisorderedEvents(history: History): Iterable<string> {
   for (const request of history.sendings) {
-    const {id, kind, status, answer} = request;
+    const {id, kind, status, answer, resumed} = request;
     if (kind !== RequestKind.STREAM || status !== OK) {
       continue;
     }
-    const events = answer.split('\n\n').filter(event => event !== '');
-    // The last event may be cut off where the connection broke.
-    const completeEvents = answer.endsWith('\n\n')
-      ? events
-      : events.slice(0, -1);
-    const wrongIndex = completeEvents.findIndex(
-      (event, index) => event !== `id: ${index + 1}\ndata: ${id}.${index + 1}`,
-    );
+    const before = resumed?.eventCount ?? 0;
+    const events = listEvents(request).map(({text}) => text);
+    const wrongIndex = events.findIndex((event, index) => {
+      const number = before + index + 1;
+      return event !== `id: ${number}\ndata: ${id}.${number}`;
+    });
     if (wrongIndex >= 0) {
-      yield `${id}: event ${wrongIndex + 1} is "${completeEvents[wrongIndex]}"`;
+      yield `${id}: event ${wrongIndex + 1} is "${events[wrongIndex]}"`;
     } else if (
       isMarkedWhole(history, request) &&
-      (completeEvents.length < EVENT_COUNT || !answer.endsWith('\n\n'))
+      (before + events.length < EVENT_COUNT || !endsBetweenEvents(answer))
     ) {
-      yield `${id}: complete answer with only ${completeEvents.length} events`;
+      yield `${id}: complete answer with only ${before + events.length} events`;
+    }
+  }
+}
+
+/** Finds streams with events of several versions, in one answer or over several requests. */
+export function* findMixedVersions(history: History): Iterable<string> {
+  const versions = new Map<string, Set<string>>();
+  for (const request of history.sendings) {
+    const id = request.resumed?.id ?? request.id;
+    const known = versions.get(id) ?? new Set<string>();
+    versions.set(id, known);
+    const isStream = request.kind === RequestKind.STREAM;
+    for (const {version} of isStream ? listEvents(request) : []) {
+      const isNew = !known.has(version);
+      known.add(version);
+      if (isNew && known.size > 1) {
+        yield `${id}: events of ${[...known].join(' and ')}, the last in ${request.id} from ${request.host}`;
+      }
     }
   }
 }
@@ -96,3 +113,8 @@
     }
   }
 }
+
+/** Returns whether an answer ends with a whole event; one that is taken up may have none left. */
+function endsBetweenEvents(answer: string): boolean {
+  return answer === '' || answer.endsWith('\n\n');
+}
--- a/test/soak/history.ts
+++ b/test/soak/history.ts
@@ -30,6 +30,16 @@
   endsWithConnection: boolean;
   signed: boolean;
   retryAfter: number | undefined;
+  /** Stream that the caller takes up; absent if the request begins one. */
+  readonly resumed?: ResumedStream;
+}
+
+/** A stream whose first events the caller has from earlier requests. */
+export interface ResumedStream {
+  /** Id of the request that brought its first event. */
+  readonly id: string;
+  /** Number of its events that the caller has. */
+  readonly eventCount: number;
 }
 
 /** One request as it reached a server. */
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -26,6 +26,7 @@
 const MAX_SEED = 0x7fffffff;
 const MS_PER_SECOND = 1000;
 const MS_PER_MINUTE = 60_000;
+const OK = 200;
 const EXIT_VIOLATIONS = 1;
 const EXIT_USAGE = 2;
 const EXIT_INTERRUPTED = 130;
@@ -138,6 +139,7 @@
           count,
         ]),
       ),
+      ...describeResumptions(report.history),
       left: report.history.leavings.length,
       ...describeLastArrivals(report.history),
       exits_before_script: report.exitsBeforeScript,
@@ -159,6 +161,15 @@
   return true;
 }
 
+/** Returns how many streams callers took up again, and how many of them went on. */
+function describeResumptions({
+  sendings,
+}: History): Readonly<Record<string, number>> {
+  const resumed = sendings.filter(request => request.resumed !== undefined);
+  const goneOn = resumed.filter(({status}) => status === OK);
+  return {taken_up: resumed.length, gone_on: goneOn.length};
+}
+
 /** Returns how many leaving servers still got requests, and the two longest delays. */
 function describeLastArrivals(
   history: History,
--- a/test/soak/soak_host.ts
+++ b/test/soak/soak_host.ts
@@ -126,7 +126,7 @@
       setTimeout(() => {
         this.restartDelayMs = RESTART_MS;
         if (!this.stopped) {
-          this.start();
+          void this.writeSettings().then(() => this.start());
         }
       }, this.restartDelayMs);
     });
@@ -240,6 +240,8 @@
 zone = "${dataCentre}"
 internal_ports = [${first}, ${last}]
 seeds = []
+bootstrap = ${this.incarnation === 0}
+contracts = ["base", "stream"]
 [listen]
 front = "127.0.0.1:${front}"
 ready = "127.0.0.1:${ready}"
--- a/test/soak/soak_server.ts
+++ b/test/soak/soak_server.ts
@@ -93,11 +93,13 @@
   /**
    * @param name - Name of the server and of its entry in the store.
    * @param startedMs - Unix time of its start in milliseconds; distinguishes its incarnations.
+   * @param version - Version of its software, which its events name.
    * @param options - Dependencies of the server.
    */
   constructor(
     readonly name: string,
     readonly startedMs: number,
+    readonly version: string,
     private readonly options: SoakServerOptions,
   ) {
     this.server = new FakeServer((socket, request) =>
@@ -284,7 +286,7 @@
         return;
       }
       if (!this.faults.unresponsive) {
-        const text = `id: ${event}\ndata: ${id}.${event}\n\n`;
+        const text = `id: ${event}\ndata: ${id}.${event}@${this.version}\n\n`;
         if (end !== undefined && event >= end.event) {
           clearInterval(timer);
           socket.write(text.slice(0, end.length), () =>
--- a/test/soak/soak_system.ts
+++ b/test/soak/soak_system.ts
@@ -27,6 +27,7 @@
 /** Time limit for all hosts to become ready, with allowance for a busy machine. */
 const READY_TIMEOUT_MS = 60_000;
 const SERVICE = 'ledger';
+const VERSION_COUNT = 2;
 /** Time from a crash until the entry expires, and until the server is back, in milliseconds. */
 const ENTRY_EXPIRY_MS = 900;
 const SERVER_RESTART_MS = 1800;
@@ -362,7 +363,9 @@
     if (this.stopped) {
       return;
     }
-    const server: SoakServer = new SoakServer(name, ++this.lastServerStartMs, {
+    const startedMs = ++this.lastServerStartMs;
+    const version = chooseVersion(name);
+    const server: SoakServer = new SoakServer(name, startedMs, version, {
       history: this.history,
       getNowMs: () => this.getNowMs(),
       isCutOff: address => this.cutOff.has(address),
@@ -383,7 +386,7 @@
   }
 
   private register(
-    {incarnation, name, startedMs}: SoakServer,
+    {incarnation, name, startedMs, version}: SoakServer,
     state: string,
     address = this.addresses.get(incarnation) ?? '',
   ): void {
@@ -392,7 +395,7 @@
       service: SERVICE,
       address,
       zone: this.getDataCentre(Number(/\d+/.exec(name)?.[0] ?? 0)),
-      version: 'v1',
+      version,
       slots: 16,
       state,
       cold_remaining_ms: 0,
@@ -507,3 +510,12 @@
     ...overrides,
   };
 }
+
+/**
+ * Returns the version of a server's software. A server that starts again has the same one; two
+ * versions serve side by side.
+ */
+function chooseVersion(name: string): string {
+  const number = Number(/^i-(\d+)/.exec(name)?.[1] ?? 0);
+  return number % VERSION_COUNT === 0 ? 'v1' : 'v2';
+}
--- /dev/null
+++ b/test/stream_versions/stream_versions_property_test.ts
@@ -0,0 +1,22 @@
+import {expect} from 'chai';
+import {StreamVersionsSimulation} from './stream_versions_simulation.js';
+
+describe('streams that callers take up while versions and hosts come and go', () => {
+  const SEED_COUNT = 60;
+  /** Share of the streams taken up in touch that must go on, as the users' page states it. */
+  const MIN_SHARE = 0.5;
+
+  // Guards against ORDER: a host that does not know a stream takes the version that it sees
+  // for the one that began it.
+  it('never hold events of two versions, and most of them go on', async () => {
+    let takenUp = 0;
+    let goneOn = 0;
+    for (let seed = 0; seed < SEED_COUNT; seed++) {
+      const outcomes = await new StreamVersionsSimulation(seed).run();
+      expect(outcomes.mixed, `seed ${seed}`).to.equal(0);
+      takenUp += outcomes.takenUp;
+      goneOn += outcomes.goneOn;
+    }
+    expect(goneOn / takenUp).to.be.at.least(MIN_SHARE);
+  }).timeout(60_000);
+});
