Log route, customer and parts of the prompt of a lost run

Without them, logs cannot tell whether the requests that servers lose when they crash have a part in common, and whether quarantined contents hold it. No decision changes.

--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -61,6 +61,8 @@
 
 /** Most servers excluded for one reason that a log line lists. */
 const MAX_LISTED_SERVERS = 3;
+/** Most parts of the prompt of a lost run that a log line lists. */
+const MAX_LISTED_PARTS = 12;
 
 /** Logs, counts and bills one request. */
 export class RelayRecord {
@@ -146,9 +148,14 @@
     this.options.metrics.increment('runs_lost', {
       ended: String(serverTerminated),
     });
+    const {id, route, account, prompt} = this.request;
+    const parts = prompt.parts.slice(0, MAX_LISTED_PARTS).map(part => part.id);
     this.options.log.warn('run_lost', {
-      request: this.request.id,
+      request: id,
+      route: route.name,
+      customer: account?.name,
       content,
+      parts: parts.join(',') || undefined,
       server,
       ran_ms: ranMs.toFixed(0),
       server_ended: serverTerminated,
