Blame the part of a prompt that crashes servers, and nothing beside it

Cause: hosts could blame one request or one sender only. What all crashes have in common was neither, so that bystanders were quarantined, each by itself, and the block of the sender stopped sound requests and let others through as probes.

The parts of a prompt but the last are suspects, too, by service. One judgement for all: a termination counts against one suspect only, the one with the most that nothing else explains; of several, a request before a part, and senders last. An answer, at whichever host, clears the parts of its prompt. Parts that were lost with exactly the same servers block only requests with all of them, until an answer tells them apart. The evidence goes between hosts and into the table as before.

--- a/src/quarantine/fingerprint_request.ts
+++ b/src/quarantine/fingerprint_request.ts
@@ -28,3 +28,12 @@
     .subarray(0, FINGERPRINT_BYTES)
     .toString('base64url');
 }
+
+/** Returns a short name for a text, the same at all hosts. */
+export function fingerprintText(text: string): string {
+  return createHash('sha256')
+    .update(text)
+    .digest()
+    .subarray(0, FINGERPRINT_BYTES)
+    .toString('base64url');
+}
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -17,6 +17,7 @@
 export {nameTermination} from './termination_name.js';
 export {SenderRuns} from './sender_runs.js';
 export type {Sender} from './sender_runs.js';
+export {WatchedParts} from './watched_parts.js';
 export {WatchedSender} from './watched_sender.js';
 export type {WatchedSenderOptions} from './watched_sender.js';
 export {WatchedContent} from './watched_content.js';
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -3,8 +3,9 @@
 import {Metrics} from '../metrics/index.js';
 import {Clock} from '../time/index.js';
 import {MAX_SUSPECTS_PER_MESSAGE, Suspect, ReportedSuspect} from './suspect.js';
-import {getTerminationAddress} from './termination_name.js';
-import {getSuspicionRule, isSender} from './suspicion_rule.js';
+import {BlamedSuspects, judgeSuspects} from './judge_suspects.js';
+import {RecentAnswers} from './recent_answers.js';
+import {getSuspicionRule, isPart, isSender} from './suspicion_rule.js';
 
 /** Dependencies of `Quarantine`. */
 export interface QuarantineOptions {
@@ -21,8 +22,8 @@
 
 /** Time after its last change at which a suspect is removed, in milliseconds. */
 const RETENTION_MS = 600_000;
-/** Factor for the required terminations if all are at one address. */
-const SINGLE_ADDRESS_FACTOR = 2;
+/** Terminations that a log line lists. */
+const MAX_LISTED_ENDS = 6;
 /** Maximum number of suspects; beyond it the oldest that is not blocked is removed. */
 const MAX_SUSPECTS = 2000;
 
@@ -42,8 +43,13 @@
   private readonly suspects = new Map<string, Suspect>();
   private readonly listeners: (() => void)[] = [];
   private version = 0;
+  /** The suspects that are to blame, as of a version. */
+  private blamed: BlamedSuspects = new Map();
+  private blamedVersion = 0;
+  private readonly recentAnswers: RecentAnswers;
 
   constructor(private readonly options: QuarantineOptions) {
+    this.recentAnswers = new RecentAnswers(options.clock);
     options.metrics.addCounter(
       'quarantined',
       'Contents that were kept away from servers',
@@ -74,7 +80,7 @@
   /** Returns the time for which a content is still blocked, in milliseconds. */
   getRemainingBlockMs(content: string): number {
     const suspect = this.suspects.get(content);
-    if (suspect === undefined || !isBlocked(suspect)) {
+    if (suspect === undefined || !this.isBlocked(content)) {
       return 0;
     }
     const leftMs = getBlockMs(suspect) - this.getAgeMs(suspect);
@@ -84,10 +90,20 @@
     return Math.max(0, leftMs);
   }
 
+  /**
+   * Returns the time for which a request with some parts is blocked for one of them, in
+   * milliseconds. One that was lost with the same servers as others counts only together with
+   * these.
+   */
+  getRemainingPartBlockMs(name: string, parts: ReadonlySet<string>): number {
+    const blockMs = this.getRemainingBlockMs(name);
+    const group = this.blamed.get(name) ?? [];
+    return group.every(member => parts.has(member)) ? blockMs : 0;
+  }
+
   /** Returns whether a suspect was blocked and no run of it was answered since. */
   needsProbe(name: string): boolean {
-    const suspect = this.suspects.get(name);
-    return suspect !== undefined && isBlocked(suspect);
+    return this.isBlocked(name);
   }
 
   /** Counts the terminations under a suspect in the last `ms` milliseconds. */
@@ -104,17 +120,34 @@
    * @param level - Level when the run began; see `getLevel`.
    */
   addTermination(content: string, server: string, level: number): void {
-    const suspect = this.getSuspect(content);
-    const wasBlocked = isBlocked(suspect);
-    const atMs = this.options.clock.monotonicMs();
-    if (!addEnd(suspect, server, {level: level + 1, atMs})) {
-      return;
+    if (this.addEnd(content, server, level)) {
+      this.notifyListeners();
     }
-    suspect.isObservedHere = true;
-    this.recordChange(content, suspect, wasBlocked);
-    for (const listener of this.listeners) {
-      listener();
+  }
+
+  /**
+   * Records that a server terminated while it ran a request with parts. Those with which servers
+   * completed answers lately are bystanders.
+   * @param parts - Level of each part when the run began, by its name; see `getLevel`.
+   * @param server - Incarnation of the server.
+   */
+  addPartTermination(parts: ReadonlyMap<string, number>, server: string): void {
+    let hasChanged = false;
+    for (const [name, level] of parts) {
+      if (!this.recentAnswers.has(name)) {
+        const isNew = this.addEnd(name, server, level);
+        hasChanged ||= isNew;
+      }
     }
+    if (hasChanged) {
+      this.notifyListeners();
+    }
+  }
+
+  /** Records that a server completed an answer to a request with a part. */
+  addPartAnswer(name: string): void {
+    this.recentAnswers.add(name);
+    this.clearAnswered(name);
   }
 
   /**
@@ -128,7 +161,7 @@
       return;
     }
     clear(suspect, level);
-    this.recordChange(content, suspect, true);
+    this.recordChange(content, suspect);
   }
 
   /** Returns the version of the last change. */
@@ -156,7 +189,7 @@
   listPersistable(isIsolated: boolean): ReportedSuspect[] {
     const persistable: ReportedSuspect[] = [];
     for (const [content, suspect] of this.suspects) {
-      if (suspect.isObservedHere && (isIsolated || isBlocked(suspect))) {
+      if (suspect.isObservedHere && (isIsolated || this.isBlocked(content))) {
         persistable.push(this.describe(content, suspect));
       }
     }
@@ -177,18 +210,88 @@
         continue;
       }
       const suspect = this.getSuspect(content);
-      const wasBlocked = isBlocked(suspect);
       let changed = clear(suspect, clearedLevel);
       for (const {server, level, ageMs} of recent) {
         const isNew = addEnd(suspect, server, {level, atMs: nowMs - ageMs});
         changed ||= isNew;
       }
       if (changed) {
-        this.recordChange(content, suspect, wasBlocked);
+        this.recordChange(content, suspect);
+      }
+      if (changed && isPart(content) && this.recentAnswers.has(content)) {
+        // Other hosts have not seen the answers that this one relayed.
+        this.clearAnswered(content);
+      }
+    }
+  }
+
+  /** Adds a termination that this host observed; returns whether it is new. */
+  private addEnd(name: string, server: string, level: number): boolean {
+    const suspect = this.getSuspect(name);
+    const atMs = this.options.clock.monotonicMs();
+    if (!addEnd(suspect, server, {level: level + 1, atMs})) {
+      return false;
+    }
+    suspect.isObservedHere = true;
+    this.recordChange(name, suspect);
+    return true;
+  }
+
+  private notifyListeners(): void {
+    for (const listener of this.listeners) {
+      listener();
+    }
+  }
+
+  /** Clears all terminations of a part, with which a server has completed an answer. */
+  private clearAnswered(name: string): void {
+    const suspect = this.suspects.get(name);
+    if (suspect !== undefined && clear(suspect, readLevel(suspect))) {
+      this.recordChange(name, suspect);
+    }
+  }
+
+  /** The same as `isBlocked`; fast for the many suspects with few terminations. */
+  private mayBeBlocked(name: string, {ends, rule}: Suspect): boolean {
+    return ends.size >= rule.ends && this.isBlocked(name);
+  }
+
+  private isBlocked(name: string): boolean {
+    this.judge();
+    return this.blamed.has(name);
+  }
+
+  /** Judges the suspects again if they have changed. */
+  private judge(): void {
+    if (this.blamedVersion === this.version) {
+      return;
+    }
+    const before = this.blamed;
+    this.blamed = judgeSuspects(this.suspects);
+    this.blamedVersion = this.version;
+    for (const content of this.blamed.keys()) {
+      if (!before.has(content)) {
+        this.logBlocked(content);
+      }
+    }
+    for (const content of before.keys()) {
+      if (!this.blamed.has(content)) {
+        this.options.log.info('quarantine_ended', {content});
       }
     }
   }
 
+  private logBlocked(content: string): void {
+    const suspect = this.getSuspect(content);
+    this.options.metrics.increment('quarantined');
+    this.options.log.warn('quarantined', {
+      content,
+      servers: [...suspect.ends.keys()].slice(0, MAX_LISTED_ENDS).join(','),
+      ends: suspect.ends.size,
+      level: readLevel(suspect),
+    });
+  }
+
   private describe(content: string, suspect: Suspect): ReportedSuspect {
     const nowMs = this.options.clock.monotonicMs();
     const ends = [...suspect.ends].map(([server, {level, atMs}]) => ({
@@ -212,22 +315,12 @@
     );
   }
 
-  private recordChange(
-    content: string,
-    suspect: Suspect,
-    wasBlocked: boolean,
-  ): void {
+  private recordChange(content: string, suspect: Suspect): void {
     suspect.version = ++this.version;
     suspect.changedMs = this.options.clock.monotonicMs();
     this.suspects.delete(content);
     this.suspects.set(content, suspect);
     this.trim();
-    if (!wasBlocked && isBlocked(suspect)) {
-      const servers = [...suspect.ends.keys()].join(',');
-      const level = readLevel(suspect);
-      this.options.metrics.increment('quarantined');
-      this.options.log.warn('quarantined', {content, servers, level});
-    }
   }
 
   /** Removes suspects that are too old, and the oldest if there are too many. */
@@ -238,7 +331,7 @@
       if (!isExpired && this.suspects.size <= MAX_SUSPECTS) {
         return;
       }
-      if (isExpired || !isBlocked(suspect)) {
+      if (isExpired || !this.mayBeBlocked(content, suspect)) {
         this.suspects.delete(content);
       }
     }
@@ -259,15 +352,6 @@
   return level;
 }
 
-function isBlocked(suspect: Suspect): boolean {
-  const {rule, ends} = suspect;
-  const addresses = new Set([...ends.keys()].map(getTerminationAddress));
-  // One server that terminates repeatedly proves less than several that terminate.
-  const minTerminations =
-    addresses.size > 1 ? rule.ends : rule.ends * SINGLE_ADDRESS_FACTOR;
-  return ends.size >= minTerminations && countSteps(suspect) >= rule.levels;
-}
-
 function getBlockMs(suspect: Suspect): number {
   const {levels, holdMs, maxHoldMs} = suspect.rule;
   return Math.min(maxHoldMs, holdMs * 2 ** (countSteps(suspect) - levels));
--- a/src/quarantine/suspicion_rule.ts
+++ b/src/quarantine/suspicion_rule.ts
@@ -1,3 +1,5 @@
+import {fingerprintText} from './fingerprint_request.js';
+
 /** When a suspect is blocked, and for how long. */
 export interface SuspicionRule {
   /** Minimum number of terminated servers (for a sender: of contents that terminated one). */
@@ -43,6 +45,34 @@
   maxHoldMs: TEN_MINUTES_MS,
 };
 
+/** Prefix of the names of suspects that are parts of prompts. */
+const PART_PREFIX = 'part:';
+/** Longest name of a part that is not shortened; it is a part of the key of a row. */
+const MAX_PART_LENGTH = 80;
+
+/**
+ * Rule for all requests whose prompt has a part. It is not probed: each probe would terminate a
+ * server.
+ */
+const PART_RULE: SuspicionRule = CONTENT_RULE;
+
+/**
+ * Returns the name of a part of a prompt as a suspect.
+ * @param service - Service that reads it.
+ * @param id - Id of the part, the same at all customers.
+ */
+export function namePart(service: string, id: string): string {
+  const name = `${service}:${id}`;
+  return (
+    PART_PREFIX + (name.length > MAX_PART_LENGTH ? fingerprintText(name) : name)
+  );
+}
+
+/** Returns whether a suspect is a part of a prompt. */
+export function isPart(suspect: string): boolean {
+  return suspect.startsWith(PART_PREFIX);
+}
+
 /** Returns the name of a sender as a suspect. */
 export function nameSender(fingerprint: string): string {
   return SENDER_PREFIX + fingerprint;
@@ -55,5 +85,8 @@
 
 /** Returns the rule by which a suspect is judged. */
 export function getSuspicionRule(suspect: string): SuspicionRule {
-  return isSender(suspect) ? SENDER_RULE : CONTENT_RULE;
+  if (isSender(suspect)) {
+    return SENDER_RULE;
+  }
+  return isPart(suspect) ? PART_RULE : CONTENT_RULE;
 }
--- a/src/quarantine/watched_content.ts
+++ b/src/quarantine/watched_content.ts
@@ -5,6 +5,7 @@
 import {fingerprintRequest, RequestContent} from './fingerprint_request.js';
 import {Quarantine} from './quarantine.js';
 import {nameTermination} from './termination_name.js';
+import {WatchedParts} from './watched_parts.js';
 import {WatchedSender} from './watched_sender.js';
 
 /** Dependencies of `WatchedContent`. */
@@ -37,11 +38,13 @@
    * @param options - The quarantine, and the detection of terminated servers.
    * @param getContent - Returns the content; called only when it is needed.
    * @param sender - Its sender; absent if senders are not watched.
+   * @param parts - The parts of its prompt; absent if parts are not watched.
    */
   constructor(
     private readonly options: WatchOptions,
     private readonly getContent: () => RequestContent,
     private readonly sender?: WatchedSender,
+    private readonly parts?: WatchedParts,
   ) {}
 
   /** Returns the fingerprint of the content, the same at all hosts. */
@@ -50,13 +53,22 @@
     return this.name;
   }
 
-  /** Returns the time for which the request is still blocked, in milliseconds. */
+  /**
+   * Returns the time for which the request is still blocked, itself or for a part of its prompt,
+   * in milliseconds.
+   */
   getRemainingBlockMs(): number {
-    return this.options.quarantine.hasSuspects()
-      ? this.options.quarantine.getRemainingBlockMs(this.getName())
+    const {quarantine} = this.options;
+    return quarantine.hasSuspects()
+      ? quarantine.getRemainingBlockMs(this.findBlocked())
       : 0;
   }
 
+  /** Returns the name of what blocks the request: a part of its prompt, or its own. */
+  findBlocked(): string {
+    return this.parts?.findBlocked() ?? this.getName();
+  }
+
   /** Returns the time for which its sender is still blocked, in milliseconds. */
   getSenderRemainingBlockMs(): number {
     return this.sender?.getRemainingBlockMs() ?? 0;
@@ -65,6 +77,7 @@
   /** Records that a run begins; call `endRun` when it is over. */
   beginRun(): void {
     this.sender?.beginRun();
+    this.parts?.beginRun();
     this.level = this.options.quarantine.hasSuspects()
       ? this.options.quarantine.getLevel(this.getName())
       : 0;
@@ -110,7 +123,8 @@
     if (!terminatedServers.hasAnotherCause(own)) {
       quarantine.addTermination(content, end, this.level);
     }
-    this.sender?.addTermination(content);
+    this.parts?.addTermination(end);
+    this.sender?.addTermination({content, termination: end});
   }
 
   /** Records that the server answered the run, even with a failure. */
@@ -118,6 +132,7 @@
     if (this.level > 0) {
       this.options.quarantine.addSuccess(this.getName(), this.level);
     }
+    this.parts?.addAnswer();
     this.sender?.addAnswer();
   }
 }
--- a/src/quarantine/watched_sender.ts
+++ b/src/quarantine/watched_sender.ts
@@ -5,6 +5,10 @@
 import {fingerprintRequest} from './fingerprint_request.js';
 import {Quarantine} from './quarantine.js';
 import {Sender, SenderRuns} from './sender_runs.js';
+import {
+  nameSenderTermination,
+  SenderTermination,
+} from './sender_termination.js';
 import {nameSender} from './suspicion_rule.js';
 
 /** Dependencies of `WatchedSender`. */
@@ -67,11 +71,10 @@
 
   /**
    * Records that a server has terminated during the run.
-   * @param content - Name of the content that it ran. Each content counts once, since one
-   *   that terminates many servers is blocked by itself, and says little about the other
-   *   requests of its sender.
+   * @param ended - The termination. Each content counts once, since one that terminates many
+   *   servers is blocked by itself, and says little about the other requests of its sender.
    */
-  addTermination(content: string): void {
+  addTermination(ended: SenderTermination): void {
     const {quarantine, terminatedServers, senderRuns} = this.options;
     senderRuns.addLoss(this.sender);
     const own =
@@ -81,7 +84,8 @@
       ) + 1;
     const isCause = !terminatedServers.hasAnotherCause(own);
     if (isCause && senderRuns.hasExcessLosses(this.sender)) {
-      quarantine.addTermination(this.getName(), content, this.level);
+      const end = nameSenderTermination(ended);
+      quarantine.addTermination(this.getName(), end, this.level);
     }
   }
 
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -1,7 +1,11 @@
 import {Route} from '../catalog/index.js';
 import {Problem, problems, ExecutionStatus} from '../errors/index.js';
 import {FleetServer, FleetState} from '../fleet/index.js';
-import {WatchedContent, WatchedSender} from '../quarantine/index.js';
+import {
+  WatchedContent,
+  WatchedParts,
+  WatchedSender,
+} from '../quarantine/index.js';
 import {FoundOrigin, OriginSource} from '../stream_versions/index.js';
 import {AnswerSink} from './answer_sink.js';
 import {nameStream} from './name_stream.js';
@@ -70,8 +74,8 @@
     sink: AnswerSink,
     disconnected: AbortSignal,
   ): Promise<void> {
-    const content = this.createContent(request);
     const drawn = this.chooseService(request.route);
+    const content = this.createContent(request, drawn);
     let refusal = refuseQuarantined(content);
     let origin: FoundOrigin | undefined;
     if (refusal === undefined && isContinuation(request)) {
@@ -88,8 +92,15 @@
       return;
     }
     const service = origin?.origin?.service ?? drawn;
-    const params = {request, content, service, sink, disconnected};
-    await this.execute(origin === undefined ? params : {...params, origin});
+    await this.execute({
+      request,
+      content:
+        service === drawn ? content : this.createContent(request, service),
+      service,
+      sink,
+      disconnected,
+      ...(origin === undefined ? {} : {origin}),
+    });
   }
 
   /**
@@ -108,7 +119,7 @@
     disconnected: AbortSignal,
     attempts: ForwardedAttempts,
   ): Promise<void> {
-    const content = this.createContent(request);
+    const content = this.createContent(request, service);
     const params = {request, content, service, sink, disconnected};
     const version = attempts.boundVersion;
     await this.execute({
@@ -130,12 +141,17 @@
     }
   }
 
-  private createContent(request: RelayRequest): WatchedContent {
+  private createContent(
+    request: RelayRequest,
+    service: string,
+  ): WatchedContent {
     const caller = request.account?.name ?? '';
+    const ids = request.prompt.parts.map(({id}) => id);
     return new WatchedContent(
       this.options,
       () => ({...request, caller}),
       new WatchedSender(this.options, {caller, route: request.route.name}),
+      new WatchedParts(this.options.quarantine, service, ids),
     );
   }
 
@@ -286,7 +302,8 @@
 function refuseQuarantined(content: WatchedContent): Problem | undefined {
   const blockedMs = content.getRemainingBlockMs();
   if (blockedMs > 0) {
-    return problems.quarantined(content.getName(), blockedMs / MS_PER_SECOND);
+    const seconds = blockedMs / MS_PER_SECOND;
+    return problems.quarantined(content.findBlocked(), seconds);
   }
   const senderBlockedMs = content.getSenderRemainingBlockMs();
   return senderBlockedMs > 0
