Close connections unread at a host that gets far more than the others

Refusals by load, which would be read requests that are not served, are off unless an operator asks for them.

One that is overloaded, expects a request to wait for 50 ms or more, and has over three times as many requests as the others have on average closes new connections unread: callers may send these requests elsewhere, also those that may run only once.

No connection is closed where the others have as much to do.

--- a/src/host_load/host_load.ts
+++ b/src/host_load/host_load.ts
@@ -36,6 +36,13 @@
   readonly readUsedMs: () => number;
   /** Returns the capacity of this host, in cores. */
   readonly getCores: () => number;
+  /** Returns the number of this host's requests in flight at servers. */
+  readonly countInFlight: () => number;
+  /**
+   * Returns the mean number of requests in flight of the other hosts that report; absent if
+   * none does.
+   */
+  readonly getMeanPeerLoad: () => number | undefined;
 }
 
 /** A request whose head has arrived. */
@@ -77,6 +84,17 @@
 const MS_PER_SECOND = 1000;
 const SHARE_DIGITS = 2;
 
+/**
+ * Expected own delay from which connections are closed unread at a host that has far more to do
+ * than the others, in milliseconds. A caller is at another host sooner than it would be served
+ * here, and what waits longer is read after its caller has left.
+ */
+const SHED_DELAY_MS = 50;
+/** Load of a crowded host, as a multiple of the mean of the others. */
+const CROWD_FACTOR = 3;
+/** Requests beyond that: a few more than the others have are no crowd. */
+const MIN_CROWD = 10;
+
 /** Measures the load of this host, and refuses requests while it is overloaded. */
 export class HostLoad {
   private readonly meter: LoopDelayMeter;
@@ -88,6 +106,8 @@
   private wasOverloaded = false;
   /** Requests refused since the start of the overload. */
   private refused = 0;
+  /** Connections closed unread since the start of the overload. */
+  private shed = 0;
 
   constructor(private readonly options: HostLoadOptions) {
     const {clock} = options;
@@ -149,6 +169,20 @@
     return this.connections.accept();
   }
 
+  /**
+   * Returns whether a new connection is to be closed unread: this host does not keep up with the
+   * connections that the load balancer gives it, and others have far less to do.
+   */
+  shedsConnection(): boolean {
+    const isShed =
+      this.state.getOwnDelayMs() >= SHED_DELAY_MS && this.isCrowded();
+    if (isShed) {
+      this.shed++;
+      this.options.metrics.increment('connections_shed');
+    }
+    return isShed;
+  }
+
   /** Tracks an accepted request until it is sent to a server. */
   track(arrivedMs: number): TrackedArrival {
     const {clock} = this.options;
@@ -238,15 +272,29 @@
       processor_share: this.processor.getShare()?.toFixed(SHARE_DIGITS),
       ...(isOverloaded
         ? {}
-        : {duration_ms: durationMs.toFixed(0), refused: this.refused}),
+        : {
+            duration_ms: durationMs.toFixed(0),
+            refused: this.refused,
+            shed: this.shed,
+          }),
     });
     this.refused = 0;
+    this.shed = 0;
   }
 
   private getOldestUnsentMs(): number {
     return this.unsent.getOldestMs(this.options.clock.monotonicMs());
   }
 
+  private isCrowded(): boolean {
+    const {countInFlight, getMeanPeerLoad} = this.options;
+    const peerLoad = getMeanPeerLoad();
+    const ownLoad = countInFlight() + this.unsent.count();
+    return (
+      peerLoad !== undefined && ownLoad >= CROWD_FACTOR * peerLoad + MIN_CROWD
+    );
+  }
+
   private getRetryS(rank: number): number {
     const minS = RETRY_S[Math.min(rank, RETRY_S.length - 1)] ?? 0;
     return minS * (1 + RETRY_SPREAD * this.options.random.next());
@@ -255,6 +303,10 @@
   private addMetrics(): void {
     const {metrics} = this.options;
     metrics.addCounter('host_refused', 'Requests refused by host load');
+    metrics.addCounter(
+      'connections_shed',
+      'Connections closed unread as this host got far more than others',
+    );
     metrics.addGauge('host_overloaded', 'Whether this host is overloaded', () =>
       Number(this.state.isOverloaded()),
     );
--- a/test/host_load/virtual_host.ts
+++ b/test/host_load/virtual_host.ts
@@ -5,11 +5,13 @@
 import {VirtualEventLoop} from './virtual_event_loop.js';
 
 /** Processor time to read and decide on a head, and to serve an accepted request. */
-const HEAD_MS = 1;
+const HEAD_MS = 0.9;
 const BODY_MS = 4;
 const SEND_MS = 5;
+/** Processor time to accept a connection, one a request. */
+const ACCEPT_MS = 0.1;
 /** Requests per second that a host can do. */
-export const HOST_RATE = 1000 / (HEAD_MS + BODY_MS + SEND_MS);
+export const HOST_RATE = 1000 / (ACCEPT_MS + HEAD_MS + BODY_MS + SEND_MS);
 
 /** A request and what became of it; times in monotonic milliseconds. */
 export interface VirtualRequest {
@@ -22,6 +24,8 @@
   retryS?: number;
   cause?: string;
   sentMs?: number;
+  /** When its connection was closed unread. */
+  shedMs?: number;
 }
 
 /** A host in which each request costs processor time, on a virtual event loop. */
@@ -32,6 +36,11 @@
   readonly load: HostLoad;
   private readonly controller = new AbortController();
 
+  /** Requests in flight of the other hosts, on average; absent if they do not report. */
+  peerLoad: number | undefined;
+  /** Whether requests are refused because of the host's load. */
+  refusesByLoad = true;
+
   constructor(isEnabled = true) {
     const log: Log = {
       info: () => undefined,
@@ -45,10 +54,13 @@
       metrics: new Metrics(),
       random: new SeededRandom(1),
       isEnabled: () => isEnabled,
+      refusesByLoad: () => this.refusesByLoad,
       afterPoll: loop.afterPoll,
       readIdleMs: () => loop.idleMs,
       readUsedMs: () => loop.usedMs,
       getCores: () => 1,
+      countInFlight: () => 0,
+      getMeanPeerLoad: () => this.peerLoad,
     });
     void this.load.run(this.controller.signal);
   }
@@ -73,6 +85,11 @@
 
   private read(result: VirtualRequest): void {
     const {loop, load} = this;
+    loop.work(ACCEPT_MS);
+    if (load.shedsConnection()) {
+      result.shedMs = loop.monotonicMs();
+      return;
+    }
     const arrivedMs = load.estimateArrivalMs();
     loop.work(HEAD_MS);
     const {rank, targetMs, startMs, deadlineMs, customer} = result;
--- a/test/platform/overloaded_host_test.ts
+++ b/test/platform/overloaded_host_test.ts
@@ -21,6 +21,7 @@
   let received: string;
   let served: RelayRequest[];
   let isRefusing: boolean;
+  let isShedding: boolean;
   let isLate: boolean;
   let unsent: number;
 
@@ -28,6 +29,7 @@
     served = [];
     received = '';
     isRefusing = false;
+    isShedding = false;
     isLate = false;
     unsent = 0;
     const catalog = new CatalogStore(new SilentLog());
@@ -51,6 +53,7 @@
         handlePendingEvents: () =>
           isLate ? new Promise(resolve => afterPoll(resolve)) : undefined,
         addConnection: () => undefined,
+        shedsConnection: () => isShedding,
         acceptConnections: () => undefined,
         refuse: () =>
           isRefusing
@@ -106,6 +109,17 @@
     expect(served).to.deep.equal([]);
   });
 
+  // Guards against a request that a host reads and does not serve.
+  it('closes a connection unread that it sheds, so that its caller can go elsewhere', async () => {
+    isShedding = true;
+    const shed = connect(frontend.getPort(), '127.0.0.1');
+    shed.on('error', () => undefined);
+    shed.write(`${HEAD}Content-Length: 0\r\n\r\n`);
+    await once(shed, 'close');
+    expect(shed.bytesRead).to.equal(0);
+    expect(served).to.deep.equal([]);
+  });
+
   it('closes the connection in the end if the body never arrives', async () => {
     isRefusing = true;
     socket.write(`${HEAD}Content-Length: 5\r\n\r\n`);
