--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -3,6 +3,7 @@
 import {Random} from '../../src/random/index.js';
 import {History, RequestKind, ResumedStream, SentRequest} from './history.js';
 import {listEvents} from './stream_events.js';
+import {CRASHING_PART} from './soak_server.js';
 import {SoakHost} from './soak_host.js';
 import {
   CUSTOMER,
@@ -22,6 +23,8 @@
   abandonRequests: boolean;
   /** Whether one caller sends the request that crashes servers. */
   crashServers: boolean;
+  /** Whether one caller sends requests with the part of a prompt that crashes servers. */
+  crashByPart: boolean;
 }
 
 const OK = 200;
@@ -31,6 +34,8 @@
 const CRASHING_PAUSE_MS = 150;
 const ABANDON_AFTER_MS = 25;
 const ABANDON_SHARE = 0.3;
+/** Parts of prompts that sound requests have, and the crashing ones but for one. */
+const SHARED_PARTS = ['c1', 'c2', 'c3'];
 /** Times that a caller takes up a stream that was broken off. */
 const MAX_RESUMPTIONS = 3;
 const MS_PER_SECOND = 1000;
@@ -52,6 +57,8 @@
   readonly abandonAfterMs: number | undefined;
   readonly version: HttpVersion;
   readonly resumed?: ResumedStream;
+  /** Shared parts of its prompt. */
+  readonly parts?: readonly string[];
 }
 
 /** Dependencies of a caller. */
@@ -194,13 +201,20 @@
 
 /** Creates the headers of a request. */
 function createHeaders(
-  {key, body, resumed}: OutgoingRequest,
+  {key, body, resumed, parts}: OutgoingRequest,
   id: string,
 ): Readonly<Record<string, string>> {
   return {
     ...(resumed === undefined
       ? {}
       : {Resumes: resumed.id, 'Last-Event-Id': String(resumed.eventCount)}),
+    ...(parts === undefined
+      ? {}
+      : {
+          Model: 'm',
+          'Token-Count': '10,1',
+          'Prompt-Prefix': [...parts, id].map(part => `${part}:5`).join(','),
+        }),
     Host: HOST_NAME,
     'Request-Id': id,
     Credential: key,
@@ -215,6 +229,7 @@
     exceedRate: false,
     abandonRequests: false,
     crashServers: false,
+    crashByPart: false,
   };
   private stopped = false;
   private sent = 0;
@@ -247,6 +262,11 @@
           this.faults.crashServers ? this.createCrashingRequest() : undefined,
         CRASHING_PAUSE_MS,
       ),
+      this.sendRepeatedly(
+        () =>
+          this.faults.crashByPart ? this.createCrashingPrompt() : undefined,
+        CRASHING_PAUSE_MS,
+      ),
     );
   }
 
@@ -333,7 +353,10 @@
       return this.createRequest(RequestKind.ONCE, '/o/x');
     }
     return sample < 0.75
-      ? this.createRequest(RequestKind.REPEATABLE, '/i/x')
+      ? {
+          ...this.createRequest(RequestKind.REPEATABLE, '/i/x'),
+          parts: SHARED_PARTS,
+        }
       : this.createStreamRequest();
   }
 
@@ -370,6 +393,17 @@
     };
   }
 
+  /** Creates a request with the part of a prompt that crashes servers; no two are alike. */
+  private createCrashingPrompt(): OutgoingRequest {
+    const parts = [...SHARED_PARTS];
+    parts.splice(this.sent % parts.length, 1, CRASHING_PART);
+    return {
+      ...this.createRequest(RequestKind.REPEATABLE, '/i/x'),
+      parts,
+      abandonAfterMs: undefined,
+    };
+  }
+
   private createCrashingRequest(): OutgoingRequest {
     return {
       ...this.createRequest(RequestKind.REPEATABLE, '/i/end'),
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -7,6 +7,7 @@
   findLowerFences,
 } from './find_excess.js';
 import {
+  findRepeatedCrashingParts,
   findRepeatedCrashingRequests,
   findLateChanges,
   findRequestsCutByStops,
@@ -99,6 +100,11 @@
     hasTimeBound: true,
     find: findRepeatedCrashingRequests,
   },
+  {
+    name: 'parts that crash servers',
+    hasTimeBound: true,
+    find: findRepeatedCrashingParts,
+  },
   {
     name: 'servers that state that they leave get nothing',
     hasTimeBound: true,
--- a/test/soak/checks_test.ts
+++ b/test/soak/checks_test.ts
@@ -64,6 +64,7 @@
     body: 'body',
     customer: 'guild',
     leaked: [],
+    hasCrashingPart: false,
     after: 0,
     ran: true,
     answer: `${id} by ${SERVER}`,
@@ -281,6 +282,16 @@
       }
     },
   ],
+  [
+    'parts that crash servers',
+    history => {
+      history.partCrashesMs.push(1000, 2000, 3000, 4000, 5000);
+      for (const id of ['r2', 'r3', 'r4', 'r5']) {
+        addRequest(history, id, {kind: RequestKind.REPEATABLE});
+        history.arrivals.push(createArrival({id, hasCrashingPart: true}));
+      }
+    },
+  ],
   [
     'limits of servers',
     history => {
--- a/test/soak/fault_injector.ts
+++ b/test/soak/fault_injector.ts
@@ -127,6 +127,9 @@
         // The flag stays set until the end of the run: the caller does not stop retrying.
         this.callers.faults.crashServers = true;
         return this.recordDuring(fault, 'servers', () => wait(fault.forMs));
+      case FaultKind.CRASHING_PART:
+        this.callers.faults.crashByPart = true;
+        return this.recordDuring(fault, 'servers', () => wait(fault.forMs));
       default:
         return server === undefined
           ? undefined
--- a/test/soak/find_late.ts
+++ b/test/soak/find_late.ts
@@ -6,6 +6,8 @@
 const OK = 200;
 /** Share of requests that must be served after all faults have ended. */
 const RECOVERED_SHARE = 0.9;
+/** Crashes after which a part of prompts must be known as their cause. */
+const PART_CRASHES_UNTIL_KNOWN = 5;
 /** Times that a crashing request may reach servers after it is known to crash them. */
 const MAX_LATER_ARRIVALS = 3;
 /** Servers that a request crashes before it is known as the cause. */
@@ -113,6 +115,26 @@
   }
 }
 
+export function* findRepeatedCrashingParts(history: History): Iterable<string> {
+  const {partCrashesMs, bounds} = history;
+  const knownMs = partCrashesMs[PART_CRASHES_UNTIL_KNOWN - 1];
+  if (knownMs === undefined) {
+    return;
+  }
+  const requestsById = new Map(
+    history.sendings.map(request => [request.id, request]),
+  );
+  const laterArrivals = history.arrivals.filter(
+    ({id, hasCrashingPart, atMs}) =>
+      hasCrashingPart &&
+      atMs > knownMs + bounds.contactMs &&
+      !hadRecentFault(history, requestsById.get(id)?.host ?? '', atMs),
+  );
+  if (laterArrivals.length > MAX_LATER_ARRIVALS) {
+    yield `requests with the crashing part reached servers ${laterArrivals.length} more times after it was known`;
+  }
+}
+
 export function* findIncompleteRecovery({recovery}: History): Iterable<string> {
   const {asked, served} = recovery;
   if (served < asked * RECOVERED_SHARE) {
--- a/test/soak/history.ts
+++ b/test/soak/history.ts
@@ -54,6 +54,8 @@
   readonly customer: string;
   /** Headers that arrived although no server may see them. */
   readonly leaked: readonly string[];
+  /** Whether its prompt has the part that crashes servers. */
+  readonly hasCrashingPart: boolean;
   /** Event after which a stream was to be resumed; 0 for its beginning. */
   readonly after: number;
   /** Whether the server started to process it. */
@@ -165,6 +167,8 @@
   readonly endingBody: string;
   /** Times at which a server crashed because of that request. */
   readonly endsMs: number[];
+  /** Times at which a server crashed because of the part of a prompt that crashes servers. */
+  readonly partCrashesMs: number[];
   /** Ids of the requests whose outcome was logged, by host. */
   readonly logged: Map<string, Set<string>>;
   /** Exits of host processes that were not requested. */
@@ -189,6 +193,7 @@
     faults: [],
     endingBody,
     endsMs: [],
+    partCrashesMs: [],
     logged: new Map(),
     ownExits: [],
     recovery: {asked: 0, served: 0},
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -38,6 +38,7 @@
   HOST_PARTITIONED: 'host-partitioned',
   SERVERS_BRITTLE: 'servers-brittle',
   SERVER_UNFRAMED: 'server-unframed',
+  CRASHING_PART: 'crashing-part',
 } as const;
 export type FaultKind = (typeof FaultKind)[keyof typeof FaultKind];
 
@@ -51,6 +52,7 @@
   FaultKind.HOST_PARTITIONED,
   FaultKind.SERVERS_BRITTLE,
   FaultKind.SERVER_UNFRAMED,
+  FaultKind.CRASHING_PART,
 ];
 /** Seed offset for server limits, so that other draws stay the same. */
 const LIMITS_SEED_OFFSET = 0x5eed;
@@ -63,6 +65,8 @@
 const PARTITIONS_SEED_OFFSET = 0xca57;
 /** Seed offset for answers without a marked end, so that other draws stay the same. */
 const UNFRAMED_SEED_OFFSET = 0xf4a3;
+/** Seed offset for parts that crash servers, so that other draws stay the same. */
+const PARTS_SEED_OFFSET = 0x9a27;
 
 /** A fault in a schedule. */
 export interface Fault {
@@ -110,6 +114,9 @@
 /** Duration of these, in milliseconds: they count from 3 s after their start. */
 const MIN_PARTITION_MS = 4500;
 const MAX_PARTITION_MS = 7000;
+/** Share of schedules in which a part of prompts crashes servers, and for how long. */
+const CRASHING_PART_SHARE = 0.5;
+const CRASHING_PART_MS = 9000;
 /** Share of schedules in which servers send answers without a marked end, and how many do. */
 const UNFRAMED_SHARE = 0.6;
 const MIN_UNFRAMED_SERVERS = 2;
@@ -185,6 +192,7 @@
   );
   faults.push(
     ...drawUnframed(new SeededRandom(seed + UNFRAMED_SEED_OFFSET), lengthMs),
+    ...drawCrashingPart(new SeededRandom(seed + PARTS_SEED_OFFSET), lengthMs),
   );
   faults.sort((a, b) => a.atMs - b.atMs);
   return {seed, hosts, servers: 2 * hosts, lengthMs, faults};
@@ -270,6 +278,17 @@
 }
 
 /** Draws servers that send answers with neither length nor chunks and break some off. */
+function drawCrashingPart(random: Random, lengthMs: number): Fault[] {
+  if (random.next() >= CRASHING_PART_SHARE) {
+    return [];
+  }
+  const spanMs = Math.max(0, lengthMs - 2 * MARGIN_MS - CRASHING_PART_MS);
+  const atMs = Math.round(MARGIN_MS + spanMs * random.next());
+  return [
+    {kind: FaultKind.CRASHING_PART, atMs, forMs: CRASHING_PART_MS, target: 0},
+  ];
+}
+
 function drawUnframed(random: Random, lengthMs: number): Fault[] {
   if (random.next() >= UNFRAMED_SHARE) {
     return [];
--- a/test/soak/soak_server.ts
+++ b/test/soak/soak_server.ts
@@ -40,6 +40,8 @@
   readonly isCutOff: (sourceAddress: string) => boolean;
   /** Called when the server crashes because of the request that crashes servers. */
   readonly onCrash: (server: SoakServer) => void;
+  /** Called when it crashes because of the part of a prompt that crashes servers. */
+  readonly onPartCrash: (server: SoakServer) => void;
 }
 
 /** Limit that a server announces, in requests per second. */
@@ -52,6 +54,8 @@
 /** Headers that callers send or hosts set, and that no server may see as they were sent. */
 const SECRET_HEADERS = ['credential', 'hold', 'kv-backup'];
 const STREAM_PREFIX = '/s/';
+/** Id of the part of a prompt that crashes servers. */
+export const CRASHING_PART = 'bad0';
 
 /** Where a stream without a marked end is broken off. */
 interface StreamEnd {
@@ -145,6 +149,7 @@
       body,
       customer: headers.get('tenant') ?? '',
       leaked: SECRET_HEADERS.filter(name => headers.has(name)),
+      hasCrashingPart: hasCrashingPart(headers),
       after: Number(headers.get('last-event-id') ?? 0),
       ran: false,
       answer: undefined as string | undefined,
@@ -166,6 +171,10 @@
       return;
     }
     arrival.ran = true;
+    if (arrival.hasCrashingPart) {
+      setTimeout(() => this.options.onPartCrash(this), WORK_MS);
+      return;
+    }
     if (body === this.options.history.endingBody) {
       setTimeout(() => this.options.onCrash(this), WORK_MS);
       return;
@@ -306,3 +315,8 @@
 function drawStreamEnd(served: number): StreamEnd | undefined {
   return STREAM_ENDS[served % STREAM_ENDS.length];
 }
+
+function hasCrashingPart(headers: ReadonlyMap<string, string>): boolean {
+  const parts = headers.get('prompt-prefix') ?? '';
+  return parts.split(',').some(part => part.startsWith(`${CRASHING_PART}:`));
+}
--- a/test/soak/soak_system.ts
+++ b/test/soak/soak_system.ts
@@ -373,6 +373,10 @@
         this.history.endsMs.push(this.getNowMs());
         void this.crashServer(crashed);
       },
+      onPartCrash: crashed => {
+        this.history.partCrashesMs.push(this.getNowMs());
+        void this.crashServer(crashed);
+      },
     });
     server.faults.isBrittle = this.isBrittle;
     this.allServers.add(server);
