Keep a bounded number of terminations of a suspect

A sender that loses many requests with servers that others terminate could collect more terminations than a message may carry (1,000), so that peers refused the whole report. The new case of quarantine_test failed before: the report of 2,000 terminations was not accepted.

--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -22,6 +22,11 @@
 
 /** Time after its last change at which a suspect is removed, in milliseconds. */
 const RETENTION_MS = 600_000;
+/**
+ * Terminations that are kept of one suspect, less than hosts accept in a message. A sender may
+ * lose many requests with servers that others terminate.
+ */
+const MAX_ENDS = 400;
 /** Terminations that a log line lists. */
 const MAX_LISTED_ENDS = 6;
 /** Maximum number of suspects; beyond it the oldest that is not blocked is removed. */
@@ -368,12 +373,20 @@
   server: string,
   end: {readonly level: number; readonly atMs: number},
 ): boolean {
-  const known = suspect.ends.get(server);
+  const {ends, clearedLevel} = suspect;
+  const known = ends.get(server);
   const isNew = known === undefined || known.level < end.level;
-  if (end.level <= suspect.clearedLevel || !isNew) {
+  if (end.level <= clearedLevel || !isNew) {
     return false;
   }
-  suspect.ends.set(server, end);
+  if (known === undefined && ends.size >= MAX_ENDS) {
+    const replaced = [...ends].find(([, {level}]) => level < end.level);
+    if (replaced === undefined) {
+      return false;
+    }
+    ends.delete(replaced[0]);
+  }
+  ends.set(server, end);
   return true;
 }
 
--- a/test/quarantine/quarantine_test.ts
+++ b/test/quarantine/quarantine_test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {SilentLog} from '../../src/log/index.js';
 import {Metrics} from '../../src/metrics/index.js';
-import {Quarantine} from '../../src/quarantine/index.js';
+import {Quarantine, suspectUpdatesSchema} from '../../src/quarantine/index.js';
 import {VirtualClock} from '../../src/time/index.js';
 
 const CONTENT = 'c1';
@@ -173,6 +173,20 @@
     });
   });
 
+  // Guards against reports that no host accepts: a suspect collected terminations without end.
+  describe('a suspect under which very many servers terminate', () => {
+    it('is reported in a form that other hosts accept', () => {
+      for (let index = 0; index < 2000; index++) {
+        quarantine.addTermination(CONTENT, `10.0.0.1:1#i-${index}`, 0);
+      }
+      const page = {...quarantine.listSince(0), heard: 0};
+      expect(suspectUpdatesSchema.safeParse(page).success).to.equal(true);
+      expect(isBlocked()).to.equal(false);
+      terminateInTurn('s1');
+      expect(isBlocked()).to.equal(true);
+    });
+  });
+
   describe('many suspects', () => {
     it('evict the oldest, but none that is blocked', () => {
       terminateInTurn('s1', 's2', 's3');
