Take a version for the only one only if the servers were read at the first start

A host that was cut off from the table at the first start of the system, and read the servers only after another version had replaced the first, took that one for the only one that ever served. The first start now counts only for a host that reads the servers within 2.5 s of it.

--- a/src/stream_versions/version_history.ts
+++ b/src/stream_versions/version_history.ts
@@ -10,7 +10,7 @@
   readonly getTableAgeMs: () => number;
   /** Returns the time for which a stream can be taken up, in milliseconds. */
   readonly getLifeMs: () => number;
-  /** Whether no stream can have begun before this host started. */
+  /** Whether the whole system starts for the first time, so that no stream began before. */
   readonly isFirstStart: boolean;
   /** Called when a service turns out to have servers of several versions. */
   readonly onSeveralVersions: (service: string) => void;
@@ -32,6 +32,11 @@
 const MAX_TABLE_AGE_MS = 2500;
 /** Time in which the first reading of the servers arrives, in milliseconds. */
 const FIRST_READING_MS = 100;
+/**
+ * Time after the first start of the system within which a host must have read the servers to
+ * know all versions at which streams began, in milliseconds. Other hosts may serve by then.
+ */
+const FIRST_START_MS = MAX_TABLE_AGE_MS;
 
 /** The versions that the servers of each service had for as long as streams can be taken up. */
 export class VersionHistory {
@@ -39,7 +44,11 @@
   /** When the first server became known, monotonic milliseconds; absent before. */
   private firstReadingMs: number | undefined;
 
-  constructor(private readonly options: VersionHistoryOptions) {}
+  private readonly startMs: number;
+
+  constructor(private readonly options: VersionHistoryOptions) {
+    this.startMs = options.clock.monotonicMs();
+  }
 
   /** Records that a server has registered, or that its state has changed. */
   add({service, version = ''}: FleetServer): void {
@@ -80,19 +89,26 @@
    * whichever host; absent if there were several, or if this host cannot know.
    */
   getSole(service: string): string | undefined {
-    const {clock, getLifeMs, getTableAgeMs, isFirstStart} = this.options;
+    const {clock, getLifeMs, getTableAgeMs} = this.options;
     const [version, ...others] = this.listRecent(service);
     if (version === undefined || others.length > 0) {
       return undefined;
     }
     const knownMs =
       clock.monotonicMs() - (this.firstReadingMs ?? Number.POSITIVE_INFINITY);
-    const isComplete = isFirstStart || knownMs >= getLifeMs();
+    const isComplete = this.hasSeenFirstStart() || knownMs >= getLifeMs();
     return isComplete && getTableAgeMs() <= MAX_TABLE_AGE_MS
       ? version
       : undefined;
   }
 
+  private hasSeenFirstStart(): boolean {
+    const {startMs, firstReadingMs = Number.POSITIVE_INFINITY} = this;
+    return (
+      this.options.isFirstStart && firstReadingMs - startMs <= FIRST_START_MS
+    );
+  }
+
   /** Lists the versions of which a stream can still be taken up. */
   private listRecent(service: string): string[] {
     const {clock, getLifeMs, countReady} = this.options;
