Keep the version of a stream in one place, and the platform's names out of it

AnswerRelay kept the version of the first event beside the set that begins with it, and passed it to a callback whose receiver computed it again; it is read from one place now. The choice of a server had two branches for a bound version around the queue for slots; one condition says when a stream may wait. Origins are stored apart from their bookkeeping, so that they need no copy before they are sent.

What the platform calls Resumes is startedBy in the product, started_by in the lines route and refused; the remedies of two problems no longer name headers of the platform. Decisions do not change: the tests of relay, forwarding and stream versions pass as they were, but for the name.

--- a/src/errors/problems.ts
+++ b/src/errors/problems.ts
@@ -326,7 +326,7 @@
   detail:
     'It is not known at which version of the service the stream began, so that no server may go on with it.',
   remedy:
-    'Retry after the given time on a new connection, with the id of the request that brought the first event in "Resumes"; or request the stream anew, without "Last-Event-Id".',
+    'Retry after the given time on a new connection, naming the request that brought the first event; or request the stream anew.',
   ran: ExecutionStatus.NOT_EXECUTED,
   retryAfterSeconds,
 });
@@ -338,8 +338,7 @@
   kind: ProblemKind.STREAM_VERSION_UNAVAILABLE,
   status: 503,
   detail: `No server of "${service}" with the version at which the stream began can go on with it now.`,
-  remedy:
-    'Retry after the given time, or request the stream anew, without "Last-Event-Id".',
+  remedy: 'Retry after the given time, or request the stream anew.',
   ran: ExecutionStatus.NOT_EXECUTED,
   retryAfterSeconds,
 });
--- a/src/relay/answer_relay.ts
+++ b/src/relay/answer_relay.ts
@@ -20,20 +20,18 @@
   private begun = false;
   private framing: Framing | undefined;
   private restBytes = 0;
-  private readonly versions = new Set<string>();
-  private version: string | undefined;
+  /** Versions of the servers whose events were relayed, in order; `undefined` is not known. */
+  private readonly versions = new Set<string | undefined>();
 
   /**
    * @param sink - Receives the answer.
    * @param lastEventId - Id of the last event that the caller already has of a stream.
-   * @param onFirstEvent - Called when the first event of a stream is relayed, with the version
-   *   of its server's software, if that is known.
+   * @param onFirstEvent - Called when the first event of a stream is relayed.
    */
   constructor(
     private readonly sink: AnswerSink,
     private lastEventId: string | undefined,
-    private readonly onFirstEvent: (version: string | undefined) => void = () =>
-      undefined,
+    private readonly onFirstEvent: () => void = () => undefined,
   ) {}
 
   /** Tells whether any part of an answer was relayed. */
@@ -61,12 +59,13 @@
    * if there was none, or if the version is not known.
    */
   getVersion(): string | undefined {
-    return this.version;
+    const [first] = this.versions;
+    return first;
   }
 
   /** Returns the versions of the servers whose events were relayed, in order. */
   listVersions(): readonly string[] {
-    return [...this.versions];
+    return [...this.versions].map(version => version ?? UNKNOWN_VERSION);
   }
 
   /**
@@ -128,7 +127,10 @@
         continued = events.firstId === undefined ? continued : undefined;
       }
       onEvents();
-      this.addVersion(version);
+      this.versions.add(version);
+      if (!this.begun) {
+        this.onFirstEvent();
+      }
       this.begin(stream);
       this.lastEventId = lastId ?? this.lastEventId;
       await this.sink.write(bytes);
@@ -150,14 +152,6 @@
     this.sink.end();
   }
 
-  private addVersion(version: string | undefined): void {
-    this.versions.add(version ?? UNKNOWN_VERSION);
-    if (!this.begun) {
-      this.version = version;
-      this.onFirstEvent(version);
-    }
-  }
-
   /** @throws IncompleteAnswer - If events are repeated. */
   private checkContinuation(lastId: string, {firstId}: SplitEvents): void {
     const failure =
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -80,7 +80,7 @@
     let origin: FoundOrigin | undefined;
     if (refusal === undefined && isContinuation(request)) {
       origin = await this.options.streamVersions.find(
-        request.resumes && nameStream(request, request.resumes),
+        request.startedBy && nameStream(request, request.startedBy),
         drawn,
       );
       refusal = this.checkOrigin(request, origin);
@@ -264,7 +264,7 @@
       rank: urgency,
       customer: account?.name,
       reason: problem.kind,
-      resumes: request.resumes,
+      started_by: request.startedBy,
       bound_by: origin?.source,
       bound_version: origin?.origin?.version,
       ran: ExecutionStatus.NOT_EXECUTED,
--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -102,7 +102,7 @@
       runners_up: runnersUp.map(other => other.server).join(',') || undefined,
       reason: isUnreachable ? 'servers-unreachable' : reason,
       resume_after: resumeAfter,
-      resumes: request.resumes,
+      started_by: request.startedBy,
       bound_version: boundVersion,
       bound_by: boundBy,
       forwarded_by: request.forwardedBy,
--- a/src/relay/relay_request.ts
+++ b/src/relay/relay_request.ts
@@ -39,5 +39,5 @@
   /** Id of the last event that the caller already has of a stream. */
   readonly lastEventId?: string;
   /** Id of the request that brought the first event of that stream, as the caller names it. */
-  readonly resumes?: string;
+  readonly startedBy?: string;
 }
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -137,8 +137,8 @@
     this.sink = sink;
     this.disconnected = disconnected;
     this.cancelled = combineSignals([disconnected, this.deadline.signal]);
-    this.answer = new AnswerRelay(sink, request.lastEventId, version =>
-      this.recordOrigin(version),
+    this.answer = new AnswerRelay(sink, request.lastEventId, () =>
+      this.recordOrigin(),
     );
     this.record = new RelayRecord(options, request);
     this.observer = new RunObserver(options, {
@@ -199,18 +199,18 @@
   }
 
   /** Records at which version the stream began, for hosts at which its caller takes it up. */
-  private recordOrigin(relayed: string | undefined): void {
-    const {streamVersions} = this.options;
+  private recordOrigin(): void {
     const {request} = this;
-    const {id, resumes, route} = request;
-    const version = this.params.origin?.origin?.version ?? relayed;
+    const {id, startedBy, route} = request;
+    const version = this.getBoundVersion();
     if (route.repeat !== Repeat.RESUME || version === undefined) {
       return;
     }
     const isSplit = route.split.length > 1;
     const origin = {service: this.service, version};
-    for (const name of resumes === undefined ? [id] : [id, resumes]) {
-      streamVersions.begin(nameStream(request, name), origin, isSplit);
+    for (const name of startedBy === undefined ? [id] : [id, startedBy]) {
+      const stream = nameStream(request, name);
+      this.options.streamVersions.begin(stream, origin, isSplit);
     }
   }
 
--- a/src/relay/server_choice.ts
+++ b/src/relay/server_choice.ts
@@ -68,11 +68,13 @@
     const {request, service} = this.params;
     const {brittle, fleet} = this.options;
     const bound = this.allowBoundVersion();
-    if (bound !== undefined && !fleet.hasReady(service, bound)) {
-      // Its caller is not kept waiting for a slot at servers of other versions.
-      return this.chooseAllowed(bound);
-    }
-    if (!isNext && brittle.mustQueue(service, rankUrgency(request))) {
+    // Its caller is not kept waiting for a slot at servers of other versions.
+    const mayWait = bound === undefined || fleet.hasReady(service, bound);
+    if (
+      mayWait &&
+      !isNext &&
+      brittle.mustQueue(service, rankUrgency(request))
+    ) {
       return FULL;
     }
     if (bound !== undefined) {
--- a/src/stream_versions/stream_origins.ts
+++ b/src/stream_versions/stream_origins.ts
@@ -6,7 +6,8 @@
   readonly id: string;
 }
 
-interface KnownOrigin extends StreamOrigin {
+interface KnownOrigin {
+  readonly origin: StreamOrigin;
   /** When it was added last, monotonic milliseconds. */
   readonly addedMs: number;
   /** Whether this host relayed the stream. */
@@ -49,7 +50,7 @@
     }
     const addedMs = this.clock.monotonicMs();
     this.origins.delete(id);
-    this.origins.set(id, {service, version, addedMs, isOwn});
+    this.origins.set(id, {origin: {service, version}, addedMs, isOwn});
     this.trim();
     return true;
   }
@@ -57,15 +58,18 @@
   /** Returns the origin of a stream; absent if it is not known. */
   get(id: string): StreamOrigin | undefined {
     const known = this.origins.get(id);
-    return known === undefined || this.isExpired(known) ? undefined : known;
+    return known === undefined || this.isExpired(known)
+      ? undefined
+      : known.origin;
   }
 
   /** Lists the streams of a service that this host relayed. */
   listOwn(service: string): BegunStream[] {
     const listed: BegunStream[] = [];
     for (const [id, known] of this.origins) {
-      if (known.isOwn && known.service === service && !this.isExpired(known)) {
-        listed.push({id, service, version: known.version});
+      const {origin, isOwn} = known;
+      if (isOwn && origin.service === service && !this.isExpired(known)) {
+        listed.push({id, ...origin});
       }
     }
     return listed;
--- a/src/stream_versions/stream_versions.ts
+++ b/src/stream_versions/stream_versions.ts
@@ -75,9 +75,7 @@
       this.findLocally(id, service) ??
       (asksOthers ? await this.ask(id, service, false) : undefined);
     const origin = found?.origin;
-    return origin === undefined
-      ? {}
-      : {origin: {service: origin.service, version: origin.version}};
+    return origin === undefined ? {} : {origin};
   }
 
   /** Tells other hosts of the streams of a service that now has servers of several versions. */
--- a/test/relay/continued_streams_test.ts
+++ b/test/relay/continued_streams_test.ts
@@ -183,7 +183,7 @@
       const request = {
         ...fixture.createRequest({...streaming, ...overrides}, 2000),
         lastEventId: '3',
-        resumes: 'r0',
+        startedBy: 'r0',
       };
       const {signal} = new AbortController();
       await fixture.relay.serve(request, sink, signal);
