Take work off the path of each stream and of each shed connection

Whether one version is the only one counted all servers of the service for each stream; a version that was seen lately needs no count, and another one stops at the first server. A host that sheds connections listed all its work at each server for each of them; Fleet adds up the counts.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -292,6 +292,15 @@
     return this.servers.get(id)?.inFlight ?? 0;
   }
 
+  /** Returns the number of this host's requests in flight at all servers. */
+  countAllInFlight(): number {
+    let count = 0;
+    for (const {inFlight} of this.servers.values()) {
+      count += inFlight;
+    }
+    return count;
+  }
+
   /** Returns the work of this host at each server, as reported to peers. */
   listOwnLoads(): HostLoad[] {
     const loads: HostLoad[] = [];
--- a/src/relay_host/bind_host_load.ts
+++ b/src/relay_host/bind_host_load.ts
@@ -31,13 +31,7 @@
         return (user + system) / US_PER_MS;
       },
       getCores: () => getSettings().capacity,
-      countInFlight: () => {
-        let count = 0;
-        for (const {running} of fleet.listOwnLoads()) {
-          count += running;
-        }
-        return count;
-      },
+      countInFlight: () => fleet.countAllInFlight(),
       getMeanPeerLoad: () => {
         const hosts = reports.countRecent();
         return hosts === 0
--- a/src/relay_host/bind_stream_versions.ts
+++ b/src/relay_host/bind_stream_versions.ts
@@ -7,6 +7,7 @@
 import {KnownHosts, ReadAge} from '../peering/index.js';
 import {
   OriginExchange,
+  StreamLife,
   StreamOrigins,
   StreamVersions,
   VersionHistory,
@@ -14,10 +15,6 @@
 import {CLOCK, GET_SETTINGS, SELF} from './identifiers.js';
 import {REPLICA} from './replica_names.js';
 
-/** Shortest time for which a stream can be taken up, in milliseconds. */
-const MIN_LIFE_MS = 20_000;
-/** Longest time for which callers wait, as a multiple of the longest timeout of a stream. */
-const LIFE_FACTOR = 2;
 /** Aggregators of its data centre that a host tells and asks: one, and its standby. */
 const AGGREGATORS = 2;
 
@@ -25,18 +22,23 @@
 export function bindStreamVersions(container: Container): void {
   bind(
     container,
-    StreamOrigins,
-    context =>
-      new StreamOrigins(context.get(CLOCK), () => getLifeMs(container)),
+    StreamLife,
+    context => new StreamLife(context.get(CatalogStore)),
   );
+  bind(container, StreamOrigins, context => {
+    const life = context.get(StreamLife);
+    return new StreamOrigins(context.get(CLOCK), () => life.getMs());
+  });
   bind(container, VersionHistory, context => {
     const fleet = context.get(Fleet);
     const readAge = context.get(ReadAge);
+    const life = context.get(StreamLife);
     const history = new VersionHistory({
       clock: context.get(CLOCK),
-      countReady: service => fleet.countReady(service),
+      hasReady: (service, version) =>
+        fleet.hasReady(service, server => (server.version ?? '') === version),
       getTableAgeMs: () => readAge.getMs(REPLICA.SERVERS),
-      getLifeMs: () => getLifeMs(container),
+      getLifeMs: () => life.getMs(),
       isFirstStart: context.get(GET_SETTINGS)().isFirstStart,
       onSeveralVersions: service =>
         container.get(StreamVersions).tellAll(service),
@@ -69,16 +71,6 @@
   );
 }
 
-/** Returns the time for which a stream can be taken up, in milliseconds. */
-function getLifeMs(container: Container): number {
-  const view = container.get(CatalogStore).getView();
-  let longestMs = 0;
-  for (const {streaming, timeoutMs} of view?.catalog.routes ?? []) {
-    longestMs = streaming ? Math.max(longestMs, timeoutMs) : longestMs;
-  }
-  return Math.max(MIN_LIFE_MS, LIFE_FACTOR * longestMs);
-}
-
 /** Lists the connected hosts, or in a large fleet the aggregators of this data centre. */
 function listTold(container: Container): readonly string[] {
   const known = container.get(KnownHosts);
--- a/src/stream_versions/index.ts
+++ b/src/stream_versions/index.ts
@@ -13,6 +13,7 @@
 export type {OriginQuestion, OriginReply, Origins} from './origin_messages.js';
 export {OriginSource} from './stream_origin.js';
 export type {FoundOrigin, StreamOrigin} from './stream_origin.js';
+export {StreamLife} from './stream_life.js';
 export {StreamOrigins} from './stream_origins.js';
 export {StreamVersions} from './stream_versions.js';
 export type {StreamVersionsOptions} from './stream_versions.js';
--- a/src/stream_versions/version_history.ts
+++ b/src/stream_versions/version_history.ts
@@ -4,8 +4,8 @@
 /** Dependencies of a `VersionHistory`. */
 export interface VersionHistoryOptions {
   readonly clock: Clock;
-  /** Counts the servers of a service that accept work, by version. */
-  readonly countReady: (service: string) => ReadonlyMap<string, number>;
+  /** Returns whether a server of a service accepts work and has a version. */
+  readonly hasReady: (service: string, version: string) => boolean;
   /** Returns the age of this host's knowledge of the servers, in milliseconds. */
   readonly getTableAgeMs: () => number;
   /** Returns the time for which a stream can be taken up, in milliseconds. */
@@ -111,12 +111,11 @@
 
   /** Lists the versions of which a stream can still be taken up. */
   private listRecent(service: string): string[] {
-    const {clock, getLifeMs, countReady} = this.options;
-    const ready = countReady(service);
+    const {clock, getLifeMs, hasReady} = this.options;
     const oldestMs = clock.monotonicMs() - getLifeMs();
     const seen = this.versions.get(service) ?? new Map<string, SeenVersion>();
     for (const [version, {lastMs}] of seen) {
-      if (lastMs < oldestMs && !ready.has(version)) {
+      if (lastMs < oldestMs && !hasReady(service, version)) {
         seen.delete(version);
       }
     }
--- a/test/stream_versions/stream_versions_simulation.ts
+++ b/test/stream_versions/stream_versions_simulation.ts
@@ -118,7 +118,8 @@
     const origins = new StreamOrigins(clock, () => LIFE_MS);
     const history = new VersionHistory({
       clock,
-      countReady: service => fleet.countReady(service),
+      hasReady: (service, version) =>
+        fleet.hasReady(service, server => server.version === version),
       getTableAgeMs: () => clock.monotonicMs() - host.readMs,
       getLifeMs: () => LIFE_MS,
       isFirstStart,
