Tell and ask for versions of streams along the links that hosts keep

Which hosts are told and asked in a large fleet was worked out a second time beside chooseRelayLinks, which already decides which aggregators of its data centre, and of others, a host keeps links with. That list serves both now: all of it is asked, the part in the same data centre is told.

One host per data centre, the standby aggregator, now also tells the aggregator behind it, with which it keeps a link; nothing else changes. A small fleet uses the connected hosts as before.

--- a/src/relay_host/bind_stream_versions.ts
+++ b/src/relay_host/bind_stream_versions.ts
@@ -4,7 +4,12 @@
 import {Fleet} from '../fleet/index.js';
 import {Metrics} from '../metrics/index.js';
 import {Peers} from '../peer/index.js';
-import {KnownHosts, ReadAge} from '../peering/index.js';
+import {
+  chooseRelayLinks,
+  HostAddress,
+  KnownHosts,
+  ReadAge,
+} from '../peering/index.js';
 import {
   OriginExchange,
   StreamLife,
@@ -15,9 +20,6 @@
 import {CLOCK, GET_SETTINGS, SELF} from './identifiers.js';
 import {REPLICA} from './replica_names.js';
 
-/** Aggregators of its data centre that a host tells and asks: one, and its standby. */
-const AGGREGATORS = 2;
-
 /** Binds what is known of the versions at which streams began. */
 export function bindStreamVersions(container: Container): void {
   bind(
@@ -71,31 +73,25 @@
   );
 }
 
-/** Lists the connected hosts, or in a large fleet the aggregators of this data centre. */
+/** Lists the connected hosts, or in a large fleet the linked aggregators of this data centre. */
 function listTold(container: Container): readonly string[] {
-  const known = container.get(KnownHosts);
-  if (!known.isLargeFleet()) {
-    return container.get(Peers).listConnected();
-  }
-  const {host, dataCentre} = container.get(SELF);
-  return known
-    .rankAggregators(dataCentre)
-    .slice(0, AGGREGATORS)
-    .map(aggregator => aggregator.host)
-    .filter(aggregator => aggregator !== host);
+  const {dataCentre} = container.get(SELF);
+  return listLinked(container, link => link.dataCentre === dataCentre);
 }
 
-/** Lists the same hosts, and for an aggregator those of the other data centres. */
+/** Lists the connected hosts, or in a large fleet all that this host keeps a link with. */
 function listAsked(container: Container): readonly string[] {
+  return listLinked(container, () => true);
+}
+
+function listLinked(
+  container: Container,
+  isIncluded: (link: HostAddress) => boolean,
+): readonly string[] {
   const known = container.get(KnownHosts);
-  const told = listTold(container);
-  if (!known.isLargeFleet() || !known.isAggregator()) {
-    return told;
-  }
-  const {dataCentre} = container.get(SELF);
-  const others = known
-    .listDataCentres()
-    .filter(other => other !== dataCentre)
-    .map(other => known.rankAggregators(other)[0]?.host ?? '');
-  return [...told, ...others.filter(other => other !== '')];
+  return known.isLargeFleet()
+    ? chooseRelayLinks(container.get(SELF), known)
+        .filter(isIncluded)
+        .map(({host}) => host)
+    : container.get(Peers).listConnected();
 }
