One rule, one level and one fingerprint for all suspects

The rule of parts was the rule of contents under a second name, with a branch that chose between the two. The level of a suspect was read by the same loop in two files, and two functions had the same hashing of their own. Each stands once now. The ids of the parts of each request were copied before anything asked for them; they are read when they are needed. A method and a function of one file had the same name.

Nothing is judged differently: the tests of the quarantine, of suspects between hosts and of crashing parts pass.

--- a/src/quarantine/fingerprint_request.ts
+++ b/src/quarantine/fingerprint_request.ts
@@ -21,19 +21,18 @@
  */
 export function fingerprintRequest(content: RequestContent): string {
   const {method, path, caller, body} = content;
-  return createHash('sha256')
-    .update([method, path, caller, ''].join(SEPARATOR))
-    .update(body)
-    .digest()
-    .subarray(0, FINGERPRINT_BYTES)
-    .toString('base64url');
+  return fingerprint([method, path, caller, ''].join(SEPARATOR), body);
 }
 
 /** Returns a short name for a text, the same at all hosts. */
 export function fingerprintText(text: string): string {
-  return createHash('sha256')
-    .update(text)
-    .digest()
-    .subarray(0, FINGERPRINT_BYTES)
-    .toString('base64url');
+  return fingerprint(text);
+}
+
+function fingerprint(...pieces: readonly (string | Uint8Array)[]): string {
+  const hash = createHash('sha256');
+  for (const piece of pieces) {
+    hash.update(piece);
+  }
+  return hash.digest().subarray(0, FINGERPRINT_BYTES).toString('base64url');
 }
--- a/src/quarantine/judge_suspects.ts
+++ b/src/quarantine/judge_suspects.ts
@@ -1,4 +1,4 @@
-import {Suspect, ServerTermination} from './suspect.js';
+import {readLevel, ServerTermination, Suspect} from './suspect.js';
 import {isPart, isSender} from './suspicion_rule.js';
 import {getTerminationAddress} from './termination_name.js';
 import {getTerminationOfSender} from './sender_termination.js';
@@ -104,9 +104,6 @@
   // One server that terminates repeatedly proves less than several that terminate.
   const minTerminations =
     addresses.size > 1 ? rule.ends : rule.ends * SINGLE_ADDRESS_FACTOR;
-  let level = clearedLevel;
-  for (const end of ends.values()) {
-    level = Math.max(level, end.level);
-  }
-  return ends.size >= minTerminations && level - clearedLevel >= rule.levels;
+  const steps = readLevel({clearedLevel, ends}) - clearedLevel;
+  return ends.size >= minTerminations && steps >= rule.levels;
 }
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -2,7 +2,12 @@
 import {Log} from '../log/index.js';
 import {Metrics} from '../metrics/index.js';
 import {Clock} from '../time/index.js';
-import {MAX_SUSPECTS_PER_MESSAGE, Suspect, ReportedSuspect} from './suspect.js';
+import {
+  MAX_SUSPECTS_PER_MESSAGE,
+  readLevel,
+  ReportedSuspect,
+  Suspect,
+} from './suspect.js';
 import {BlamedSuspects, judgeSuspects} from './judge_suspects.js';
 import {RecentAnswers} from './recent_answers.js';
 import {getSuspicionRule, isPart, isSender} from './suspicion_rule.js';
@@ -125,7 +130,7 @@
    * @param level - Level when the run began; see `getLevel`.
    */
   addTermination(content: string, server: string, level: number): void {
-    if (this.addEnd(content, server, level)) {
+    if (this.addObserved(content, server, level)) {
       this.notifyListeners();
     }
   }
@@ -140,7 +145,7 @@
     let hasChanged = false;
     for (const [name, level] of parts) {
       if (!this.recentAnswers.has(name)) {
-        const isNew = this.addEnd(name, server, level);
+        const isNew = this.addObserved(name, server, level);
         hasChanged ||= isNew;
       }
     }
@@ -220,10 +225,11 @@
         const isNew = addEnd(suspect, server, {level, atMs: nowMs - ageMs});
         changed ||= isNew;
       }
-      if (changed) {
-        this.recordChange(content, suspect);
+      if (!changed) {
+        continue;
       }
-      if (changed && isPart(content) && this.recentAnswers.has(content)) {
+      this.recordChange(content, suspect);
+      if (isPart(content) && this.recentAnswers.has(content)) {
         // Other hosts have not seen the answers that this one relayed.
         this.clearAnswered(content);
       }
@@ -231,7 +237,7 @@
   }
 
   /** Adds a termination that this host observed; returns whether it is new. */
-  private addEnd(name: string, server: string, level: number): boolean {
+  private addObserved(name: string, server: string, level: number): boolean {
     const suspect = this.getSuspect(name);
     const atMs = this.options.clock.monotonicMs();
     if (!addEnd(suspect, server, {level: level + 1, atMs})) {
@@ -349,14 +355,6 @@
   }
 }
 
-function readLevel({clearedLevel, ends}: Suspect): number {
-  let level = clearedLevel;
-  for (const end of ends.values()) {
-    level = Math.max(level, end.level);
-  }
-  return level;
-}
-
 function getBlockMs(suspect: Suspect): number {
   const {levels, holdMs, maxHoldMs} = suspect.rule;
   return Math.min(maxHoldMs, holdMs * 2 ** (countSteps(suspect) - levels));
--- a/src/quarantine/suspect.ts
+++ b/src/quarantine/suspect.ts
@@ -59,3 +59,18 @@
   changedMs: number;
   readonly rule: SuspicionRule;
 }
+
+/** Returns the highest level of a suspect's terminations, or that at which it was cleared. */
+export function readLevel({
+  clearedLevel,
+  ends,
+}: {
+  readonly clearedLevel: number;
+  readonly ends: ReadonlyMap<string, ServerTermination>;
+}): number {
+  let level = clearedLevel;
+  for (const end of ends.values()) {
+    level = Math.max(level, end.level);
+  }
+  return level;
+}
--- a/src/quarantine/suspicion_rule.ts
+++ b/src/quarantine/suspicion_rule.ts
@@ -22,9 +22,10 @@
 const SENDER_PREFIX = 'sender:';
 
 /**
- * Rule for one request, identified by its content. A request that still terminates
- * servers costs a few of them every ten minutes. One that was suspected wrongly, or
- * whose servers were repaired, is served again without an operator.
+ * Rule for one request, identified by its content, and for a part of prompts. Neither is
+ * probed: each probe would terminate a server. One that still terminates servers costs a
+ * few of them every ten minutes. One that was suspected wrongly, or whose servers were
+ * repaired, is served again without an operator.
  */
 const CONTENT_RULE: SuspicionRule = {
   ends: 3,
@@ -50,12 +51,6 @@
 /** Longest name of a part that is not shortened; it is a part of the key of a row. */
 const MAX_PART_LENGTH = 80;
 
-/**
- * Rule for all requests whose prompt has a part. It is not probed: each probe would terminate a
- * server.
- */
-const PART_RULE: SuspicionRule = CONTENT_RULE;
-
 /**
  * Returns the name of a part of a prompt as a suspect.
  * @param service - Service that reads it.
@@ -85,8 +80,5 @@
 
 /** Returns the rule by which a suspect is judged. */
 export function getSuspicionRule(suspect: string): SuspicionRule {
-  if (isSender(suspect)) {
-    return SENDER_RULE;
-  }
-  return isPart(suspect) ? PART_RULE : CONTENT_RULE;
+  return isSender(suspect) ? SENDER_RULE : CONTENT_RULE;
 }
--- a/src/quarantine/watched_parts.ts
+++ b/src/quarantine/watched_parts.ts
@@ -9,7 +9,6 @@
  * differ otherwise may have a part in common that terminates the servers that run them.
  */
 export class WatchedParts {
-  private readonly ids: readonly string[];
   private names: ReadonlySet<string> | undefined;
   /** Level of each part in the quarantine when the current run began; 0 if absent. */
   private levels: ReadonlyMap<string, number> = new Map();
@@ -18,16 +17,14 @@
    * @param quarantine - The quarantine.
    * @param service - Service that reads the prompt. What terminates its servers may be harmless
    *   at others.
-   * @param ids - Ids of the parts in order. The last belongs to the request itself or to its
+   * @param parts - The parts in order. The last belongs to the request itself or to its
    *   session, and is not watched.
    */
   constructor(
     private readonly quarantine: Quarantine,
     private readonly service: string,
-    ids: readonly string[],
-  ) {
-    this.ids = ids.slice(0, -1).slice(0, MAX_WATCHED_PARTS);
-  }
+    private readonly parts: readonly {readonly id: string}[],
+  ) {}
 
   /** Returns the name of the part that is blocked for the longest time; absent if none is. */
   findBlocked(): string | undefined {
@@ -75,7 +72,12 @@
   }
 
   private getNames(): ReadonlySet<string> {
-    this.names ??= new Set(this.ids.map(id => namePart(this.service, id)));
+    this.names ??= new Set(
+      this.parts
+        .slice(0, -1)
+        .slice(0, MAX_WATCHED_PARTS)
+        .map(({id}) => namePart(this.service, id)),
+    );
     return this.names;
   }
 }
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -146,12 +146,11 @@
     service: string,
   ): WatchedContent {
     const caller = request.account?.name ?? '';
-    const ids = request.prompt.parts.map(({id}) => id);
     return new WatchedContent(
       this.options,
       () => ({...request, caller}),
       new WatchedSender(this.options, {caller, route: request.route.name}),
-      new WatchedParts(this.options.quarantine, service, ids),
+      new WatchedParts(this.options.quarantine, service, request.prompt.parts),
     );
   }
 
--- a/test/quarantine/watched_parts_test.ts
+++ b/test/quarantine/watched_parts_test.ts
@@ -43,7 +43,11 @@
         body: Buffer.from(body),
       }),
       new WatchedSender(this, SENDER),
-      new WatchedParts(this.quarantine, SERVICE, [...parts, 'own']),
+      new WatchedParts(
+        this.quarantine,
+        SERVICE,
+        [...parts, 'own'].map(id => ({id})),
+      ),
     );
     content.beginRun();
     return content;
@@ -171,7 +175,7 @@
 
   it('may be the last one without being watched', () => {
     for (let turn = 0; turn < 6; turn++) {
-      const run = new WatchedParts(host.quarantine, SERVICE, ['bad']);
+      const run = new WatchedParts(host.quarantine, SERVICE, [{id: 'bad'}]);
       run.addTermination(`10.0.0.${turn}:1#i-${turn}`);
     }
     expect(host.quarantine.hasSuspects()).to.equal(false);
