Remove the switch of the measurement of a host's load

Since each host measures its load, the option that said whether to do so was constant, and the branches for a meter that is switched off, with an interval of their own, could not run. The test that shows that refusals are needed had used that switch; it now uses a host that measures and does not refuse, as hosts are run, with the same bound.

--- a/src/host_load/host_load.ts
+++ b/src/host_load/host_load.ts
@@ -18,8 +18,6 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly random: Random;
-  /** Returns whether to measure, and to handle what waits in the kernel first. */
-  readonly isEnabled: () => boolean;
   /**
    * Returns whether requests are refused because of this host's load; by default, they
    * are. What has passed its deadline is refused in any case.
@@ -207,9 +205,6 @@
   /** Decides on a request; returns why it is refused, or `undefined` to accept it. */
   refuse(arrival: Arrival): HostRefusal | undefined {
     const {customer, rank, targetMs} = arrival;
-    if (!this.options.isEnabled()) {
-      return undefined;
-    }
     const refusesByLoad = this.options.refusesByLoad?.() ?? true;
     if (refusesByLoad && customer !== undefined) {
       this.shares.add(customer.name, customer.weight);
--- a/src/host_load/loop_delay_meter.ts
+++ b/src/host_load/loop_delay_meter.ts
@@ -3,8 +3,6 @@
 /** Dependencies of a `LoopDelayMeter`. */
 export interface LoopDelayMeterOptions {
   readonly clock: Clock;
-  /** Returns whether to measure. */
-  readonly isEnabled: () => boolean;
   /**
    * Returns the time that the event loop has waited for events since the start of the
    * process, in milliseconds.
@@ -33,8 +31,6 @@
 const IDLE_INTERVAL_MS = 100;
 /** Share of idle time from which the event loop is mostly idle. */
 const MOSTLY_IDLE_SHARE = 0.5;
-/** Interval between checks whether to measure, in milliseconds. */
-const DISABLED_INTERVAL_MS = 1000;
 /**
  * Delay from which the event loop is late, in milliseconds. Timers and small batches of
  * events make up less on a host that keeps up.
@@ -134,21 +130,15 @@
   }
 
   private schedule(): void {
-    const {clock, isEnabled} = this.options;
-    const intervalMs = isEnabled() ? this.intervalMs : DISABLED_INTERVAL_MS;
-    this.dueMs = isEnabled() ? clock.monotonicMs() + intervalMs : undefined;
-    this.cancel = clock.startTimer(intervalMs, () => this.measure());
+    const {clock} = this.options;
+    this.dueMs = clock.monotonicMs() + this.intervalMs;
+    this.cancel = clock.startTimer(this.intervalMs, () => this.measure());
   }
 
   private measure(): void {
-    const {clock, isEnabled, readIdleMs, onSample} = this.options;
-    if (this.dueMs === undefined || !isEnabled()) {
-      this.reset();
-      this.schedule();
-      return;
-    }
+    const {clock, readIdleMs, onSample} = this.options;
     const atMs = clock.monotonicMs();
-    const delayMs = Math.max(0, atMs - this.dueMs);
+    const delayMs = Math.max(0, atMs - (this.dueMs ?? atMs));
     this.add({atMs, delayMs, idleMs: readIdleMs()});
     this.schedule();
     onSample();
--- a/src/relay_host/bind_host_load.ts
+++ b/src/relay_host/bind_host_load.ts
@@ -22,7 +22,6 @@
       log: context.get(LOG),
       metrics: context.get(Metrics),
       random: context.get(RANDOM),
-      isEnabled: () => true,
       refusesByLoad: () => features.isEnabled(Feature.HOST_OVERLOAD),
       afterPoll,
       readIdleMs: () => performance.eventLoopUtilization().idle,
--- a/test/host_load/overload_test.ts
+++ b/test/host_load/overload_test.ts
@@ -89,7 +89,9 @@
   });
 
   it('is needed: without it, most requests at twice the load are late', () => {
-    const requests = run(new VirtualHost(false), 2).flat();
+    const host = new VirtualHost();
+    host.refusesByLoad = false;
+    const requests = run(host, 2).flat();
     const late = requests.filter(isLate).length;
     expect(late / requests.length).to.be.greaterThan(0.5);
   });
--- a/test/host_load/virtual_host.ts
+++ b/test/host_load/virtual_host.ts
@@ -41,7 +41,7 @@
   /** Whether requests are refused because of the host's load. */
   refusesByLoad = true;
 
-  constructor(isEnabled = true) {
+  constructor() {
     const log: Log = {
       info: () => undefined,
       warn: (_event, fields = {}) => void this.lines.push(fields),
@@ -53,7 +53,6 @@
       log,
       metrics: new Metrics(),
       random: new SeededRandom(1),
-      isEnabled: () => isEnabled,
       refusesByLoad: () => this.refusesByLoad,
       afterPoll: loop.afterPoll,
       readIdleMs: () => loop.idleMs,
