Tests: one way to crash and restart a server, and to format a chunk

Two tests had scripts with the same steps: stop a server, remove its entry, start it again under the next id. TestSystem.crashServer does it for both. The line that formats a chunk stood in five test files; formatChunk of fake_server serves them.

--- a/test/platform/crashing_part_test.ts
+++ b/test/platform/crashing_part_test.ts
@@ -66,8 +66,7 @@
   afterEach(() => system.stop());
 
   /** Creates a script that crashes the server on the part, and starts it under a new id. */
-  function createScript(server: FakeServer, index: number): Script {
-    let starts = 0;
+  function createScript(_server: FakeServer, index: number): Script {
     return (socket, request) => {
       const parts = request.headers.get('prompt-prefix') ?? '';
       const head = formatHead(request, 200, ['Content-Length: 9']);
@@ -79,13 +78,7 @@
       socket.write(head);
       setTimeout(() => {
         crashMs.push(performance.now());
-        const id = starts === 0 ? `i-${index}` : `i-${index}-${starts}`;
-        const next = `i-${index}-${++starts}`;
-        server.stop();
-        system.store.remove('servers', id);
-        setTimeout(async () => {
-          await system.register(next, await server.listen(), 'ready');
-        }, RESTART_MS);
+        system.crashServer(index, RESTART_MS);
       }, CRASH_DELAY_MS);
     };
   }
--- a/test/platform/crashing_request_test.ts
+++ b/test/platform/crashing_request_test.ts
@@ -120,6 +120,7 @@
   /** Minimum share of other requests that must be served: 285 of 290. */
   const MIN_SERVED_SHARE = 285 / 290;
   const OTHER_KEY = 'k2';
+  const RESTART_MS = 2000;
   let system: TestSystem;
   let hosts: RunningHost[];
   let terminatedCount: number;
@@ -142,22 +143,15 @@
   afterEach(() => system.stop());
 
   /** Creates a script that terminates the server and starts it later under a new id. */
-  function createTerminatingScript(server: FakeServer, index: number): Script {
+  function createTerminatingScript(_server: FakeServer, index: number): Script {
     const answer = answerWith('whole');
-    let restarts = 0;
     return (socket, request) => {
       if (!request.body.startsWith('terminates its server')) {
         answer(socket, request);
         return;
       }
       terminatedCount++;
-      const id = restarts === 0 ? `i-${index}` : `i-${index}-${restarts}`;
-      const next = `i-${index}-${++restarts}`;
-      server.stop();
-      system.store.remove('servers', id);
-      setTimeout(async () => {
-        await system.register(next, await server.listen(), 'ready');
-      }, 2000);
+      system.crashServer(index, RESTART_MS);
     };
   }
 
--- a/test/platform/fakes/ending_answers.ts
+++ b/test/platform/fakes/ending_answers.ts
@@ -1,5 +1,6 @@
 import {
   endConnection,
+  formatChunk,
   formatHead,
   ReceivedRequest,
   Script,
@@ -174,8 +175,7 @@
       );
     }
     case AnswerFraming.CHUNKS: {
-      const chunk =
-        body === '' ? '' : `${body.length.toString(16)}\r\n${body}\r\n`;
+      const chunk = body === '' ? '' : formatChunk(body);
       const head = formatHead(request, 200, [
         type,
         'Transfer-Encoding: chunked',
--- a/test/platform/fakes/fake_server.ts
+++ b/test/platform/fakes/fake_server.ts
@@ -98,6 +98,11 @@
   socket.end();
 }
 
+/** Formats a chunk of a body in chunks. */
+export function formatChunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
 /** Formats the head of a valid response. */
 export function formatHead(
   request: ReceivedRequest,
--- a/test/platform/fakes/test_system.ts
+++ b/test/platform/fakes/test_system.ts
@@ -64,6 +64,8 @@
   readonly cloudCalls: CloudCall[] = [];
   readonly hosts: RunningHost[] = [];
   private readonly cloud: Server;
+  /** How often each server has started again, by its index. */
+  private readonly starts = new Map<number, number>();
   private storeAddress = '';
   private cloudAddress = '';
   private configVersion = 0;
@@ -118,6 +120,24 @@
     });
   }
 
+  /**
+   * Crashes a server, removes its entry, and starts it again later under a new id, as each start
+   * of a server has one.
+   * @param delayMs - Time until it is back, in milliseconds.
+   */
+  crashServer(index: number, delayMs: number): void {
+    const server = this.servers[index];
+    const starts = this.starts.get(index) ?? 0;
+    this.starts.set(index, starts + 1);
+    server?.stop();
+    const id = starts === 0 ? `i-${index}` : `i-${index}-${starts}`;
+    this.store.remove('servers', id);
+    setTimeout(async () => {
+      const address = (await server?.listen()) ?? '';
+      await this.register(`i-${index}-${starts + 1}`, address, 'ready');
+    }, delayMs);
+  }
+
   /** Puts the next configuration into the store; returns its version. */
   putConfig(overrides: Readonly<Record<string, unknown>>): number {
     this.configVersion += 2;
--- a/test/platform/fakes/versioned_streams.ts
+++ b/test/platform/fakes/versioned_streams.ts
@@ -1,5 +1,5 @@
 import {request as openRequest} from 'node:http';
-import {FakeServer, formatHead, Script} from './fake_server.js';
+import {FakeServer, formatChunk, formatHead, Script} from './fake_server.js';
 import {KEY, RunningHost} from './test_system.js';
 
 /** How a server streams. */
@@ -129,7 +129,3 @@
     Number(match[1]),
   );
 }
-
-function formatChunk(text: string): string {
-  return `${text.length.toString(16)}\r\n${text}\r\n`;
-}
--- a/test/platform/frontend_property_test.ts
+++ b/test/platform/frontend_property_test.ts
@@ -8,6 +8,7 @@
 import {SystemClock} from '../../src/time/index.js';
 import {Frontend} from '../../platform/frontend.js';
 import {createRoute} from '../relay/route_fixture.js';
+import {formatChunk} from './fakes/fake_server.js';
 
 const SEED = 20261202;
 const RUNS = 60;
@@ -243,7 +244,7 @@
   for (let index = 0; rest !== ''; index++) {
     const chunk = rest.slice(0, sizes[index % sizes.length]);
     rest = rest.slice(chunk.length);
-    text += `${chunk.length.toString(16)}\r\n${chunk}\r\n`;
+    text += formatChunk(chunk);
   }
   return `${text}0\r\n\r\n`;
 }
--- a/test/platform/server_exchange_property_test.ts
+++ b/test/platform/server_exchange_property_test.ts
@@ -4,7 +4,12 @@
 import {ExchangeKind} from '../../src/relay/index.js';
 import {ServerExchange} from '../../platform/server_exchange.js';
 import {createExchangeParams} from './exchange_fixture.js';
-import {answerWith, Script, FakeServer} from './fakes/fake_server.js';
+import {
+  answerWith,
+  FakeServer,
+  formatChunk,
+  Script,
+} from './fakes/fake_server.js';
 
 const SEED = 20261202;
 const RUNS = 150;
@@ -218,7 +223,7 @@
   if (framing !== Framing.CHUNKS) {
     return head + body;
   }
-  const chunk = body === '' ? '' : `${body.length.toString(16)}\r\n${body}\r\n`;
+  const chunk = body === '' ? '' : formatChunk(body);
   return `${head}${chunk}0\r\n\r\n`;
 }
 
--- a/test/soak/soak_server.ts
+++ b/test/soak/soak_server.ts
@@ -1,6 +1,7 @@
 import {Socket} from 'node:net';
 import {
   endConnection,
+  formatChunk,
   formatHead,
   ReceivedRequest,
   FakeServer,
@@ -303,8 +304,7 @@
           );
           return;
         }
-        const chunk = `${text.length.toString(16)}\r\n${text}\r\n`;
-        socket.write(omitsFraming ? text : chunk);
+        socket.write(omitsFraming ? text : formatChunk(text));
       } else {
         event--;
       }
