Log and count what ended an attempt

Cause: the detail "cancelled" stood for a silent server, a caller that left and a deadline alike, so that a request's log could not tell who had ended its answer.

Change: attempt_failed has end= and silent_ms=; the metric attempts_failed counts by end. No decision changes.

--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -1,5 +1,6 @@
 /** Relay of opaque requests to the servers of their routes. */
 export type {AnswerSink} from './answer_sink.js';
+export {AttemptEnd} from './attempt_end.js';
 export {CopyFailure} from './copy_run.js';
 export type {CopyRunParams, CopyRun} from './copy_run.js';
 export * from './exchange.js';
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -40,6 +40,10 @@
       'incomplete_answers',
       'Answers that servers broke off, by reason and by how their end was marked',
     );
+    metrics.addCounter(
+      'attempts_failed',
+      'Attempts without a complete answer, by what ended them',
+    );
     metrics.addCounter('relocated', 'Streams moved off leaving servers');
     metrics.addCounter('relayed', 'Relayed requests by route and outcome');
     metrics.addCounter(
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -3,6 +3,7 @@
 import {TrackedRequest, FleetServer, RequestOutcome} from '../fleet/index.js';
 import {Repeat} from '../catalog/index.js';
 import {AnswerRelay} from './answer_relay.js';
+import {AttemptAborted, AttemptEnd, findAttemptEnd} from './attempt_end.js';
 import {BufferedAnswer, readAnswer} from './buffered_answer.js';
 import {
   ExchangeAnswer,
@@ -118,7 +119,10 @@
 }
 
 /** Created once: an error per request would cost a stack trace each. */
-const UNREACHABLE = new Error('servers unreachable from this host');
+const UNREACHABLE = new AttemptAborted(
+  AttemptEnd.REROUTED,
+  'servers unreachable from this host',
+);
 const OK_FIRST = 200;
 const OK_LAST = 299;
 const SERVER_ERROR = 500;
@@ -483,6 +487,8 @@
       framing: this.framing,
       afterEvent: answer.getLastEventId(),
       attempt: number,
+      end: this.findEnd(),
+      silentMs: this.responseWatch?.getInactiveMs(),
     });
     return this.finish(this.getServerOutcome(failure), {
       // Both kinds of failed exchange have the value of an `AttemptOutcome`.
@@ -497,6 +503,12 @@
     });
   }
 
+  private findEnd(): AttemptEnd {
+    return this.responseWatch?.getSignal().aborted === true
+      ? AttemptEnd.SILENT
+      : findAttemptEnd(this.abortSignal);
+  }
+
   /**
    * Tells whether the run was lost because the server terminated or closed the connection,
    * and not because this host aborted the exchange.
--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -2,6 +2,7 @@
 import {LogFields} from '../log/index.js';
 import {RetryBudgetState} from '../retry_budget/index.js';
 import {OriginSource} from '../stream_versions/index.js';
+import {AttemptEnd} from './attempt_end.js';
 import {RelayOptions} from './relay_options.js';
 import {RelayRequest} from './relay_request.js';
 import {LimitAwareDecision} from './server_choice.js';
@@ -34,6 +35,9 @@
   readonly afterEvent: string | undefined;
   /** Index of the attempt, from 0. */
   readonly attempt: number;
+  readonly end: AttemptEnd;
+  /** Time since its server last sent anything, in milliseconds; absent if not measured. */
+  readonly silentMs: number | undefined;
 }
 
 /** What an attempt goes on from. */
@@ -140,6 +144,8 @@
   /** Logs an attempt that brought no complete answer. */
   logFailure(server: string, failure: FailedAttempt): void {
     const {kind, detail, reason, framing, afterEvent, attempt} = failure;
+    const {end, silentMs} = failure;
+    this.options.metrics.increment('attempts_failed', {end});
     if (reason !== undefined) {
       this.options.metrics.increment('incomplete_answers', {
         reason,
@@ -153,6 +159,8 @@
       reason,
       framing,
       after_event: afterEvent,
+      end,
+      silent_ms: silentMs?.toFixed(0),
       detail,
       attempt,
     });
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -12,6 +12,7 @@
 import {SlotRequest} from '../brittle/index.js';
 import {AnswerRelay} from './answer_relay.js';
 import {AnswerSink} from './answer_sink.js';
+import {AttemptAborted, AttemptEnd} from './attempt_end.js';
 import {BufferedAnswer} from './buffered_answer.js';
 import {CopyFailure} from './copy_run.js';
 import {createForwardTarget} from './create_forward_target.js';
@@ -37,8 +38,14 @@
 const SERVER_ERROR = 500;
 const MS_PER_SECOND = 1000;
 /** Created once: an error per request would cost a stack trace each. */
-const DEADLINE_PASSED = new Error('deadline passed');
-const SERVER_TERMINATED = new Error('the server has terminated');
+const DEADLINE_PASSED = new AttemptAborted(
+  AttemptEnd.DEADLINE,
+  'deadline passed',
+);
+const SERVER_TERMINATED = new AttemptAborted(
+  AttemptEnd.SERVER_TERMINATED,
+  'the server has terminated',
+);
 
 /** Limits of the attempts at a request that another host has forwarded. */
 export interface ForwardedAttempts {
--- a/src/time/inactivity_timeout.ts
+++ b/src/time/inactivity_timeout.ts
@@ -37,6 +37,11 @@
     return this.limitMs;
   }
 
+  /** Returns the time since the last activity, in milliseconds. */
+  getInactiveMs(): number {
+    return this.clock.monotonicMs() - this.lastActivityMs;
+  }
+
   /**
    * Records activity.
    * @param limitMs - Longest inactivity allowed from now on, in milliseconds.
@@ -52,7 +57,7 @@
   }
 
   private check(): void {
-    const inactiveMs = this.clock.monotonicMs() - this.lastActivityMs;
+    const inactiveMs = this.getInactiveMs();
     if (inactiveMs >= this.limitMs) {
       this.controller.abort(INACTIVE);
       return;
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -105,6 +105,13 @@
   detail: 'status 503',
   full: true,
 });
+/** Does not respond until the exchange is aborted. */
+export const hang: Exchange = (_params, signal) =>
+  new Promise(resolve => {
+    signal.addEventListener('abort', () =>
+      resolve({kind: ExchangeKind.LOST, detail: 'cancelled'}),
+    );
+  });
 /** Answers completely. */
 export const answer: Exchange = async () => createAnswer(200, ['whole']);
 /** Answers with an error status. */
--- a/test/relay/relay_test.ts
+++ b/test/relay/relay_test.ts
@@ -11,20 +11,13 @@
   disconnectAfter,
   fail,
   formatEvents,
+  hang,
   listStatingExchanges,
   lose,
   refuse,
   RelayFixture,
 } from './relay_fixture.js';
 
-/** Does not respond until the exchange is aborted. */
-const hang: Exchange = (_order, signal) =>
-  new Promise(resolve => {
-    signal.addEventListener('abort', () =>
-      resolve({kind: ExchangeKind.LOST, detail: 'cancelled'}),
-    );
-  });
-
 describe('Relay', () => {
   describe('runs', () => {
     it('are counted by the version of their server and their end', async () => {
