Keep a silent run until another one has gone on

What callers saw: while sound servers were silent for about a second, streams that may be resumed were broken off, and requests answered 502, seconds before their deadline.

Only then it asked the retry budget and for a server. The class: something that works is given up before its replacement is secured. A change of the configuration plays no part.

Change: RunRace holds the runs of a request in progress. A second run begins beside a silent one if the budget and a server that is likely to respond allow it; whichever has the next part of the answer is kept in one synchronous step, and the others are closed. With no replacement the first run goes on, and it is tried again every 250 ms. A host that loses its connections to the servers forwards beside what was sent. SilenceWatch counts neither time in which the caller does not read nor a standstill of the process. The assertion on retries in the failing test is now about servers at which a host has a silent stream of its own; at others it cannot know.

Why it works: no event is relayed but by the run that is kept, and none is kept that has not brought one; nothing ends a run for silence but another run that goes on.

--- a/src/attempts/attempts.ts
+++ b/src/attempts/attempts.ts
@@ -66,9 +66,24 @@
     return this.allowsAnotherAfter(this.runs);
   }
 
-  /** Returns whether another server may be tried if the next one fails. */
-  mayRetryAfterFailure(): boolean {
-    return this.allowsAnotherAfter(this.runs + 1);
+  /**
+   * Records an attempt that was given up, since another one goes on, and excludes its server.
+   * @param server - The server that was tried.
+   */
+  recordSuperseded(server: string): void {
+    this.exclude(server);
+    this.runs++;
+  }
+
+  /**
+   * Returns whether another server may be tried besides attempts in progress.
+   * @param inProgress - Number of attempts in progress, each of which may run the request.
+   */
+  mayTryAnother(inProgress: number): boolean {
+    return (
+      this.unexecuted <= this.rules.maxUnexecuted &&
+      this.allowsAnotherAfter(this.runs + inProgress)
+    );
   }
 
   private allowsAnotherAfter(runs: number): boolean {
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -88,6 +88,7 @@
 const UNTRACKED_REQUEST: TrackedRequest = {
   addFirstByte: () => undefined,
   addProgress: () => undefined,
+  setSilent: () => undefined,
   finish: () => undefined,
 };
 
@@ -225,6 +226,14 @@
     return this.servers.get(id)?.server.state === FleetState.READY;
   }
 
+  /** Returns whether a server is likely to respond, as far as this host can tell. */
+  isResponsive(id: string): boolean {
+    return (
+      !this.outliers.isEjected(id) &&
+      this.servers.get(id)?.isResponsive() === true
+    );
+  }
+
   /**
    * Returns whether a server accepts a run whose KV cache was copied to it. No
    * other server can resume the run, so a server that started draining less than
--- a/src/fleet/tracked_server.ts
+++ b/src/fleet/tracked_server.ts
@@ -15,6 +15,8 @@
   addFirstByte(tookMs: number, wasServed?: boolean): void;
   /** Records that more of the answer was received. */
   addProgress(): void;
+  /** Records whether the server has sent nothing for too long. */
+  setSilent(isSilent: boolean): void;
   /** Ends the request and records its outcome. */
   finish(outcome: RequestOutcome): void;
 }
@@ -64,6 +66,8 @@
   readonly prefill = new PendingPrefill();
   /** Number of answers that have started and not ended. */
   private startedAnswers = 0;
+  /** Number of requests for which the server has sent nothing for too long. */
+  private silentRequests = 0;
   /** When an answer last made progress, in monotonic milliseconds. */
   private lastProgressMs = 0;
   private excessMs = 0;
@@ -123,14 +127,30 @@
     return this.lateWatch.getLateness();
   }
 
-  /** Returns whether all started answers have stopped making progress. */
+  /**
+   * Returns whether all started answers have stopped making progress, or one request has waited
+   * for too long while no answer made progress.
+   */
   isStalled(): boolean {
-    const idleMs = this.clock.monotonicMs() - this.lastProgressMs;
     return (
-      this.startedAnswers >= MIN_STARTED_ANSWERS && idleMs > STALL_TIMEOUT_MS
+      (this.startedAnswers >= MIN_STARTED_ANSWERS || this.silentRequests > 0) &&
+      !this.hasProgressed()
     );
   }
 
+  /**
+   * Returns whether the server is likely to respond: it makes progress, or no request waits
+   * there that could tell.
+   */
+  isResponsive(): boolean {
+    return this.inFlight === 0 || this.hasProgressed();
+  }
+
+  private hasProgressed(): boolean {
+    const idleMs = this.clock.monotonicMs() - this.lastProgressMs;
+    return idleMs <= STALL_TIMEOUT_MS;
+  }
+
   /**
    * Returns whether no request is in flight and none has been answered for
    * long.
@@ -151,6 +171,7 @@
     let pending = this.countUncached(parts);
     let open = true;
     let hasStarted = false;
+    let isSilent = false;
     const sentMs = this.clock.monotonicMs();
     const endWait = this.watchFirstByte(learned);
     this.inFlight++;
@@ -160,10 +181,19 @@
       this.prefill.add(urgency, -pending);
       pending = 0;
     };
+    const setSilent = (value: boolean) => {
+      this.silentRequests += Number(value) - Number(isSilent);
+      isSilent = value;
+    };
     return {
       addProgress: () => {
         this.lastProgressMs = this.clock.monotonicMs();
       },
+      setSilent: value => {
+        if (open) {
+          setSilent(value);
+        }
+      },
       addFirstByte: (tookMs, wasServed = true) => {
         endPrefill();
         endWait(wasServed ? tookMs : undefined);
@@ -179,6 +209,7 @@
           return;
         }
         open = false;
+        setSilent(false);
         endPrefill();
         const waitedMs = this.clock.monotonicMs() - sentMs;
         // A request that is given up takes at least the time that it has waited.
--- a/src/relay/answer_relay.ts
+++ b/src/relay/answer_relay.ts
@@ -12,6 +12,20 @@
 /** Logged in place of the version of a server that another host has chosen. */
 const UNKNOWN_VERSION = 'unknown';
 
+/** A run whose answer is relayed. */
+export interface RelayedRun {
+  /**
+   * Called before a part of the answer is relayed.
+   * @throws AttemptAborted - If another run of the request is kept in its place.
+   */
+  readonly keep: () => void;
+  /** Called when a part of the answer has arrived. */
+  readonly onReceived: () => void;
+  /** Called before and after the caller takes a part; no more is read meanwhile. */
+  readonly onRelaying: () => void;
+  readonly onRelayed: () => void;
+}
+
 /**
  * Relays the answer to one request to its caller, over all attempts. An answer that was
  * begun is only ever continued from the same run.
@@ -73,26 +87,25 @@
    * @param answer - The answer.
    * @param maxBufferedBytes - Bytes that are buffered until the answer is complete: if it
    *   breaks off before more arrived, the answer of another server can replace it.
-   * @param onBytes - Called for each chunk received.
+   * @param run - The run that brings it.
    * @throws IncompleteAnswer - If the answer breaks off.
    */
   async relayBody(
     answer: ExchangeAnswer,
     maxBufferedBytes: number,
-    onBytes: () => void,
+    run: RelayedRun,
   ): Promise<void> {
-    this.framing = answer.framing;
     const buffered: Uint8Array[] = [];
     let remainingBytes = maxBufferedBytes;
     for await (const bytes of answer.body) {
-      onBytes();
+      run.onReceived();
       remainingBytes -= bytes.length;
       buffered.push(bytes);
       if (remainingBytes < 0) {
-        await this.relayBuffered(answer, buffered);
+        await this.relayBuffered(answer, buffered, run);
       }
     }
-    await this.relayBuffered(answer, buffered);
+    await this.relayBuffered(answer, buffered, run);
     this.sink.end();
   }
 
@@ -100,7 +113,7 @@
    * Relays a complete stream, event by event; no part of an event is relayed.
    * @param answer - The answer.
    * @param version - Version of the server's software; `undefined` if it is not known.
-   * @param onEvents - Called before events are relayed.
+   * @param run - The run that brings it.
    * @param mayBeStopped - Resolves to whether the server may have stopped the run, as it
    *   was asked to.
    * @throws IncompleteAnswer - If the stream breaks off.
@@ -108,10 +121,9 @@
   async relayStream(
     answer: ExchangeAnswer,
     version: string | undefined,
-    onEvents: () => void,
+    run: RelayedRun,
     mayBeStopped: () => Promise<boolean>,
   ): Promise<void> {
-    this.framing = answer.framing;
     const stream = withoutLength(answer);
     /** Id after which the stream is to go on; absent once it did, or if it begins. */
     let continued = this.begun ? this.lastEventId : undefined;
@@ -126,14 +138,15 @@
         this.checkContinuation(continued, events);
         continued = events.firstId === undefined ? continued : undefined;
       }
-      onEvents();
+      run.keep();
+      run.onReceived();
       this.versions.add(version);
       if (!this.begun) {
         this.onFirstEvent();
       }
       this.begin(stream);
       this.lastEventId = lastId ?? this.lastEventId;
-      await this.sink.write(bytes);
+      await this.write(bytes, run);
     }
     const {framing} = answer;
     const failure = checkStreamEnd({
@@ -148,7 +161,7 @@
     if (failure !== undefined) {
       throw failure;
     }
-    await this.relayBuffered(stream, [rest]);
+    await this.relayBuffered(stream, [rest], run);
     this.sink.end();
   }
 
@@ -164,16 +177,25 @@
   private async relayBuffered(
     answer: ExchangeAnswer,
     buffered: Uint8Array[],
+    run: RelayedRun,
   ): Promise<void> {
+    run.keep();
     this.begin(answer);
     for (const bytes of buffered.splice(0)) {
       if (bytes.length > 0) {
-        await this.sink.write(bytes);
+        await this.write(bytes, run);
       }
     }
   }
 
+  private async write(bytes: Uint8Array, run: RelayedRun): Promise<void> {
+    run.onRelaying();
+    await this.sink.write(bytes);
+    run.onRelayed();
+  }
+
   private begin(answer: ExchangeAnswer): void {
+    this.framing = answer.framing;
     if (!this.begun) {
       this.begun = true;
       this.sink.begin(answer.status, answer.headers);
--- a/src/relay/attempt_end.ts
+++ b/src/relay/attempt_end.ts
@@ -4,8 +4,8 @@
   SERVER: 'server',
   /** The server is known to have terminated. */
   SERVER_TERMINATED: 'server-terminated',
-  /** The server sent nothing for too long. */
-  SILENT: 'silent',
+  /** Another run of the request went on first while the server was silent. */
+  SUPERSEDED: 'superseded',
   CALLER_LEFT: 'caller-left',
   DEADLINE: 'deadline',
   /** This host reaches no server of the service; the request goes by way of another host. */
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -44,6 +44,10 @@
       'attempts_failed',
       'Attempts without a complete answer, by what ended them',
     );
+    metrics.addCounter(
+      'silent_runs',
+      'Runs of silent servers: resumed, replaced, or why none began beside them',
+    );
     metrics.addCounter('relocated', 'Streams moved off leaving servers');
     metrics.addCounter('relayed', 'Relayed requests by route and outcome');
     metrics.addCounter(
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -1,122 +1,20 @@
 import {Framing, IncompleteAnswer, IncompleteReason} from '../answer/index.js';
-import {Problem} from '../errors/index.js';
-import {TrackedRequest, FleetServer, RequestOutcome} from '../fleet/index.js';
+import {TrackedRequest, RequestOutcome} from '../fleet/index.js';
 import {Repeat} from '../catalog/index.js';
-import {AnswerRelay} from './answer_relay.js';
+import {RelayedRun} from './answer_relay.js';
 import {AttemptAborted, AttemptEnd, findAttemptEnd} from './attempt_end.js';
-import {BufferedAnswer, readAnswer} from './buffered_answer.js';
+import {AttemptContext, AttemptParams} from './attempt_params.js';
+import {AttemptOutcome, AttemptResult} from './attempt_result.js';
+import {readAnswer} from './buffered_answer.js';
 import {
   ExchangeAnswer,
   ExchangeFailure,
   ExchangeKind,
   ExchangeResult,
-  ForwardParams,
-  RunCopy,
 } from './exchange.js';
 import {RelayOptions} from './relay_options.js';
-import {RelayRecord} from './relay_record.js';
-import {RawHeader, RelayRequest} from './relay_request.js';
-import {RequestFeatures} from '../server_model/index.js';
-import {combineSignals, InactivityTimeout} from '../time/index.js';
-
-/** Outcome of an attempt. */
-export const AttemptOutcome = {
-  /** The complete answer was relayed to the caller. */
-  DONE: 'done',
-  /** The server answered with a status other than 200 to 299. */
-  FAILED: 'failed',
-  /** The server did not run the request, and will not run it later. */
-  NOT_RUN: 'not-run',
-  /** No complete answer arrived; the request may have run. */
-  LOST: 'lost',
-} as const;
-export type AttemptOutcome =
-  (typeof AttemptOutcome)[keyof typeof AttemptOutcome];
-
-/** Result of an attempt. */
-export interface AttemptResult {
-  readonly outcome: AttemptOutcome;
-  /** Description of the failure; empty on success. */
-  readonly detail: string;
-  /**
-   * Outcome as it counts for the health of the server: an error status below 500 counts
-   * as `SUCCEEDED`, although `outcome` is `FAILED`.
-   */
-  readonly serverOutcome: RequestOutcome;
-  /**
-   * Time from the start of the attempt until the first byte of the answer, in
-   * milliseconds; absent if none arrived.
-   */
-  readonly firstMs?: number;
-  /** Time from the start to the end of the attempt, in milliseconds. */
-  readonly wholeMs: number;
-  /** Error response of the server, for relaying. */
-  readonly failure?: BufferedAnswer;
-  /** Whether any byte of the request may have been sent; by default, it was. */
-  readonly wasSent?: boolean;
-  /**
-   * Whether the connection to the server could not be opened, broke, or brought nothing in
-   * time; the fault may then be this host's own.
-   */
-  readonly isDisconnected?: boolean;
-  /** Problem with which the host that the request was forwarded to refused it. */
-  readonly refusal?: Problem;
-  /** Id of the server that another host chose; absent if the request was not forwarded. */
-  readonly forwardedTo?: string;
-  /**
-   * Time from sending until the run was lost because the server terminated or closed the
-   * connection without a complete answer, in milliseconds; absent otherwise.
-   */
-  readonly lostAfterMs?: number;
-}
-
-/** Parameters of one attempt. */
-export interface AttemptParams {
-  readonly server: FleetServer;
-  /** Predicted time to the first token, in milliseconds. */
-  readonly predictedMs: number;
-  /** What the prediction is based on, if the time of the answer is learned. */
-  readonly features?: RequestFeatures;
-  /** Index of the attempt, from 0, for the log. */
-  readonly number: number;
-  /** Rank of the request at the server, from 0 (most urgent) to 9; see `rankUrgency`. */
-  readonly urgency: number;
-  /** Copy of the run's KV cache from which the server continues. */
-  readonly copy?: RunCopy;
-  /**
-   * Whether another server may be tried if this one does not respond. Only then the time
-   * without a response is limited.
-   */
-  readonly mayRetry: boolean;
-  /**
-   * Forwards the request to another host, which chooses the server; if absent, the request
-   * is sent to `server`.
-   */
-  readonly forward?: (
-    params: Omit<ForwardParams, 'refusal'>,
-    signal: AbortSignal,
-  ) => Promise<ExchangeResult>;
-  /** Ids of the servers that must not get the request again. */
-  readonly excluded: ReadonlySet<string>;
-  /** Version at which a stream that goes on began; absent if the stream begins. */
-  readonly boundVersion?: string;
-}
-
-/** State of the request that its attempts share. */
-export interface AttemptContext {
-  readonly request: RelayRequest;
-  readonly answer: AnswerRelay;
-  readonly record: RelayRecord;
-  /** Aborted when the caller disconnects or the deadline passes. */
-  readonly cancelled: AbortSignal;
-  /**
-   * Aborted when the server is known to have terminated, even if the connection is still
-   * open.
-   */
-  readonly serverLost: AbortSignal;
-  /** Resolves to whether the server may have stopped the run, as it was asked to. */
-  readonly mayBeStopped: () => Promise<boolean>;
-}
+import {RawHeader} from './relay_request.js';
+import {combineSignals, SilenceWatch} from '../time/index.js';
 
 /** Created once: an error per request would cost a stack trace each. */
 const UNREACHABLE = new AttemptAborted(
@@ -136,25 +34,22 @@
 /** Longest body of an error response that is kept for relaying. */
 const MAX_FAILURE_BODY_BYTES = 262_144;
 /**
- * Time beyond the predicted one within which a stream must begin, if another server may
- * be tried, in milliseconds.
+ * Time beyond the predicted one after which a server whose stream has not begun counts as
+ * silent, in milliseconds.
  */
 const FIRST_EVENT_MARGIN_MS = 1200;
+/** Pause between events of a stream after which its server counts as silent, in milliseconds. */
+const EVENT_GAP_MS = 700;
 /**
- * Longest pause between events of a stream, if another server may be tried, in
- * milliseconds.
- */
-const EVENT_GAP_TIMEOUT_MS = 700;
-/**
- * Share of the route's timeout within which the first bytes of an answer that is not a
- * stream must arrive, if another server may be tried.
+ * Share of the route's timeout after which a server counts as silent that has sent nothing of an
+ * answer that is not a stream.
  */
 const NON_STREAM_TIMEOUT_SHARE = 0.5;
 
 /** Sends a request once to one server and relays the answer. */
 export class RelayAttempt {
-  /** Limits the time without a response; absent if no other server may be tried. */
-  private readonly responseWatch: InactivityTimeout | undefined;
+  /** Measures the time without a response; absent if no other server may be tried. */
+  private readonly silenceWatch: SilenceWatch | undefined;
   private readonly inFlight: TrackedRequest;
   private readonly sentMs: number;
   private readonly abortSignal: AbortSignal;
@@ -186,7 +81,7 @@
       urgency,
       params.features,
     );
-    this.responseWatch = this.createResponseWatch();
+    this.silenceWatch = this.createSilenceWatch();
     this.abortSignal = this.createAbortSignal();
   }
 
@@ -210,20 +105,16 @@
         : {...attemptResult, forwardedTo: result.server};
     } finally {
       endWait?.();
-      this.responseWatch?.stop();
+      this.silenceWatch?.stop();
     }
   }
 
   /**
-   * Aborts the attempt after this host has lost its connections to all servers of the
-   * service, so that the request can be forwarded to another host.
-   * @param includesSent - Whether a request that was sent is aborted too, if it may be
-   *   sent again.
+   * Aborts the attempt if nothing was sent yet, after this host has lost its connections to all
+   * servers of the service, so that the request can be forwarded to another host.
    */
-  reroute(includesSent: boolean): void {
-    const {mayRetry, forward} = this.params;
-    const mayAbort = !this.mayHaveSent || (includesSent && mayRetry);
-    if (mayAbort && forward === undefined) {
+  rerouteUnsent(): void {
+    if (!this.mayHaveSent && this.params.forward === undefined) {
       this.rerouted.abort(UNREACHABLE);
     }
   }
@@ -324,27 +215,53 @@
 
   /**
    * Creates the signal that aborts the exchange: when the caller disconnects, the deadline
-   * passes, the server has terminated or it does not respond in time.
+   * passes, the server has terminated or another run is kept.
    */
   private createAbortSignal(): AbortSignal {
-    const {cancelled, serverLost} = this.context;
-    const signals = [cancelled, serverLost, this.rerouted.signal];
-    if (this.responseWatch !== undefined) {
-      signals.push(this.responseWatch.getSignal());
-    }
-    return combineSignals(signals);
+    const {cancelled, run} = this.context;
+    const {serverLost, supersededBy} = run;
+    return combineSignals([
+      cancelled,
+      serverLost,
+      supersededBy,
+      this.rerouted.signal,
+    ]);
   }
 
-  /** Starts to limit the time without a response if another server may be tried. */
-  private createResponseWatch(): InactivityTimeout | undefined {
+  /** Starts to measure the time without a response if another server may be tried. */
+  private createSilenceWatch(): SilenceWatch | undefined {
     const {streaming, timeoutMs} = this.context.request.route;
-    if (!this.params.mayRetry) {
+    if (this.params.onSilent === undefined) {
       return undefined;
     }
-    const firstByteTimeoutMs = streaming
+    const firstByteLimitMs = streaming
       ? this.params.predictedMs + FIRST_EVENT_MARGIN_MS
       : timeoutMs * NON_STREAM_TIMEOUT_SHARE;
-    return new InactivityTimeout(this.options.clock, firstByteTimeoutMs);
+    return new SilenceWatch(this.options.clock, firstByteLimitMs, () =>
+      this.handleSilence(),
+    );
+  }
+
+  private handleSilence(): void {
+    const {run} = this.context;
+    run.isSilent = true;
+    this.inFlight.setSilent(true);
+    this.params.onSilent?.();
+  }
+
+  /**
+   * Records that bytes of the answer have arrived.
+   * @param limitMs - Time without further bytes after which the server counts as silent.
+   */
+  private endSilence(limitMs: number): void {
+    const {silenceWatch} = this;
+    if (silenceWatch?.isSilent() === true) {
+      const {record, run} = this.context;
+      record.logSilenceEnd(run.server, silenceWatch.getInactiveMs());
+      run.isSilent = false;
+      this.inFlight.setSilent(false);
+    }
+    silenceWatch?.touch(limitMs);
   }
 
   private async receive(answer: ExchangeAnswer): Promise<AttemptResult> {
@@ -431,10 +348,9 @@
     const isStream =
       isEventStream(answer.headers) || this.context.answer.hasBegun();
     if (streaming && isStream) {
-      const onEvents = () => {
+      const onReceived = () => {
         this.recordFirstByte();
-        // From now on, the pauses between events are limited.
-        this.responseWatch?.touch(EVENT_GAP_TIMEOUT_MS);
+        this.endSilence(EVENT_GAP_MS);
         this.inFlight.addProgress();
         this.addBytes();
       };
@@ -442,15 +358,39 @@
       const {server, forward} = this.params;
       const version =
         forward === undefined ? (server.version ?? '') : answer.version;
-      await relayed.relayStream(answer, version, onEvents, mayBeStopped);
+      await relayed.relayStream(
+        answer,
+        version,
+        this.createRelayedRun(onReceived, EVENT_GAP_MS),
+        mayBeStopped,
+      );
       return;
     }
     this.recordFirstByte();
     const maxBufferedBytes = repeat === Repeat.ONCE ? 0 : MAX_BUFFERED_BYTES;
-    await this.context.answer.relayBody(answer, maxBufferedBytes, () => {
-      this.responseWatch?.touch(timeoutMs);
+    const onReceived = () => {
+      this.endSilence(timeoutMs);
       this.addBytes();
-    });
+    };
+    await this.context.answer.relayBody(
+      answer,
+      maxBufferedBytes,
+      this.createRelayedRun(onReceived, timeoutMs),
+    );
+  }
+
+  /** @param limitMs - See `endSilence`. */
+  private createRelayedRun(
+    onReceived: () => void,
+    limitMs: number,
+  ): RelayedRun {
+    return {
+      keep: () => this.context.run.keep(),
+      onReceived,
+      // A caller that reads slowly holds up the server.
+      onRelaying: () => this.silenceWatch?.pause(),
+      onRelayed: () => this.silenceWatch?.touch(limitMs),
+    };
   }
 
   /** Records that a server has responded, which shows that this host reaches it. */
@@ -480,16 +420,19 @@
     const {kind, reason} = failure;
     const detail = this.withheldDetail ?? failure.detail;
     const {record, answer} = this.context;
-    record.logFailure(server.id, {
-      kind,
-      detail,
-      reason,
-      framing: this.framing,
-      afterEvent: answer.getLastEventId(),
+    const end = findAttemptEnd(this.abortSignal);
+    const attempt = {
       attempt: number,
-      end: this.findEnd(),
-      silentMs: this.responseWatch?.getInactiveMs(),
-    });
+      afterEvent: answer.getLastEventId(),
+      silentMs: this.silenceWatch?.getInactiveMs(),
+    };
+    if (end === AttemptEnd.SUPERSEDED) {
+      record.logSuperseded(server.id, attempt);
+    } else {
+      const {framing} = this;
+      const failed = {...attempt, kind, detail, reason, framing, end};
+      record.logFailure(server.id, failed);
+    }
     return this.finish(this.getServerOutcome(failure), {
       // Both kinds of failed exchange have the value of an `AttemptOutcome`.
       outcome: kind,
@@ -503,12 +446,6 @@
     });
   }
 
-  private findEnd(): AttemptEnd {
-    return this.responseWatch?.getSignal().aborted === true
-      ? AttemptEnd.SILENT
-      : findAttemptEnd(this.abortSignal);
-  }
-
   /**
    * Tells whether the run was lost because the server terminated or closed the connection,
    * and not because this host aborted the exchange.
@@ -522,18 +459,19 @@
     ) {
       return false;
     }
-    return this.context.serverLost.aborted || !this.abortSignal.aborted;
+    return this.context.run.serverLost.aborted || !this.abortSignal.aborted;
   }
 
   /** Tells whether the connection to the server failed, and not because of a cancellation. */
   private isDisconnected(failure: ExchangeFailure): boolean {
     const {kind, corrupted, unsent} = failure;
-    const {cancelled, serverLost} = this.context;
+    const {cancelled, run} = this.context;
     if (
       isStopped(failure) ||
       this.params.forward !== undefined ||
       cancelled.aborted ||
-      serverLost.aborted
+      run.serverLost.aborted ||
+      run.supersededBy.aborted
     ) {
       return false;
     }
@@ -546,22 +484,28 @@
    * Returns the outcome of a failed exchange as it counts for the health of the server.
    */
   private getServerOutcome(failure: ExchangeFailure): RequestOutcome {
-    const {full, notAccepting} = failure;
+    const {full, notAccepting, unsent} = failure;
+    const {cancelled, run} = this.context;
+    const {reachability} = this.options;
     if (
-      this.context.cancelled.aborted ||
       full === true ||
       notAccepting === true ||
       isStopped(failure) ||
       // The failure says nothing about the server.
-      this.options.reachability.isOwnFault(this.params.server.service)
+      reachability.isOwnFault(this.params.server.service)
     ) {
       return RequestOutcome.NEUTRAL;
     }
+    if (this.silenceWatch?.isSilent() === true) {
+      return RequestOutcome.UNRESPONSIVE;
+    }
+    if (cancelled.aborted || run.supersededBy.aborted) {
+      return RequestOutcome.NEUTRAL;
+    }
     // A server to which no byte could be sent is treated as one that does not respond.
-    const isUnresponsive =
-      this.responseWatch?.getSignal().aborted === true ||
-      failure.unsent === true;
-    return isUnresponsive ? RequestOutcome.UNRESPONSIVE : RequestOutcome.FAILED;
+    return unsent === true
+      ? RequestOutcome.UNRESPONSIVE
+      : RequestOutcome.FAILED;
   }
 }
 
--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -21,8 +21,18 @@
   readonly detail: string;
 }
 
+/** An attempt that has ended without a complete answer. */
+export interface EndedAttempt {
+  /** Index of the attempt, from 0. */
+  readonly attempt: number;
+  /** Id of the last event that was relayed. */
+  readonly afterEvent: string | undefined;
+  /** Time since its server last sent anything, in milliseconds; absent if not measured. */
+  readonly silentMs: number | undefined;
+}
+
 /** An attempt that brought no complete answer. */
-export interface FailedAttempt {
+export interface FailedAttempt extends EndedAttempt {
   /** Value of `ExchangeKind`. */
   readonly kind: string;
   /** Description of the failure. */
@@ -31,13 +41,7 @@
   readonly reason: IncompleteReason | undefined;
   /** How the end of the answer was marked; absent if none had begun. */
   readonly framing: Framing | undefined;
-  /** Id of the last event that was relayed. */
-  readonly afterEvent: string | undefined;
-  /** Index of the attempt, from 0. */
-  readonly attempt: number;
   readonly end: AttemptEnd;
-  /** Time since its server last sent anything, in milliseconds; absent if not measured. */
-  readonly silentMs: number | undefined;
 }
 
 /** What an attempt goes on from. */
@@ -52,6 +56,17 @@
   readonly boundBy: OriginSource | undefined;
   /** State of the retry budget once this attempt took from it; absent for the first one. */
   readonly budget: RetryBudgetState | undefined;
+  /** Servers of silent runs beside which the attempt begins. */
+  readonly beside?: readonly string[];
+}
+
+/** A run whose server is silent, beside which no other run can begin. */
+export interface KeptRun {
+  readonly servers: readonly string[];
+  /** Id of the last event that was relayed. */
+  readonly afterEvent: string | undefined;
+  /** Why no other run can begin now. */
+  readonly obstacle: string;
 }
 
 /** A run that was lost because its server terminated or closed the connection. */
@@ -79,6 +94,8 @@
    * milliseconds.
    */
   private firstByteMs: number | undefined;
+  /** Why no other run could begin beside a silent one, as last logged. */
+  private loggedObstacle: string | undefined;
 
   constructor(
     private readonly options: RelayOptions,
@@ -88,7 +105,8 @@
   /** Logs which server was chosen for an attempt, and why. */
   logDecision(decision: LimitAwareDecision, origin: AttemptOrigin): void {
     const {request} = this;
-    const {attempt, resumeAfter, boundVersion, boundBy, budget} = origin;
+    const {attempt, resumeAfter, boundVersion, boundBy, budget, beside} =
+      origin;
     const {chosen, runnersUp, reason, withheld, backingOff, isUnreachable} =
       decision;
     const remainingMs = request.deadlineMs - this.options.clock.monotonicMs();
@@ -98,6 +116,7 @@
       customer: request.account?.name,
       catalog: this.options.catalog.getVersion(),
       attempt,
+      beside: beside && formatServers(beside),
       server: chosen?.server,
       version: this.getVersion(chosen?.server),
       server_limit: this.getRateLimit(chosen?.server),
@@ -141,6 +160,48 @@
       : this.options.limits.getLimit(server);
   }
 
+  /** Logs that runs whose servers are silent go on alone; the same obstacle is logged once. */
+  logKeptRun({servers, afterEvent, obstacle}: KeptRun): void {
+    if (this.loggedObstacle === obstacle) {
+      return;
+    }
+    this.loggedObstacle = obstacle;
+    const {id, route} = this.request;
+    this.options.metrics.increment('silent_runs', {result: obstacle});
+    this.options.log.info('silent_run_kept', {
+      request: id,
+      route: route.name,
+      server: formatServers(servers),
+      after_event: afterEvent,
+      obstacle,
+    });
+  }
+
+  /** Logs that a silent server goes on. */
+  logSilenceEnd(server: string, silentMs: number): void {
+    this.loggedObstacle = undefined;
+    this.options.metrics.increment('silent_runs', {result: 'resumed'});
+    this.options.log.info('silent_run_resumed', {
+      request: this.request.id,
+      server,
+      silent_ms: silentMs.toFixed(0),
+    });
+  }
+
+  /** Logs an attempt whose run was closed, since another run went on first. */
+  logSuperseded(server: string, ended: EndedAttempt): void {
+    const {attempt, afterEvent, silentMs} = ended;
+    this.loggedObstacle = undefined;
+    this.options.metrics.increment('silent_runs', {result: 'superseded'});
+    this.options.log.info('run_superseded', {
+      request: this.request.id,
+      server,
+      attempt,
+      after_event: afterEvent,
+      silent_ms: silentMs?.toFixed(0),
+    });
+  }
+
   /** Logs an attempt that brought no complete answer. */
   logFailure(server: string, failure: FailedAttempt): void {
     const {kind, detail, reason, framing, afterEvent, attempt} = failure;
--- a/src/relay/run_observer.ts
+++ b/src/relay/run_observer.ts
@@ -1,7 +1,7 @@
 import {FleetServer, RequestOutcome} from '../fleet/index.js';
 import {nameTermination, WatchedContent} from '../quarantine/index.js';
 import {VersionOutcome} from '../rollout/index.js';
-import {AttemptOutcome, AttemptResult} from './relay_attempt.js';
+import {AttemptOutcome, AttemptResult} from './attempt_result.js';
 import {RelayOptions} from './relay_options.js';
 import {RelayRecord} from './relay_record.js';
 
--- a/src/relay/server_choice.ts
+++ b/src/relay/server_choice.ts
@@ -88,6 +88,26 @@
       : decision;
   }
 
+  /**
+   * Chooses a server for a run beside one whose server is silent: one that shows no sign of
+   * being silent itself.
+   */
+  chooseBeside(): LimitAwareDecision {
+    const {brittle, fleet, reachability, versionSelector} = this.options;
+    const {request, service} = this.params;
+    if (reachability.isUnreachable(service)) {
+      return this.chooseConnected();
+    }
+    if (brittle.mustQueue(service, rankUrgency(request))) {
+      return FULL;
+    }
+    const allows =
+      this.allowBoundVersion() ?? versionSelector.select(service, false);
+    return this.chooseAllowed(
+      server => fleet.isResponsive(server.id) && allows?.(server) !== false,
+    );
+  }
+
   /** Chooses among the servers to which a connection is open that may still deliver. */
   private chooseConnected(): LimitAwareDecision {
     const {reachability, hasIdleConnection} = this.options;
