Mend six faults of runs beside each other, found in review

What callers would have seen: a request stayed at a silent server until its deadline though others were only busy; a stream was broken off since a second run that was never sent counted as one; a run went on relaying after its request had ended in an error of this program; a request was held for the relocation of a run that had ended. A host that lost its connections took a retry for requests that were not sent, and forwarded forwarded ones again.

Cause: the servers for a second run had to have sent something, whatever was due; runs in progress were counted and examined without telling sent, ended and forwarded ones apart.

Change: a server is likely to respond if nothing there is later than predicted; runs know whether they were sent and have ended; a run is watched if a rejected one may leave room for another. Reports of a silence that goes on double to 500 ms, so that many silent streams cost little.

--- a/src/attempts/attempts.ts
+++ b/src/attempts/attempts.ts
@@ -69,10 +69,12 @@
   /**
    * Records an attempt that was given up, since another one goes on, and excludes its server.
    * @param server - The server that was tried.
+   * @param wasSent - Whether any byte of the request may have been sent.
    */
-  recordSuperseded(server: string): void {
+  recordSuperseded(server: string, wasSent: boolean): void {
     this.exclude(server);
-    this.runs++;
+    this.runs += wasSent ? 1 : 0;
+    this.unsent += wasSent ? 0 : 1;
   }
 
   /**
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -89,6 +89,7 @@
   addFirstByte: () => undefined,
   addProgress: () => undefined,
   setSilent: () => undefined,
+  markProbe: () => undefined,
   finish: () => undefined,
 };
 
--- a/src/fleet/tracked_server.ts
+++ b/src/fleet/tracked_server.ts
@@ -17,6 +17,8 @@
   addProgress(): void;
   /** Records whether the server has sent nothing for too long. */
   setSilent(isSilent: boolean): void;
+  /** Records that the first byte of this request is to tell whether the server responds. */
+  markProbe(): void;
   /** Ends the request and records its outcome. */
   finish(outcome: RequestOutcome): void;
 }
@@ -68,6 +70,8 @@
   private startedAnswers = 0;
   /** Number of requests for which the server has sent nothing for too long. */
   private silentRequests = 0;
+  /** Requests without a first byte, with the time from which each is late, monotonic ms. */
+  private readonly waiting = new Map<object, number>();
   /** When an answer last made progress, in monotonic milliseconds. */
   private lastProgressMs = 0;
   private excessMs = 0;
@@ -139,11 +143,18 @@
   }
 
   /**
-   * Returns whether the server is likely to respond: it makes progress, or no request waits
-   * there that could tell.
+   * Returns whether the server is likely to respond: an answer makes progress, or there is none
+   * that should, and no request has waited for longer than predicted.
    */
   isResponsive(): boolean {
-    return this.inFlight === 0 || this.hasProgressed();
+    if (this.inFlight === 0 || this.hasProgressed()) {
+      return true;
+    }
+    const nowMs = this.clock.monotonicMs();
+    return (
+      this.startedAnswers === 0 &&
+      [...this.waiting.values()].every(lateMs => lateMs > nowMs)
+    );
   }
 
   private hasProgressed(): boolean {
@@ -174,6 +185,8 @@
     let isSilent = false;
     const sentMs = this.clock.monotonicMs();
     const endWait = this.watchFirstByte(learned);
+    const waiter = {};
+    this.waiting.set(waiter, sentMs + predictedMs + STALL_TIMEOUT_MS);
     this.inFlight++;
     this.prefill.add(urgency, pending);
     this.cachedParts.add(parts);
@@ -194,7 +207,13 @@
           setSilent(value);
         }
       },
+      markProbe: () => {
+        if (this.waiting.has(waiter)) {
+          this.waiting.set(waiter, sentMs);
+        }
+      },
       addFirstByte: (tookMs, wasServed = true) => {
+        this.waiting.delete(waiter);
         endPrefill();
         endWait(wasServed ? tookMs : undefined);
         if (open && !hasStarted) {
@@ -210,6 +229,7 @@
         }
         open = false;
         setSilent(false);
+        this.waiting.delete(waiter);
         endPrefill();
         const waitedMs = this.clock.monotonicMs() - sentMs;
         // A request that is given up takes at least the time that it has waited.
--- a/src/relay/attempt_params.ts
+++ b/src/relay/attempt_params.ts
@@ -38,6 +38,8 @@
    * tried. Only then the time without a response is measured.
    */
   readonly onSilent?: () => void;
+  /** Whether the run begins beside one whose server is silent. */
+  readonly isProbe?: boolean;
   /** Ids of the servers that must not get the request again. */
   readonly excluded: ReadonlySet<string>;
 }
--- a/src/relay/racing_run.ts
+++ b/src/relay/racing_run.ts
@@ -14,8 +14,12 @@
 export class RacingRun {
   /** Whether the server has sent nothing for so long that another run may be begun. */
   isSilent = false;
-  /** Aborts the run, if nothing was sent yet, so that it is sent by way of another host. */
-  rerouteUnsent: () => void = () => undefined;
+  /** Whether any byte of the request may have been sent. */
+  wasSent = false;
+  /** Whether the attempt has ended, though what its end shows is still examined. */
+  hasEnded = false;
+  /** See `RelayAttempt.reroute`. */
+  reroute: () => void = () => undefined;
   private readonly lost = new AbortController();
   private readonly superseded = new AbortController();
 
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -63,7 +63,6 @@
   private withheldDetail: string | undefined;
   /** Aborted when the request is to be sent by another way. */
   private readonly rerouted = new AbortController();
-  private mayHaveSent = false;
 
   constructor(
     private readonly options: RelayOptions,
@@ -81,6 +80,9 @@
       urgency,
       params.features,
     );
+    if (params.isProbe === true) {
+      this.inFlight.markProbe();
+    }
     this.silenceWatch = this.createSilenceWatch();
     this.abortSignal = this.createAbortSignal();
   }
@@ -111,10 +113,17 @@
 
   /**
    * Aborts the attempt if nothing was sent yet, after this host has lost its connections to all
-   * servers of the service, so that the request can be forwarded to another host.
+   * servers of the service, so that the request can be forwarded to another host. If it was
+   * sent, its server counts as silent.
    */
-  rerouteUnsent(): void {
-    if (!this.mayHaveSent && this.params.forward === undefined) {
+  reroute(): void {
+    if (this.params.forward !== undefined) {
+      return;
+    }
+    const {run} = this.context;
+    if (run.wasSent) {
+      run.isSilent = true;
+    } else {
       this.rerouted.abort(UNREACHABLE);
     }
   }
@@ -197,7 +206,7 @@
       return false;
     }
     request.onSend?.();
-    this.mayHaveSent = true;
+    this.context.run.wasSent = true;
     return true;
   }
 
@@ -370,6 +379,7 @@
     const maxBufferedBytes = repeat === Repeat.ONCE ? 0 : MAX_BUFFERED_BYTES;
     const onReceived = () => {
       this.endSilence(timeoutMs);
+      this.inFlight.addProgress();
       this.addBytes();
     };
     await this.context.answer.relayBody(
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -148,7 +148,8 @@
     });
     this.race = new RunRace({
       onFailure: ended => this.recordFailure(ended),
-      onSuperseded: server => attempts.recordSuperseded(server),
+      onSuperseded: ({server, wasSent}) =>
+        attempts.recordSuperseded(server, wasSent),
       isFinal: result => this.isFinalResponse(result),
     });
     this.relocation = new RunRelocation(options, {
@@ -243,9 +244,8 @@
     if (service !== this.service) {
       return;
     }
-    this.race.rerouteUnsent();
+    this.race.reroute();
     if (!this.options.reachability.trustsOpenConnections(service)) {
-      this.race.markSilent();
       this.runBeside();
     }
   }
@@ -327,7 +327,7 @@
    */
   private runBeside(): void {
     const servers = this.race.listServers();
-    if (this.race.count() === 0 || !this.race.areAllSilent()) {
+    if (!this.race.areAllSilent()) {
       return;
     }
     const obstacle = this.tryRunBeside(servers);
@@ -435,6 +435,7 @@
         : {features: chosen.features}),
       ...(copiedRun === undefined ? {} : {copy: copiedRun.copy}),
     });
+    run.hasEnded = true;
     this.options.brittle.release(this.service, result.wholeMs);
     return {...result, serverTerminated: run.serverLost.aborted};
   }
@@ -457,12 +458,14 @@
         number: this.attempts.count() - 1,
         urgency: rankUrgency(request),
         excluded: this.attempts.excluded,
-        ...(this.attempts.mayTryAnother(this.race.count())
+        isProbe: this.race.count() > 1,
+        // Others in progress may turn out not to have run.
+        ...(this.attempts.mayTryAnother(1)
           ? {onSilent: () => this.runBeside()}
           : {}),
       },
     );
-    run.rerouteUnsent = () => attempt.rerouteUnsent();
+    run.reroute = () => attempt.reroute();
     return attempt.execute();
   }
 
--- a/src/relay/run_race.ts
+++ b/src/relay/run_race.ts
@@ -16,8 +16,8 @@
 export interface RunRaceParams {
   /** Called with a run that failed while others are in progress. */
   readonly onFailure: (ended: EndedRun) => void;
-  /** Called with the server of a run that is closed, since another one is kept. */
-  readonly onSuperseded: (server: string) => void;
+  /** Called with a run that is closed, since another one is kept. */
+  readonly onSuperseded: (run: RacingRun) => void;
   /** Returns whether the caller gets the error response of a run, whatever the others bring. */
   readonly isFinal: (result: AttemptResult) => boolean;
 }
@@ -40,14 +40,17 @@
     return this.runs.size;
   }
 
-  /** Returns whether the server of each run is silent. */
+  /** Returns whether the server of each run is silent, and there is one. */
   areAllSilent(): boolean {
-    return [...this.runs].every(({isSilent}) => isSilent);
+    return (
+      this.runs.size > 0 &&
+      [...this.runs].every(({isSilent, hasEnded}) => isSilent && !hasEnded)
+    );
   }
 
   /** Returns whether a run is in progress at a server. */
   isAt(server: string): boolean {
-    return [...this.runs].some(run => run.server === server);
+    return [...this.runs].some(run => run.server === server && !run.hasEnded);
   }
 
   /** Returns the servers of the runs in progress, as far as they are known. */
@@ -73,7 +76,7 @@
     this.runs.add(run);
     execute(run).then(
       result => this.handleEnd(run, result),
-      (error: unknown) => this.reject(error),
+      (error: unknown) => this.handleError(run, error),
     );
   }
 
@@ -86,17 +89,10 @@
     }
   }
 
-  /** Aborts the runs that have not been sent, so that they are sent by way of another host. */
-  rerouteUnsent(): void {
-    for (const {rerouteUnsent} of this.runs) {
-      rerouteUnsent();
-    }
-  }
-
-  /** Records that no connection to the servers of the runs works. */
-  markSilent(): void {
-    for (const run of this.runs) {
-      run.isSilent = true;
+  /** Reroutes the runs after this host has lost its connections to their servers. */
+  reroute(): void {
+    for (const {reroute} of this.runs) {
+      reroute();
     }
   }
 
@@ -109,12 +105,19 @@
       if (run !== kept) {
         this.runs.delete(run);
         run.supersede();
-        this.params.onSuperseded(run.server);
+        this.params.onSuperseded(run);
       }
     }
     return true;
   }
 
+  private handleError(run: RacingRun, error: unknown): void {
+    // The request ends here, so that no other run may go on with its answer.
+    this.keep(run);
+    this.runs.delete(run);
+    this.reject(error);
+  }
+
   private handleEnd(run: RacingRun, result: AttemptResult): void {
     if (!this.runs.has(run)) {
       return;
--- a/src/time/silence_watch.ts
+++ b/src/time/silence_watch.ts
@@ -2,8 +2,12 @@
 
 /** Longest interval between two checks, in milliseconds. */
 const MAX_CHECK_INTERVAL_MS = 500;
-/** Interval between the reports of a silence that goes on, in milliseconds. */
-const REPEAT_MS = 250;
+/**
+ * First and longest interval between the reports of a silence that goes on, in milliseconds. It
+ * doubles, so that many streams that are silent for long cost little.
+ */
+const FIRST_REPEAT_MS = 250;
+const MAX_REPEAT_MS = 500;
 /**
  * Delay from which a timer shows that this process stood still, in milliseconds. What arrived
  * in that time is read only after the timer has fired.
@@ -19,6 +23,7 @@
   private lastActivityMs: number;
   private dueMs: number;
   private silent = false;
+  private repeatMs = FIRST_REPEAT_MS;
   private paused = false;
   private cancel: CancelTimer = () => undefined;
 
@@ -55,6 +60,7 @@
     this.lastActivityMs = this.clock.monotonicMs();
     this.limitMs = limitMs;
     this.silent = false;
+    this.repeatMs = FIRST_REPEAT_MS;
     this.paused = false;
   }
 
@@ -80,7 +86,8 @@
       return;
     }
     this.silent = true;
-    this.schedule(REPEAT_MS);
+    this.schedule(this.repeatMs);
+    this.repeatMs = Math.min(2 * this.repeatMs, MAX_REPEAT_MS);
     this.onSilent();
   }
 
--- a/test/time/silence_watch_test.ts
+++ b/test/time/silence_watch_test.ts
@@ -28,6 +28,8 @@
     await clock.advance(1);
     expect(watch.isSilent()).to.equal(true);
     expect(reports).to.equal(1);
+    await clock.advance(250);
+    expect(reports).to.equal(2);
     await clock.advance(500);
     expect(reports).to.equal(3);
     watch.stop();
