Exclude the server that another host names, and begin no run for a caller that left

What callers would have seen: a forwarded stream whose server fell silent went on at the same server, since another host's choice was known only once its run had ended. A run began while the last event for a caller that had left was still being written.

Change: a run knows its server as soon as the other host names it; none begins once the request is over.

--- a/src/relay/racing_run.ts
+++ b/src/relay/racing_run.ts
@@ -24,11 +24,11 @@
   private readonly superseded = new AbortController();
 
   /**
-   * @param server - Id of the server; empty if another host chooses it.
+   * @param server - Id of the server; empty until it is known, if another host chooses it.
    * @param keepOver - Closes the other runs; returns whether this run is kept.
    */
   constructor(
-    readonly server: string,
+    public server: string,
     private readonly keepOver: (run: RacingRun) => boolean,
   ) {}
 
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -97,6 +97,9 @@
         : undefined;
     try {
       const result = await this.send();
+      if (result.server !== undefined) {
+        this.context.run.server = result.server;
+      }
       this.recordStatement(result);
       const attemptResult =
         result.kind === ExchangeKind.ANSWERED
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -327,7 +327,7 @@
    */
   private runBeside(): void {
     const servers = this.race.listServers();
-    if (!this.race.areAllSilent()) {
+    if (!this.race.areAllSilent() || this.isOver()) {
       return;
     }
     const obstacle = this.tryRunBeside(servers);
@@ -600,19 +600,20 @@
    * less than `MIN_REMAINING_MS` away; returns whether it has ended.
    */
   private endIfOver(): boolean {
+    if (!this.isOver()) {
+      return false;
+    }
     if (this.disconnected.aborted) {
       this.end.endDisconnected();
-      return true;
-    }
-    if (
-      this.deadline.signal.aborted ||
-      this.getRemainingMs() < MIN_REMAINING_MS
-    ) {
+    } else {
       this.end.addDetail('deadline passed');
       this.end.fail();
-      return true;
     }
-    return false;
+    return true;
+  }
+
+  private isOver(): boolean {
+    return this.cancelled.aborted || this.getRemainingMs() < MIN_REMAINING_MS;
   }
 
   /**
