Wait for a slot of a brittle server to run beside a silent one

The refusal of a host that a request was forwarded to beside a silent run was lost where that run ended first.

Change: a request whose server is silent waits for a slot like others, and passes it on if its server has gone on meanwhile.

--- a/src/brittle/brittle_services.ts
+++ b/src/brittle/brittle_services.ts
@@ -218,6 +218,11 @@
     }
   }
 
+  /** Wakes the next request, since one that was woken does not use its slot. */
+  passOn(service: string): void {
+    this.services.get(service)?.queue.wakeNext();
+  }
+
   private getOwnSlots(
     service: string,
     state: BrittleService,
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -7,7 +7,7 @@
 export {PlaceAdmission} from './place_admission.js';
 export type {PlaceAdmissionOptions} from './place_admission.js';
 export {Relay} from './relay.js';
-export type {ForwardedAttempts} from './relay_run.js';
+export type {ForwardedAttempts} from './relay_run_params.js';
 export type {RelayOptions} from './relay_options.js';
 export type {Prompt, RawHeader, RelayRequest} from './relay_request.js';
 export type {ServerStatement} from './server_statement.js';
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -12,7 +12,8 @@
 import {PlaceAdmission} from './place_admission.js';
 import {RelayOptions} from './relay_options.js';
 import {RelayRequest} from './relay_request.js';
-import {ForwardedAttempts, RelayRun, RelayRunParams} from './relay_run.js';
+import {RelayRun} from './relay_run.js';
+import {ForwardedAttempts, RelayRunParams} from './relay_run_params.js';
 
 const MS_PER_SECOND = 1000;
 /**
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -6,11 +6,9 @@
 import {WatchedContent} from '../quarantine/index.js';
 import {RetryBudgetState} from '../retry_budget/index.js';
 import {ScoredServer} from '../routing/index.js';
-import {FoundOrigin} from '../stream_versions/index.js';
 import {combineSignals} from '../time/index.js';
 import {SlotRequest} from '../brittle/index.js';
 import {AnswerRelay} from './answer_relay.js';
-import {AnswerSink} from './answer_sink.js';
 import {AttemptAborted, AttemptEnd} from './attempt_end.js';
 import {AttemptTarget} from './attempt_params.js';
 import {AttemptOutcome, AttemptResult} from './attempt_result.js';
@@ -25,6 +23,7 @@
 import {RelayOptions} from './relay_options.js';
 import {AttemptOrigin, RelayRecord} from './relay_record.js';
 import {RelayRequest} from './relay_request.js';
+import {RelayRunParams} from './relay_run_params.js';
 import {RequestEnd} from './request_end.js';
 import {RunObserver, ObservedResult} from './run_observer.js';
 import {EndedRun, ExecuteRun, RunRace} from './run_race.js';
@@ -39,6 +38,8 @@
  * request.
  */
 const MAX_NOT_RUN_ATTEMPTS = 3;
+/** Why no run begins beside a silent one: no slot of a brittle server is free. */
+const NO_SLOT = 'no-slot';
 const SERVER_ERROR = 500;
 const MS_PER_SECOND = 1000;
 /** Created once: an error per request would cost a stack trace each. */
@@ -47,37 +48,6 @@
   'deadline passed',
 );
 
-/** Limits of the attempts at a request that another host has forwarded. */
-export interface ForwardedAttempts {
-  /** Ids of the servers that must not get the request again. */
-  readonly excluded: readonly string[];
-  /** Called with each server that the request is sent to. */
-  readonly onServer: (server: Pick<FleetServer, 'id' | 'version'>) => void;
-  /**
-   * Called if a server has rejected the request, and another one may get it with a retry
-   * from the budget of the host that has received it from its caller.
-   */
-  readonly onRejected: () => void;
-  /** Version at which a stream that goes on began; absent if the stream begins. */
-  readonly boundVersion?: string;
-}
-
-/** Parameters of a `RelayRun`. */
-export interface RelayRunParams {
-  readonly request: RelayRequest;
-  readonly content: WatchedContent;
-  /** Service that was selected from the route's weighted services. */
-  readonly service: string;
-  /** Receives the answer. */
-  readonly sink: AnswerSink;
-  /** Aborted when the caller disconnects. */
-  readonly disconnected: AbortSignal;
-  /** Present if another host has forwarded the request. */
-  readonly forwarded?: ForwardedAttempts;
-  /** Where a stream that the caller takes up, or another host forwards, began. */
-  readonly origin?: FoundOrigin;
-}
-
 /**
  * Serves one request by one or more attempts, one after the other, or beside each other while
  * servers are silent. In the comments here, a run is the execution of the request by a server.
@@ -96,6 +66,8 @@
   private readonly end: RequestEnd;
   private readonly race: RunRace;
   private readonly relocation: RunRelocation;
+  /** Whether another run is to begin once a slot of a brittle server is free. */
+  private waitsForSlot = false;
   /** Ends the count of this request as in flight; absent until it is sent. */
   private releasePlace: (() => void) | undefined;
 
@@ -324,21 +296,44 @@
   /**
    * Begins another run beside those in progress, whose servers are silent, if a server can go on
    * with the request. Until it does, they are kept.
+   * @param hasSlot - Whether the request has waited for a slot of a brittle server.
+   * @returns Whether a run began.
    */
-  private runBeside(): void {
+  private runBeside(hasSlot = false): boolean {
     const servers = this.race.listServers();
     if (!this.race.areAllSilent() || this.isOver()) {
+      return false;
+    }
+    const obstacle = this.tryRunBeside(servers, hasSlot);
+    if (obstacle === undefined) {
+      return true;
+    }
+    const afterEvent = this.answer.getLastEventId();
+    this.record.logKeptRun({servers, afterEvent, obstacle});
+    if (obstacle === NO_SLOT) {
+      void this.waitToRunBeside();
+    }
+    return false;
+  }
+
+  /** Waits for a slot of a brittle server, and begins another run if it is still needed. */
+  private async waitToRunBeside(): Promise<void> {
+    if (this.waitsForSlot) {
       return;
     }
-    const obstacle = this.tryRunBeside(servers);
-    if (obstacle !== undefined) {
-      const afterEvent = this.answer.getLastEventId();
-      this.record.logKeptRun({servers, afterEvent, obstacle});
+    this.waitsForSlot = true;
+    const isNext = await this.waitForSlot();
+    this.waitsForSlot = false;
+    if (isNext && !this.runBeside(true)) {
+      this.options.brittle.passOn(this.service);
     }
   }
 
   /** Returns why no run could begin beside those at the given servers; absent if one did. */
-  private tryRunBeside(servers: readonly string[]): string | undefined {
+  private tryRunBeside(
+    servers: readonly string[],
+    hasSlot: boolean,
+  ): string | undefined {
     if (
       !this.attempts.mayTryAnother(this.race.count()) ||
       !this.canContinue()
@@ -351,14 +346,14 @@
     for (const server of servers) {
       this.attempts.exclude(server);
     }
-    const decision = this.choice.chooseBeside();
+    const decision = this.choice.chooseBeside(hasSlot);
     const server = this.choice.getServer(decision);
     const forward =
       decision.isUnreachable && this.mayForward()
         ? this.options.forward
         : undefined;
     if (server === undefined && forward === undefined) {
-      return decision.isFull ? 'no-slot' : 'no-server';
+      return decision.isFull ? NO_SLOT : 'no-server';
     }
     if (!this.attempts.begin()) {
       return 'retry-budget';
@@ -505,15 +500,9 @@
     }
     const run = this.createForwardedRun(forward, refusal);
     const last = await this.race.begin('', run);
-    const {result} = last;
-    if (result.outcome === AttemptOutcome.DONE) {
-      return false;
-    }
-    if (result.refusal !== undefined) {
-      this.end.setFailure(result.detail);
-      return this.endIfOver() ? false : this.end.fail(result.refusal);
-    }
-    return this.handleFailure(last);
+    return last.result.outcome === AttemptOutcome.DONE
+      ? false
+      : this.handleFailure(last);
   }
 
   /**
@@ -542,6 +531,10 @@
    */
   private handleFailure(ended: EndedRun): boolean {
     const {result} = ended;
+    if (result.refusal !== undefined) {
+      this.end.setFailure(result.detail);
+      return this.endIfOver() ? false : this.end.fail(result.refusal);
+    }
     const mayHaveRun = result.outcome !== AttemptOutcome.NOT_RUN;
     const mayRetry = this.recordFailure(ended);
     if (this.endIfOver()) {
--- a/src/relay/server_choice.ts
+++ b/src/relay/server_choice.ts
@@ -91,14 +91,15 @@
   /**
    * Chooses a server for a run beside one whose server is silent: one that shows no sign of
    * being silent itself.
+   * @param isNext - See `choose`.
    */
-  chooseBeside(): LimitAwareDecision {
+  chooseBeside(isNext: boolean): LimitAwareDecision {
     const {brittle, fleet, reachability, versionSelector} = this.options;
     const {request, service} = this.params;
     if (reachability.isUnreachable(service)) {
       return this.chooseConnected();
     }
-    if (brittle.mustQueue(service, rankUrgency(request))) {
+    if (!isNext && brittle.mustQueue(service, rankUrgency(request))) {
       return FULL;
     }
     const allows =
