Give up a silent stream of the own interface only for a reserved run

What callers saw: a generation whose engine sent no token for the timeout (2 s by default) ended with 502 while most of its time was left, or was sent again to the one engine that was silent.

Cause: the runner ended the stream first and asked afterwards for a retry and another engine. With no retry left within 3 s, the caller lost a stream that the engine would have continued.

Change: a token watch asks for the next run, another engine that is not ejected and a retry of the budget, before it ends the stream; without one the stream goes on, up to the deadline, and the watch asks again each 100 ms. The engine itself may be asked again only if it has reported its load since the last token: then its connection is at fault.

Not covered: the second run is not proven to go on before the first ends.

--- a/src/generation/generation_runner.ts
+++ b/src/generation/generation_runner.ts
@@ -26,11 +26,12 @@
   ScoredServer,
   ServerDirectory,
 } from '../routing/index.js';
-import {Clock, InactivityTimeout} from '../time/index.js';
+import {Clock} from '../time/index.js';
 import {AnswerLengths} from './answer_lengths.js';
 import {Generation} from './generation.js';
 import {GenerationMeter} from './generation_meter.js';
 import {RunningGenerations} from './running_generations.js';
+import {TokenWatch} from './token_watch.js';
 import {failBlocked, watchGeneration} from './watch_generation.js';
 
 /** Options of the runner. */
@@ -62,6 +63,8 @@
   readonly engine: ModelEngine;
   readonly blocks: readonly number[];
   readonly promptTokens: number;
+  /** Servers on which the generation has failed. */
+  readonly excluded: ReadonlySet<string>;
 }
 
 /** Result of an attempt. */
@@ -74,6 +77,8 @@
   readonly failedAfterSend: boolean;
   /** Server that holds the exported cache, if any. */
   readonly preferred: string | undefined;
+  /** The run that is reserved in place of one whose server was silent, if any. */
+  readonly next: RoutingDecision | undefined;
 }
 
 const RETRY_TIMEOUT_MS = 3000;
@@ -133,6 +138,7 @@
     this.options.budget.addRequest();
     let detail = '';
     let preferred: string | undefined;
+    let next: RoutingDecision | undefined;
     for (let attempt = 0; !signal.aborted; attempt++) {
       if (this.options.clock.monotonicMs() >= generation.request.deadlineMs) {
         generation.fail(problems.deadlinePassed(ExecutionStatus.UNKNOWN));
@@ -143,13 +149,17 @@
         failBlocked(generation, content, attempt > 0, blockedMs);
         return;
       }
-      if (attempt > 0 && !(await this.waitForRetry(generation, detail))) {
+      if (
+        attempt > 0 &&
+        next === undefined &&
+        !(await this.waitForRetry(generation, detail))
+      ) {
         return;
       }
-      const decision = applyPreferredServer(
-        this.choose(generation, excluded),
-        preferred,
-      );
+      const decision =
+        next ??
+        applyPreferredServer(this.choose(generation, excluded), preferred);
+      next = undefined;
       this.logDecision(generation, decision, attempt);
       const {chosen} = decision;
       if (chosen === undefined && excluded.size > 0) {
@@ -165,7 +175,7 @@
       }
       content.beginRun();
       const ended = await this.attempt(
-        this.createAttempt(generation, deployment, chosen, engine),
+        this.createAttempt(generation, deployment, chosen, engine, excluded),
         signal,
       );
       if (generation.isOver()) {
@@ -180,6 +190,7 @@
       }
       detail = ended.detail;
       preferred = ended.preferred;
+      next = ended.next;
       if (ended.moved) {
         // Leaving a server under notice is not a failure and costs no retry.
         attempt = -1;
@@ -234,6 +245,7 @@
     deployment: Deployment,
     chosen: ScoredServer,
     engine: ModelEngine,
+    excluded: ReadonlySet<string>,
   ): Attempt {
     const prompt = getPromptText(generation.request.body);
     return {
@@ -243,6 +255,7 @@
       engine,
       blocks: this.getBlocks(generation, deployment, prompt),
       promptTokens: estimateTokens(prompt) + generation.getTexts().length,
+      excluded,
     };
   }
 
@@ -257,15 +270,17 @@
     const prefill = attempt.promptTokens - (known?.cachedTokens ?? 0);
     const inFlight = directory.trackRequest(chosen.server, blocks, prefill);
     const handle = running.add(generation, chosen.server);
-    const stop = AbortSignal.any([signal, handle.moved]);
+    const watch = this.createWatch(attempt);
+    const stop = AbortSignal.any([signal, handle.moved, watch.getSignal()]);
     try {
-      await this.stream(attempt, inFlight, stop);
+      await this.stream(attempt, inFlight, watch, stop);
       inFlight.finish(true);
       return {
         detail: '',
         moved: false,
         failedAfterSend: false,
         preferred: undefined,
+        next: undefined,
       };
     } catch (error) {
       await handle.waitForMove();
@@ -281,8 +296,10 @@
         moved,
         failedAfterSend,
         preferred: handle.getPreferredServer(),
+        next: moved ? undefined : watch.getNext(),
       };
     } finally {
+      watch.stop();
       running.remove(generation.request.id);
     }
   }
@@ -290,24 +307,16 @@
   private async stream(
     attempt: Attempt,
     inFlight: InFlightRequest,
+    watch: TokenWatch,
     signal: AbortSignal,
   ): Promise<void> {
     const {generation, deployment, engine, chosen} = attempt;
     const {clock, meter, lengths} = this.options;
-    const {deadlineMs} = generation.request;
-    // Past the deadline the limit is 0, so that a stream ends even if tokens arrive.
-    const limitToDeadline = (limitMs: number) =>
-      Math.max(0, Math.min(limitMs, deadlineMs - clock.monotonicMs()));
-    const watch = new InactivityTimeout(
-      clock,
-      limitToDeadline(this.options.firstTokenTimeoutMs),
-    );
-    const stop = AbortSignal.any([signal, watch.getSignal()]);
     const order = this.createOrder(generation, deployment);
     const startMs = clock.monotonicMs();
     let previousMs = startMs;
     try {
-      for await (const token of engine.generate(order, stop)) {
+      for await (const token of engine.generate(order, signal)) {
         this.options.checkToken(token, generation);
         const nowMs = clock.monotonicMs();
         const first = previousMs === startMs;
@@ -316,7 +325,7 @@
         }
         meter.addToken(generation.request, nowMs - previousMs, first);
         previousMs = nowMs;
-        watch.touch(limitToDeadline(this.options.tokenTimeoutMs));
+        watch.touch();
         generation.addToken(token.text);
         if (token.finishReason !== undefined) {
           lengths.add(deployment.name, generation.getTexts().length);
@@ -330,15 +339,50 @@
       );
     } catch (error) {
       if (watch.getSignal().aborted) {
-        const detail = `no token for ${watch.getLimitMs()} ms`;
+        const detail = `no token for ${Math.round(watch.getSilentMs())} ms`;
         throw new ServerFailure(DeliveryState.SENT, detail);
       }
       throw error;
-    } finally {
-      watch.stop();
     }
   }
 
+  private createWatch(attempt: Attempt): TokenWatch {
+    const {clock, firstTokenTimeoutMs, tokenTimeoutMs} = this.options;
+    return new TokenWatch({
+      clock,
+      deadlineMs: attempt.generation.request.deadlineMs,
+      firstTokenTimeoutMs,
+      tokenTimeoutMs,
+      reserveNext: sinceMs => {
+        const decision = this.findNext(attempt, sinceMs);
+        return decision !== undefined && this.options.budget.spend()
+          ? decision
+          : undefined;
+      },
+    });
+  }
+
+  /** Finds the server that continues a generation whose server is silent. */
+  private findNext(
+    {generation, chosen, excluded}: Attempt,
+    sinceMs: number,
+  ): RoutingDecision | undefined {
+    const {directory} = this.options;
+    const untried = new Set([...excluded, chosen.server]);
+    for (const unwanted of [untried, new Set([chosen.server])]) {
+      const decision = this.choose(generation, unwanted);
+      const server = decision.chosen?.server;
+      if (server !== undefined && !directory.isEjected(server)) {
+        return decision;
+      }
+    }
+    // A server that reports its load meanwhile responds; only its stream is silent.
+    const isResponding = directory.hasReportedSince(chosen.server, sinceMs);
+    return isResponding
+      ? {chosen, runnersUp: [], reason: 'restart'}
+      : undefined;
+  }
+
   private createOrder(
     generation: Generation,
     deployment: Deployment,
--- a/src/routing/server_directory.ts
+++ b/src/routing/server_directory.ts
@@ -136,6 +136,12 @@
     return ageMs > LOAD_MAX_AGE_MS ? undefined : {load: tracked.load, ageMs};
   }
 
+  /** Returns whether the last load report of a server was made after a time. */
+  hasReportedSince(name: string, monotonicMs: number): boolean {
+    const tracked = this.tracked.get(name);
+    return tracked?.load !== undefined && tracked.loadMadeMs > monotonicMs;
+  }
+
   /** Returns the prefixes that a server is assumed to have cached. */
   getPrefixes(name: string): PrefixIndex | undefined {
     return this.tracked.get(name)?.prefixes;
