Handle what has arrived before a connection or an answer times out

What callers saw: after a pause of a host longer than a timeout (100 to 400 ms for connections, 1 s for the store), its connections to sound servers and other hosts failed, which ejects servers, and the answers of store and cloud that had arrived were thrown away.

Cause: timers fire before sockets are read; the timeouts of the connections, of the parts of an answer and of orders decided in the timer.

Change: startTimeout decides after the sockets have been read once; tryConnection did so already and uses it too.

--- a/src/http/http_request.ts
+++ b/src/http/http_request.ts
@@ -2,6 +2,7 @@
 import {Socket} from 'node:net';
 import {got, RequestError} from 'got';
 import {Result} from 'true-myth';
+import {startTimeout} from './start_timeout.js';
 
 /** Response to an HTTP request, with any status code. */
 export interface HttpResponse {
@@ -116,7 +117,7 @@
   /** Set once the request has timed out. */
   failure: HttpFailure | undefined;
   private readonly controller = new AbortController();
-  private timer: NodeJS.Timeout | undefined;
+  private cancelTimeout: () => void = () => undefined;
   private receivedBytes = 0;
 
   constructor(private readonly request: HttpRequest) {}
@@ -141,16 +142,16 @@
   }
 
   stop(): void {
-    clearTimeout(this.timer);
+    this.cancelTimeout();
   }
 
   private wait(ms: number): void {
-    clearTimeout(this.timer);
-    this.timer = setTimeout(() => {
+    this.cancelTimeout();
+    this.cancelTimeout = startTimeout(ms, () => {
       const detail = `no bytes received for ${ms} ms after ${this.receivedBytes} bytes`;
       this.failure = {unreached: false, detail};
       this.controller.abort();
-    }, ms);
+    });
   }
 }
 
@@ -159,7 +160,7 @@
   /** Set once the request has timed out. */
   failure: HttpFailure | undefined;
   private socket: Socket | undefined;
-  private timer: NodeJS.Timeout | undefined;
+  private cancelTimeout: () => void = () => undefined;
 
   constructor(private readonly request: HttpRequest) {}
 
@@ -168,11 +169,13 @@
       return;
     }
     sent.once('socket', socket => (this.socket = socket));
-    this.timer = setTimeout(() => this.reset(sent), this.request.timeoutMs);
+    this.cancelTimeout = startTimeout(this.request.timeoutMs, () =>
+      this.reset(sent),
+    );
   }
 
   stop(): void {
-    clearTimeout(this.timer);
+    this.cancelTimeout();
   }
 
   private reset(sent: ClientRequest): void {
--- a/src/http/refuses_connections.ts
+++ b/src/http/refuses_connections.ts
@@ -1,6 +1,7 @@
 import {connect} from 'node:net';
 import {OpenConnection} from './open_connection.js';
 import {parseAddress} from './parse_address.js';
+import {startTimeout} from './start_timeout.js';
 
 /**
  * Timeout in milliseconds. The reply takes one network round trip, and the next attempt
@@ -21,9 +22,9 @@
 ): Promise<boolean> {
   return new Promise(resolve => {
     const socket = openConnection(parseAddress(address));
-    const timer = setTimeout(() => settle(false), TIMEOUT_MS);
+    const cancelTimeout = startTimeout(TIMEOUT_MS, () => settle(false));
     const settle = (refuses: boolean) => {
-      clearTimeout(timer);
+      cancelTimeout();
       socket.destroy();
       resolve(refuses);
     };
--- a/src/http/try_connection.ts
+++ b/src/http/try_connection.ts
@@ -1,6 +1,7 @@
 import {connect} from 'node:net';
 import {OpenConnection} from './open_connection.js';
 import {parseAddress} from './parse_address.js';
+import {startTimeout} from './start_timeout.js';
 
 /** Outcome of an attempt to open a connection. */
 export const ConnectionOutcome = {
@@ -33,21 +34,17 @@
   return new Promise(resolve => {
     const socket = openConnection(parseAddress(address));
     const settle = (outcome: ConnectionOutcome) => {
-      clearTimeout(timer);
+      cancelTimeout();
       socket.destroy();
       resolve(outcome);
     };
-    // After a pause of this process, the timer fires before an answer that waits in the
-    // kernel is read.
-    let timer = setTimeout(
-      () => setImmediate(() => settle(ConnectionOutcome.NO_ANSWER)),
-      timeoutMs,
+    let cancelTimeout = startTimeout(timeoutMs, () =>
+      settle(ConnectionOutcome.NO_ANSWER),
     );
     socket.once('connect', () => {
-      clearTimeout(timer);
-      timer = setTimeout(
-        () => setImmediate(() => settle(ConnectionOutcome.OPENED)),
-        STAY_OPEN_MS,
+      cancelTimeout();
+      cancelTimeout = startTimeout(STAY_OPEN_MS, () =>
+        settle(ConnectionOutcome.OPENED),
       );
     });
     // Without a reader, the end of the connection would not be noticed.
--- a/src/http/when_connected.ts
+++ b/src/http/when_connected.ts
@@ -1,4 +1,5 @@
 import {ClientRequest} from 'node:http';
+import {startTimeout} from './start_timeout.js';
 
 /**
  * Invokes a callback once a request has an open connection, and destroys the request if it
@@ -18,17 +19,13 @@
       onConnected(true);
       return;
     }
-    const timer = setTimeout(
-      () =>
-        clientRequest.destroy(
-          new Error(`no connection within ${timeoutMs} ms`),
-        ),
-      timeoutMs,
+    const cancelTimeout = startTimeout(timeoutMs, () =>
+      clientRequest.destroy(new Error(`no connection within ${timeoutMs} ms`)),
     );
     socket.once('connect', () => {
-      clearTimeout(timer);
+      cancelTimeout();
       onConnected(false);
     });
-    socket.once('close', () => clearTimeout(timer));
+    socket.once('close', cancelTimeout);
   });
 }
