Move only generations that another server can continue

What callers saw: on a server under notice, a generation whose deployment has no other server was stopped as soon as another generation there could move, and answered with "no server" while the rest of the notice was left.

Cause: whether a server can take over was asked for all generations of the leaving server together.

Change: it is asked for each; a generation without a successor goes on until the notice ends, and is moved later if a server appears.

--- a/src/generation/reclaim_watch.ts
+++ b/src/generation/reclaim_watch.ts
@@ -1,7 +1,7 @@
 import {estimateTokens, getPromptText} from '../backend/index.js';
 import {ConfigurationStore} from '../configuration/index.js';
 import {Log} from '../log/index.js';
-import {ServerDirectory} from '../routing/index.js';
+import {ScoredServer, ServerDirectory} from '../routing/index.js';
 import {Clock} from '../time/index.js';
 import {AnswerLengths} from './answer_lengths.js';
 import {Generation} from './generation.js';
@@ -71,13 +71,12 @@
 
   private async reclaim(server: string, remainingMs: number): Promise<void> {
     const running = this.options.running.listOn(server);
-    const cases = running.map(item => this.createCase(item));
-    const decisions = decideReclaim(cases, {
-      remainingMs,
-      transferRate: this.options.transferRate,
-      importSlots: this.options.importSlots,
-      hasSurvivor: this.hasSurvivor(running, server),
-    });
+    const movable = running.filter(item => this.canMove(item));
+    const others = running.filter(item => !movable.includes(item));
+    const decisions = [
+      ...this.decide(movable, remainingMs, true),
+      ...this.decide(others, remainingMs, false),
+    ];
     const exports: Promise<void>[] = [];
     for (const decision of decisions) {
       this.logDecision(server, decision);
@@ -99,14 +98,24 @@
     await Promise.all(exports);
   }
 
+  private decide(
+    running: readonly RunningGeneration[],
+    remainingMs: number,
+    hasSurvivor: boolean,
+  ): ReclaimDecision[] {
+    const {transferRate, importSlots} = this.options;
+    return decideReclaim(
+      running.map(item => this.createCase(item)),
+      {remainingMs, transferRate, importSlots, hasSurvivor},
+    );
+  }
+
   /** Moves generations that have not finished as expected. */
   private async moveRemaining(server: string): Promise<void> {
-    const remaining = this.options.running.listOn(server);
-    if (!this.hasSurvivor(remaining, server)) {
-      return;
-    }
-    for (const item of remaining) {
-      await this.export(item);
+    for (const item of this.options.running.listOn(server)) {
+      if (this.canMove(item)) {
+        await this.export(item);
+      }
     }
   }
 
@@ -118,12 +127,16 @@
   }
 
   private async exportAndMove(item: RunningGeneration): Promise<void> {
-    const {directory, runner} = this.options;
+    const {directory} = this.options;
     const {generation, server} = item;
-    const next = runner.choose(generation, new Set([server])).chosen;
-    const target = next && directory.getEngine(next.server);
+    const next = this.findNext(item);
+    if (next === undefined) {
+      // It goes on until the end of the notice; a later check may find a server.
+      return;
+    }
+    const target = directory.getEngine(next.server);
     const source = directory.getEngine(server);
-    if (next === undefined || target === undefined || source === undefined) {
+    if (target === undefined || source === undefined) {
       item.move.abort();
       return;
     }
@@ -157,15 +170,16 @@
     };
   }
 
-  private hasSurvivor(
-    running: readonly RunningGeneration[],
-    server: string,
-  ): boolean {
-    const {runner} = this.options;
-    return running.some(
-      item =>
-        runner.choose(item.generation, new Set([server])).chosen !== undefined,
-    );
+  /** Returns whether another server can continue a generation. */
+  private canMove(item: RunningGeneration): boolean {
+    return this.findNext(item) !== undefined;
+  }
+
+  private findNext({
+    generation,
+    server,
+  }: RunningGeneration): ScoredServer | undefined {
+    return this.options.runner.choose(generation, new Set([server])).chosen;
   }
 
   private getDeployment(generation: Generation) {
