Resume generations of other hosts on a new connection

What callers saw: a caller that reads its generation at another host than the one that runs it got 502 when the connection between the two was closed for silence (1.5 s without a heartbeat reply), though the generation went on and a new connection stood 0.1 s later.

Cause: the read was a single request; the end of its connection was taken for the end of the generation.

Change: the read is requested again from the next token on, for as long as a host may be silent before it counts as dead (4 s by default). A read that has not begun fails at once, as before.

--- a/src/daemon/container/bind_callers.ts
+++ b/src/daemon/container/bind_callers.ts
@@ -32,6 +32,7 @@
         context.get(Peers),
         context.get(BookDirectory),
         context.get(CLOCK),
+        context.get(SETTINGS).peers.dead_after_ms,
       ),
   );
   bind(container, CallerApi, context => {
--- a/test/daemon/remote_generation_reader_test.ts
+++ b/test/daemon/remote_generation_reader_test.ts
@@ -16,6 +16,7 @@
 
 const HEARTBEAT_MS = 40;
 const HEARTBEAT_TIMEOUT_MS = 120;
+const RECONNECT_MS = 1000;
 const TOKENS = 40;
 const TOKEN_MS = 20;
 const INCARNATION = 'remote1';
@@ -109,7 +110,13 @@
     const directory = new BookDirectory('local');
     const book = getHostBook('remote', INCARNATION);
     directory.add({book, host: 'remote', fence: 0});
-    const reader = new RemoteGenerationReader('local', local, directory, clock);
+    const reader = new RemoteGenerationReader(
+      'local',
+      local,
+      directory,
+      clock,
+      RECONNECT_MS,
+    );
     const found = await reader.read(id, 'guild', 0, stop.signal);
     const events: GenerationEvent[] = [];
     for await (const event of found?.events ?? []) {
