--- a/test/peer/peers_test.ts
+++ b/test/peer/peers_test.ts
@@ -7,6 +7,7 @@
 
 const HEARTBEAT_MS = 40;
 const HEARTBEAT_TIMEOUT_MS = 120;
+const IDLE_TIMEOUT_MS = 2 * (HEARTBEAT_MS + HEARTBEAT_TIMEOUT_MS);
 
 describe('Peers', () => {
   const clock = new SystemClock();
@@ -16,14 +17,16 @@
     key: string,
     seeds: readonly string[],
     heartbeatSenders: string[] = [],
+    onRequest: () => void = () => undefined,
   ): Peers {
     const connection: PeerConnectionOptions = {
       self: {host, dataCentre: 'tac', incarnation: `incarnation-of-${host}`},
       key,
       maxFrameBytes: 100_000,
-      idleTimeoutMs: 2 * (HEARTBEAT_MS + HEARTBEAT_TIMEOUT_MS),
+      idleTimeoutMs: IDLE_TIMEOUT_MS,
       handle: async (request, from) => {
         heartbeatSenders.push(from.host);
+        onRequest();
         return {echo: request};
       },
       clock,
@@ -40,6 +43,14 @@
     });
   }
 
+  /** Blocks the event loop. */
+  function pause(ms: number): void {
+    const endMs = performance.now() + ms;
+    while (performance.now() < endMs) {
+      // Nothing is read meanwhile.
+    }
+  }
+
   async function waitFor(condition: () => boolean): Promise<void> {
     while (!condition()) {
       await clock.sleep(5);
@@ -85,6 +96,39 @@
     proxy.stop();
   });
 
+  // Guards against a host that closes the connections to all peers because it stood still
+  // itself: their replies wait in the kernel, but timers fire before sockets are read.
+  for (const [what, pauseMs] of [
+    ['a heartbeat', 2 * HEARTBEAT_TIMEOUT_MS],
+    ['an idle connection', 2 * IDLE_TIMEOUT_MS],
+  ] as const) {
+    it(`keeps a connection after a pause of this process longer than the timeout of ${what}`, async () => {
+      let beats = 0;
+      const remote = createPeers('remote', 'shared-key', [], [], () => {
+        beats++;
+        if (beats === 3) {
+          // The reply is sent before the pause.
+          setImmediate(() => pause(pauseMs));
+        }
+      });
+      const port = await remote.listen('127.0.0.1', 0);
+      const local = createPeers('local', 'shared-key', [`127.0.0.1:${port}`]);
+      const stop = new AbortController();
+      void local.run(stop.signal);
+      await waitFor(() => beats >= 3);
+      const lost: boolean[] = [];
+      const endMs = clock.monotonicMs() + pauseMs + HEARTBEAT_TIMEOUT_MS;
+      while (clock.monotonicMs() < endMs) {
+        await clock.sleep(1);
+        lost.push(!local.listConnected().includes('remote'));
+      }
+      expect(lost).not.to.include(true);
+      stop.abort();
+      local.stop();
+      remote.stop();
+    });
+  }
+
   it('refuses a peer that does not know the shared key', async () => {
     const heartbeatSenders: string[] = [];
     const remote = createPeers('remote', 'shared-key', [], heartbeatSenders);
