Keep connections to peers that replied while the process stood still

What callers saw: nothing by itself; a host that had stood still for longer than the timeout of a heartbeat (1.2 s) closed its connections, lost the requests on them and passed its peers over as aggregators for 2 s, when all of them had replied.

Cause: the timeouts of requests and of idle connections were decided before the sockets were read.

Change: a request is given up after what has arrived is handled; an idle connection is not judged by a check that comes late by half of its interval.

--- a/src/peer/peer_connection.ts
+++ b/src/peer/peer_connection.ts
@@ -165,6 +165,7 @@
     const {clock} = this.options;
     const endMs = clock.monotonicMs() + timeoutMs;
     await clock.sleep(timeoutMs, signal);
+    await handleArrivedData(signal);
     while (!signal.aborted && this.reader.isReadingLongFrame()) {
       const silentMs = this.lastReceivedMs + timeoutMs;
       const leftMs =
@@ -173,6 +174,7 @@
         return;
       }
       await clock.sleep(leftMs, signal);
+      await handleArrivedData(signal);
     }
   }
 
@@ -199,7 +201,12 @@
   private async closeWhenIdle(): Promise<void> {
     const {clock, idleTimeoutMs} = this.options;
     while (!this.closed) {
+      const dueMs = clock.monotonicMs() + idleTimeoutMs / 2;
       await clock.sleep(idleTimeoutMs / 2, this.closeController.signal);
+      if (clock.monotonicMs() - dueMs > idleTimeoutMs / 4) {
+        // This process stood still, and what arrived meanwhile is not read yet.
+        continue;
+      }
       const idleMs = clock.monotonicMs() - this.lastReceivedMs;
       if (idleMs > idleTimeoutMs) {
         this.close(`no data received for ${Math.round(idleMs)} ms`);
@@ -327,6 +334,17 @@
   }
 }
 
+/**
+ * Waits until the data that have arrived are handled: after a pause of this process, timers
+ * fire before sockets are read.
+ * @param signal - Ends the wait.
+ */
+async function handleArrivedData(signal: AbortSignal): Promise<void> {
+  if (!signal.aborted) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
+
 async function nextFrame(frames: AsyncGenerator<unknown>): Promise<unknown> {
   const next = await frames.next();
   if (next.done === true) {
