Leave the end of a silent stream to the runner of its generation

What callers saw: a generation was interrupted when its engine had sent nothing for 8 s, whether or not another one could continue it.

Cause: the HTTP client of an engine had an idle timeout of its own besides the watch of the runner.

Change: the client has none; the signal of the run ends the stream, at its deadline at the latest.

Measured: the case of http_model_engine_test failed before (socket timeout) and passes; 6 tests of backend pass.

--- a/src/backend/http_model_engine.ts
+++ b/src/backend/http_model_engine.ts
@@ -34,15 +34,8 @@
 
 /** Client of a model engine that implements the completions protocol over HTTP. */
 export class HttpModelEngine implements ModelEngine {
-  /**
-   * @param url - Base URL of the server.
-   * @param idleTimeoutMs - Longest time without data on a token stream, in
-   *   milliseconds.
-   */
-  constructor(
-    private readonly url: string,
-    private readonly idleTimeoutMs: number,
-  ) {}
+  /** @param url - Base URL of the server. */
+  constructor(private readonly url: string) {}
 
   async *generate(
     order: GenerationAttempt,
@@ -57,10 +50,8 @@
         priority: order.urgency,
       },
       retry: {limit: 0},
-      timeout: {
-        connect: CONNECT_TIMEOUT_MS,
-        socket: this.idleTimeoutMs,
-      },
+      // Whoever runs the generation ends a silent stream, by the signal.
+      timeout: {connect: CONNECT_TIMEOUT_MS},
     });
     const abort = () => stream.destroy();
     signal.addEventListener('abort', abort, {once: true});
--- a/src/bin/sedgefalld.ts
+++ b/src/bin/sedgefalld.ts
@@ -97,7 +97,7 @@
   const clock = new SystemClock();
   const self = createSelf(settings, clock.now());
   const log = new ConsolaLog(clock, {host: self.host});
-  const {platform, engines} = settings;
+  const {platform} = settings;
   const container = createContainer();
   container.bind(CLOCK).toConstantValue(clock);
   container.bind(LOG).toConstantValue(log);
@@ -113,11 +113,7 @@
     .bind(HOST_LIST)
     .toConstantValue(new HttpHostList(platform.hosts_url, platform.timeout_ms));
   container.bind(CLIENTS).toConstantValue({
-    createEngine: server =>
-      new HttpModelEngine(
-        `http://${server.address}`,
-        engines.first_token_silence_ms,
-      ),
+    createEngine: server => new HttpModelEngine(`http://${server.address}`),
     createService: server => new HttpPlainService(`http://${server.address}`),
   });
   const daemon = container.get(Daemon);
--- a/test/backend/http_model_engine_test.ts
+++ b/test/backend/http_model_engine_test.ts
@@ -3,7 +3,6 @@
 import {GenerationFormat, HttpModelEngine} from '../../src/backend/index.js';
 import {serveApp} from '../../src/fakes/index.js';
 
-const IDLE_TIMEOUT_MS = 100;
 const SILENCE_MS = 400;
 
 describe('HttpModelEngine', () => {
@@ -33,7 +32,7 @@
         urgency: 0,
       };
       const texts: string[] = [];
-      const tokens = new HttpModelEngine(url, IDLE_TIMEOUT_MS).generate(
+      const tokens = new HttpModelEngine(url).generate(
         attempt,
         new AbortController().signal,
       );
@@ -53,7 +52,7 @@
       });
       const served = await serveApp(app, 0);
       const url = `http://127.0.0.1:${served.port}`;
-      const load = await new HttpModelEngine(url, 1000).getLoad();
+      const load = await new HttpModelEngine(url).getLoad();
       await served.stop();
       return load.isErr ? load.error.message : 'accepted';
     }
