--- a/test/placement/decide_placement_test.ts
+++ b/test/placement/decide_placement_test.ts
@@ -52,6 +52,30 @@
     expect(decide(servers, 9)).to.eql([]);
   });
 
+  // Guards against a data centre without any server of a model: the last one that serves is
+  // updated while the others are still loading.
+  describe('the last server of a data centre that serves a model', () => {
+    it('is not updated while another one is loading it', () => {
+      const loading = {...server('a'), busy: true};
+      expect(decide([loading, server('b', '1')], 9)).to.eql([]);
+    });
+
+    it('is not updated before a missing replica is loaded', () => {
+      expect(decide([server('a'), server('b', '1')], 9)).to.eql([
+        'a:replica-missing',
+      ]);
+    });
+
+    it('is updated if no further replica is wanted', () => {
+      const servers = [server('a'), server('b', '1')];
+      expect(decide(servers, 9, {replicas: 1})).to.eql(['b:version-rollout']);
+    });
+
+    it('is updated if there is no other server', () => {
+      expect(decide([server('a', '1')], 9)).to.eql(['a:version-rollout']);
+    });
+  });
+
   it('sends no order where the wanted state has been reached', () => {
     expect(decide([server('a', '2'), server('b', '2')], 9)).to.eql([]);
   });
