Update the last server of a model only once missing replicas serve

What callers saw: when a new version of a model was placed, all servers of a data centre could be loading it at once, and its requests were refused with "no server".

Cause: the last server that served was interrupted though another one was still loading; the condition meant to prevent this was true for any number of servers.

Change: the last one that serves waits while a replica is missing and another server can take it.

--- a/src/placement/decide_placement.ts
+++ b/src/placement/decide_placement.ts
@@ -104,22 +104,22 @@
     );
     return adapter === undefined ? [] : [{...order, adapter}];
   }
+  const missingReplicas =
+    deployment.replicas - serving.length - outdated.length;
+  const others = usable.filter(server => !hasModel(server, target));
   const isRollingOut = outdated.some(server => busy.has(server.name));
   const candidate = outdated.find(server => !busy.has(server.name));
   if (candidate !== undefined && !isRollingOut) {
     const remaining = serving.length + outdated.length - 1;
-    // With a single server, an interruption cannot be avoided.
+    // The last one that serves waits for the missing replicas. Without any to come, an
+    // interruption cannot be avoided.
     const keepsServing =
-      remaining > 0 || outdated.length + serving.length === 1;
-    return keepsServing
-      ? [createOrder(candidate, deployment, target, 'version-rollout')]
-      : [];
+      remaining > 0 || missingReplicas <= 0 || others.length === 0;
+    if (keepsServing) {
+      return [createOrder(candidate, deployment, target, 'version-rollout')];
+    }
   }
-  const missingReplicas =
-    deployment.replicas - serving.length - outdated.length;
-  const available = usable.filter(
-    server => !hasModel(server, target) && !busy.has(server.name),
-  );
+  const available = others.filter(server => !busy.has(server.name));
   available.sort((a, b) => a.models.length - b.models.length);
   return available
     .slice(0, Math.max(0, missingReplicas))
