Read the segments that arrived while the process stood still

What callers saw: nothing by itself; a host that had stood still for 0.8 s during the transfer of a long row started it over, at most 8 MiB, and had the configuration later.

Cause: the sender counted as stuck before the replies that had arrived were read.

Change: they are read first.

--- a/src/transfer/segment_fetch.ts
+++ b/src/transfer/segment_fetch.ts
@@ -130,6 +130,8 @@
         return;
       }
       await this.options.clock.sleep(leftMs, signal);
+      // After a pause of this process, timers fire before replies that have arrived are read.
+      await new Promise(resolve => setImmediate(resolve));
     }
   }
 
