A failing test of a store that answers slowly

Evidence: a store whose answers take 1.3 s is never read: each call is given up after 1 s without a byte, and its replacement is a call to the same store. Not fixed: a longer timeout would find a connection that does not respond too late.

--- a/test/platform/fakes/fake_store.ts
+++ b/test/platform/fakes/fake_store.ts
@@ -23,6 +23,8 @@
   unresponsiveWatches: boolean;
   /** Responds to watches only when their wait is over, as if nothing had changed. */
   staleWatches: boolean;
+  /** Time by which each response comes later, in milliseconds. */
+  delayMs: number;
 }
 
 type Body = Readonly<Record<string, unknown>>;
@@ -41,6 +43,7 @@
     dropWriteResponses: false,
     staleWatches: false,
     unresponsiveWatches: false,
+    delayMs: 0,
   };
   /** Method and path of each call received. */
   readonly calls: string[] = [];
@@ -155,6 +158,9 @@
     if (this.faults.unresponsive) {
       return;
     }
+    if (this.faults.delayMs > 0) {
+      await new Promise(resolve => setTimeout(resolve, this.faults.delayMs));
+    }
     if (this.faults.busy) {
       this.answer(response, 503, {});
       return;
--- a/test/platform/store_feed_test.ts
+++ b/test/platform/store_feed_test.ts
@@ -94,6 +94,18 @@
     expect(clock.monotonicMs() - startMs).to.be.lessThan(3500);
   });
 
+  // Guards against a store that is never read because each call is given up, and repeated
+  // at the same store, before its answer comes.
+  it('reads a store whose answers take longer than the timeout of a call', async () => {
+    store.faults.delayMs = 1300;
+    store.put('servers', 'a', {state: 'ready'});
+    const endMs = clock.monotonicMs() + 5 * store.faults.delayMs;
+    while (clock.monotonicMs() < endMs && reads === 0) {
+      await clock.sleep(10);
+    }
+    expect(reads).to.be.greaterThan(0);
+  });
+
   it('marks a removal in doubt that it cannot confirm yet, so that peers are asked', async () => {
     store.put('servers', 'a', {state: 'ready'});
     await waitFor(() => replica.getText('a') !== undefined);
