A failing test of a silent stream whose replacement refuses

Evidence: the run of a silent engine ends when the next run is reserved; if that one is refused and no retry is left, the caller loses a stream that the silent engine would have continued.

--- a/test/generation/silent_engines_test.ts
+++ b/test/generation/silent_engines_test.ts
@@ -44,7 +44,9 @@
   let silentUntilMs: number;
   /** Engines that have received the generation, in order. */
   let started: string[];
-  let hasRetries: boolean;
+  let maxRetries: number;
+  /** Whether the other engines refuse connections. */
+  let othersRefuse: boolean;
   /** When the engines report their load again. */
   let reportMs: number;
   let retries: number;
@@ -56,7 +58,8 @@
     silentFromMs = 500;
     silentUntilMs = 3000;
     started = [];
-    hasRetries = true;
+    maxRetries = Number.POSITIVE_INFINITY;
+    othersRefuse = false;
     reportMs = 0;
     retries = 0;
   });
@@ -78,8 +81,9 @@
     reportLoad();
     clock.startTimer(reportMs, reportLoad);
     const spend = () => {
-      retries += hasRetries ? 1 : 0;
-      return hasRetries;
+      const hasRetry = retries < maxRetries;
+      retries += hasRetry ? 1 : 0;
+      return hasRetry;
     };
     return new GenerationRunner({
       ...servers,
@@ -117,6 +121,9 @@
       signal: AbortSignal,
     ): AsyncGenerator<Token> {
       started.push(name);
+      if (othersRefuse && name !== started[0]) {
+        throw new ServerFailure(DeliveryState.NOT_SENT, 'refused');
+      }
       const isSilent = () => {
         const nowMs = servers.clock.monotonicMs();
         const isAffected =
@@ -179,7 +186,7 @@
   // continue it: the engine would have gone on, and its caller gets an error instead.
   describe('a stream whose engine is silent for longer than the timeout', () => {
     it('goes on with that engine if no retry is left', async () => {
-      hasRetries = false;
+      maxRetries = 0;
       expectWhole(await run());
       expect(started).to.have.length(1);
     });
@@ -192,6 +199,12 @@
       expect(retries).to.equal(0);
     });
 
+    it('goes on with that engine if the next one refuses the last retry', async () => {
+      maxRetries = 1;
+      othersRefuse = true;
+      expectWhole(await run());
+    });
+
     it('is sent again to the only engine if that reports its load meanwhile', async () => {
       engineCount = 1;
       silentCount = 1;
@@ -202,7 +215,7 @@
     });
 
     it('goes on with that engine if no retry is left before the first token', async () => {
-      hasRetries = false;
+      maxRetries = 0;
       silentFromMs = 0;
       expectWhole(await run());
       expect(started).to.have.length(1);
@@ -217,7 +230,7 @@
     });
 
     it('ends at its deadline if the engine stays silent without a replacement', async () => {
-      hasRetries = false;
+      maxRetries = 0;
       silentUntilMs = Number.POSITIVE_INFINITY;
       const end = (await run()).at(-1);
       const problem = end?.kind === 'failed' ? end.problem : undefined;
