Keep a silent stream of the own interface until another run goes on

What callers saw: a generation whose engine was silent was given up for a reserved run; if that one was refused and no retry was left, the caller got 502 though the silent engine would have gone on.

Cause: the next run was reserved, but not yet shown to go on, when the silent one ended.

Change: the next run is begun beside the silent one, with a retry; the first of the two to send a valid token is kept and the other ends. A run that fails, or sends no token in the time for the first one, is replaced by another one if there is one. The log tells of each run that is begun beside another.

Each token reaches the caller once and in order in each case.

--- a/src/generation/generation_runner.ts
+++ b/src/generation/generation_runner.ts
@@ -15,7 +15,7 @@
 } from '../configuration/index.js';
 import {problems, ExecutionStatus} from '../errors/index.js';
 import {Log} from '../log/index.js';
-import {WatchOptions} from '../quarantine/index.js';
+import {WatchedContent, WatchOptions} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
 import {
   ChooseServer,
@@ -30,6 +30,7 @@
 import {AnswerLengths} from './answer_lengths.js';
 import {Generation} from './generation.js';
 import {GenerationMeter} from './generation_meter.js';
+import {OpenedRun} from './opened_run.js';
 import {RunningGenerations} from './running_generations.js';
 import {TokenWatch} from './token_watch.js';
 import {failBlocked, watchGeneration} from './watch_generation.js';
@@ -64,7 +65,10 @@
   readonly blocks: readonly number[];
   readonly promptTokens: number;
   /** Servers on which the generation has failed. */
-  readonly excluded: ReadonlySet<string>;
+  readonly excluded: Set<string>;
+  readonly content: WatchedContent;
+  /** The run if it was begun beside the one before. */
+  readonly opened: OpenedRun | undefined;
 }
 
 /** Result of an attempt. */
@@ -77,8 +81,13 @@
   readonly failedAfterSend: boolean;
   /** Server that holds the exported cache, if any. */
   readonly preferred: string | undefined;
-  /** The run that is reserved in place of one whose server was silent, if any. */
-  readonly next: RoutingDecision | undefined;
+  /** The run that takes the place of one whose server was silent, if any. */
+  readonly next: OpenedRun | undefined;
+}
+
+/** The run that follows the present one, if it was begun already. */
+interface FollowingRun {
+  run: OpenedRun | undefined;
 }
 
 const RETRY_TIMEOUT_MS = 3000;
@@ -133,12 +142,25 @@
    * @param signal - Stops it.
    */
   async run(generation: Generation, signal: AbortSignal): Promise<void> {
-    const excluded = new Set<string>();
     const content = watchGeneration(this.options, generation);
     this.options.budget.addRequest();
+    const following: FollowingRun = {run: undefined};
+    try {
+      await this.runAttempts(generation, content, following, signal);
+    } finally {
+      following.run?.discard();
+    }
+  }
+
+  private async runAttempts(
+    generation: Generation,
+    content: WatchedContent,
+    following: FollowingRun,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const excluded = new Set<string>();
     let detail = '';
     let preferred: string | undefined;
-    let next: RoutingDecision | undefined;
     for (let attempt = 0; !signal.aborted; attempt++) {
       if (this.options.clock.monotonicMs() >= generation.request.deadlineMs) {
         generation.fail(problems.deadlinePassed(ExecutionStatus.UNKNOWN));
@@ -151,15 +173,14 @@
       }
       if (
         attempt > 0 &&
-        next === undefined &&
+        following.run === undefined &&
         !(await this.waitForRetry(generation, detail))
       ) {
         return;
       }
       const decision =
-        next ??
+        following.run?.decision ??
         applyPreferredServer(this.choose(generation, excluded), preferred);
-      next = undefined;
       this.logDecision(generation, decision, attempt);
       const {chosen} = decision;
       if (chosen === undefined && excluded.size > 0) {
@@ -174,10 +195,17 @@
         return;
       }
       content.beginRun();
+      const opened = following.run;
       const ended = await this.attempt(
-        this.createAttempt(generation, deployment, chosen, engine, excluded),
+        {
+          ...this.createAttempt(generation, deployment, chosen, engine),
+          excluded,
+          content,
+          opened,
+        },
         signal,
       );
+      following.run = ended.next;
       if (generation.isOver()) {
         if (ended.detail === '') {
           content.addAnswer();
@@ -190,7 +218,6 @@
       }
       detail = ended.detail;
       preferred = ended.preferred;
-      next = ended.next;
       if (ended.moved) {
         // Leaving a server under notice is not a failure and costs no retry.
         attempt = -1;
@@ -245,8 +272,7 @@
     deployment: Deployment,
     chosen: ScoredServer,
     engine: ModelEngine,
-    excluded: ReadonlySet<string>,
-  ): Attempt {
+  ): Omit<Attempt, 'excluded' | 'content' | 'opened'> {
     const prompt = getPromptText(generation.request.body);
     return {
       generation,
@@ -255,7 +281,6 @@
       engine,
       blocks: this.getBlocks(generation, deployment, prompt),
       promptTokens: estimateTokens(prompt) + generation.getTexts().length,
-      excluded,
     };
   }
 
@@ -264,13 +289,11 @@
     attempt: Attempt,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
-    const {generation, chosen, blocks} = attempt;
-    const {directory, running} = this.options;
-    const known = directory.listKnowledge([chosen.server], blocks)[0];
-    const prefill = attempt.promptTokens - (known?.cachedTokens ?? 0);
-    const inFlight = directory.trackRequest(chosen.server, blocks, prefill);
+    const {generation, chosen, opened} = attempt;
+    const {running} = this.options;
+    const inFlight = opened?.inFlight ?? this.trackRequest(attempt, chosen);
     const handle = running.add(generation, chosen.server);
-    const watch = this.createWatch(attempt);
+    const watch = this.createWatch(attempt, signal);
     const stop = AbortSignal.any([signal, handle.moved, watch.getSignal()]);
     try {
       await this.stream(attempt, inFlight, watch, stop);
@@ -296,7 +319,7 @@
         moved,
         failedAfterSend,
         preferred: handle.getPreferredServer(),
-        next: moved ? undefined : watch.getNext(),
+        next: moved ? undefined : watch.takeNext(),
       };
     } finally {
       watch.stop();
@@ -304,19 +327,34 @@
     }
   }
 
+  private trackRequest(
+    {blocks, promptTokens}: Pick<Attempt, 'blocks' | 'promptTokens'>,
+    {server}: ScoredServer,
+  ): InFlightRequest {
+    const {directory} = this.options;
+    const known = directory.listKnowledge([server], blocks)[0];
+    const prefill = promptTokens - (known?.cachedTokens ?? 0);
+    return directory.trackRequest(server, blocks, prefill);
+  }
+
   private async stream(
     attempt: Attempt,
     inFlight: InFlightRequest,
     watch: TokenWatch,
     signal: AbortSignal,
   ): Promise<void> {
-    const {generation, deployment, engine, chosen} = attempt;
+    const {generation, deployment, engine, chosen, opened} = attempt;
     const {clock, meter, lengths} = this.options;
-    const order = this.createOrder(generation, deployment);
-    const startMs = clock.monotonicMs();
+    const tokens =
+      opened === undefined
+        ? engine.generate(this.createOrder(generation, deployment), signal)
+        : opened.read(signal);
+    const startMs = opened?.startMs ?? clock.monotonicMs();
     let previousMs = startMs;
     try {
-      for await (const token of engine.generate(order, signal)) {
+      for await (const token of tokens) {
+        // A token that arrives when another run has gone on is not added.
+        watch.getSignal().throwIfAborted();
         this.options.checkToken(token, generation);
         const nowMs = clock.monotonicMs();
         const first = previousMs === startMs;
@@ -346,19 +384,68 @@
     }
   }
 
-  private createWatch(attempt: Attempt): TokenWatch {
+  private createWatch(attempt: Attempt, signal: AbortSignal): TokenWatch {
     const {clock, firstTokenTimeoutMs, tokenTimeoutMs} = this.options;
     return new TokenWatch({
       clock,
       deadlineMs: attempt.generation.request.deadlineMs,
       firstTokenTimeoutMs,
       tokenTimeoutMs,
-      reserveNext: sinceMs => {
-        const decision = this.findNext(attempt, sinceMs);
-        return decision !== undefined && this.options.budget.spend()
-          ? decision
-          : undefined;
-      },
+      openNext: sinceMs => this.openNext(attempt, sinceMs, signal),
+      onNextFailed: (run, error) => this.handleNextFailed(attempt, run, error),
+    });
+  }
+
+  /** Begins a run beside a silent one, if there are a server and a retry for it. */
+  private openNext(
+    attempt: Attempt,
+    sinceMs: number,
+    signal: AbortSignal,
+  ): OpenedRun | undefined {
+    const {generation, deployment} = attempt;
+    const {budget, clock, directory, log} = this.options;
+    const decision = this.findNext(attempt, sinceMs);
+    const chosen = decision?.chosen;
+    const engine = chosen && directory.getEngine(chosen.server);
+    if (!decision || !chosen || !engine || !budget.spend()) {
+      return undefined;
+    }
+    log.info('generation_run_added', {
+      request: generation.request.id,
+      server: chosen.server,
+      beside: attempt.chosen.server,
+      silent_ms: Math.round(clock.monotonicMs() - sinceMs),
+    });
+    return new OpenedRun(
+      decision,
+      engine,
+      this.createOrder(generation, deployment),
+      this.trackRequest(attempt, chosen),
+      clock.monotonicMs(),
+      token => this.options.checkToken(token, generation),
+      signal,
+    );
+  }
+
+  private handleNextFailed(
+    {generation, excluded, content}: Attempt,
+    {decision}: OpenedRun,
+    error: unknown,
+  ): void {
+    const {directory, log} = this.options;
+    const server = decision.chosen?.server ?? '';
+    excluded.add(server);
+    const isUnsent =
+      error instanceof ServerFailure &&
+      error.deliveryState === DeliveryState.NOT_SENT;
+    if (!isUnsent) {
+      void content.addLoss(directory.getServer(server));
+    }
+    log.warn('generation_interrupted', {
+      request: generation.request.id,
+      server,
+      tokens: generation.getTexts().length,
+      detail: error instanceof Error ? error.message : String(error),
     });
   }
 
--- a/src/generation/token_watch.ts
+++ b/src/generation/token_watch.ts
@@ -1,5 +1,5 @@
-import {RoutingDecision} from '../routing/index.js';
 import {Clock, InactivityTimeout} from '../time/index.js';
+import {OpenedRun} from './opened_run.js';
 
 /** Options of a watch. */
 export interface TokenWatchOptions {
@@ -11,24 +11,27 @@
   /** Longest gap between tokens, in milliseconds. */
   readonly tokenTimeoutMs: number;
   /**
-   * Reserves the run that follows one that is given up; `undefined` if there is none.
+   * Begins another run beside the silent one; `undefined` if none can be begun now.
    * @param sinceMs - Time of the last token or of the start, in monotonic milliseconds.
    */
-  readonly reserveNext: (sinceMs: number) => RoutingDecision | undefined;
+  readonly openNext: (sinceMs: number) => OpenedRun | undefined;
+  /** Called when the other run has failed, or sent no token in time. */
+  readonly onNextFailed: (run: OpenedRun, error: unknown) => void;
 }
 
-/** Interval between attempts to reserve a run while there is none, in milliseconds. */
-const RETRY_INTERVAL_MS = 100;
+/** Interval between checks while the run is silent, in milliseconds. */
+const CHECK_INTERVAL_MS = 100;
 
 /**
- * Ends a run whose engine sends no token in time. A silent engine may go on later, so the
- * run ends only once the next one is reserved, or at the deadline.
+ * Ends a run whose engine sends no token in time. A silent engine may go on later, so
+ * another run is begun beside it, and the first one to send a token is kept. Without
+ * another one, the run ends at the deadline.
  */
 export class TokenWatch {
   private readonly ended = new AbortController();
   private timeout: InactivityTimeout | undefined;
   private lastTokenMs: number;
-  private next: RoutingDecision | undefined;
+  private next: OpenedRun | undefined;
 
   constructor(private readonly options: TokenWatchOptions) {
     this.lastTokenMs = options.clock.monotonicMs();
@@ -45,44 +48,75 @@
     return this.options.clock.monotonicMs() - this.lastTokenMs;
   }
 
-  /** Returns the reserved run if this one was ended for it. */
-  getNext(): RoutingDecision | undefined {
-    return this.next;
+  /** Returns the run that takes the place of this one, if any. */
+  takeNext(): OpenedRun | undefined {
+    const {next} = this;
+    this.next = undefined;
+    return next;
   }
 
-  /** Records a token. */
+  /** Records a token; another run is no longer needed. */
   touch(): void {
     this.lastTokenMs = this.options.clock.monotonicMs();
     this.timeout?.touch(this.limitToDeadline(this.options.tokenTimeoutMs));
+    this.takeNext()?.discard();
   }
 
-  /** Ends the watch; the signal is not aborted any more. */
+  /** Ends the watch, and the other run unless it was taken. */
   stop(): void {
     this.timeout?.stop();
+    this.takeNext()?.discard();
   }
 
   private wait(limitMs: number): void {
     const {clock} = this.options;
-    const timeout = new InactivityTimeout(clock, this.limitToDeadline(limitMs));
-    this.timeout = timeout;
-    const signal = timeout.getSignal();
-    if (signal.aborted) {
-      this.handleSilence();
-      return;
-    }
-    signal.addEventListener('abort', () => this.handleSilence(), {once: true});
+    this.timeout = new InactivityTimeout(clock, this.limitToDeadline(limitMs));
+    this.timeout
+      .getSignal()
+      .addEventListener('abort', () => this.handleSilence(), {once: true});
   }
 
   private handleSilence(): void {
-    const {clock, deadlineMs, reserveNext} = this.options;
-    if (clock.monotonicMs() < deadlineMs) {
-      this.next = reserveNext(this.lastTokenMs);
-      if (this.next === undefined) {
-        this.wait(RETRY_INTERVAL_MS);
-        return;
+    const {clock, deadlineMs, firstTokenTimeoutMs} = this.options;
+    const nowMs = clock.monotonicMs();
+    if (this.ended.signal.aborted) {
+      return;
+    }
+    if (nowMs >= deadlineMs) {
+      this.ended.abort();
+      return;
+    }
+    if (this.next !== undefined) {
+      const isLate = nowMs - this.next.startMs >= firstTokenTimeoutMs;
+      if (isLate) {
+        this.dropNext(this.next, new Error('no first token in time'));
       }
     }
-    this.ended.abort();
+    if (this.next === undefined) {
+      this.openNext();
+    }
+    this.wait(CHECK_INTERVAL_MS);
+  }
+
+  private openNext(): void {
+    const next = this.options.openNext(this.lastTokenMs);
+    this.next = next;
+    next?.first.then(
+      () => {
+        if (this.next === next) {
+          this.ended.abort();
+        }
+      },
+      (error: unknown) => this.dropNext(next, error),
+    );
+  }
+
+  private dropNext(run: OpenedRun | undefined, error: unknown): void {
+    if (run !== undefined && this.next === run) {
+      this.next = undefined;
+      run.fail();
+      this.options.onNextFailed(run, error);
+    }
   }
 
   /** Past the deadline the limit is 0, so that a run ends even if tokens arrive. */
--- a/test/generation/silent_engines_test.ts
+++ b/test/generation/silent_engines_test.ts
@@ -178,8 +178,10 @@
 
   function expectWhole(events: readonly GenerationEvent[]): void {
     expect(events.at(-1)?.kind).to.equal('finished');
-    const tokens = events.filter(({kind}) => kind === 'token');
-    expect(tokens).to.have.length(TOKENS);
+    const texts = events.flatMap(event =>
+      event.kind === 'token' ? [event.text] : [],
+    );
+    expect(texts).to.eql(Array.from({length: TOKENS}, (_, n) => `t${n} `));
   }
 
   // Guards against a stream that is given up for silence before another engine can
@@ -229,6 +231,14 @@
       expect(retries).to.equal(1);
     });
 
+    it('is continued by a further engine if the next ones are silent too', async () => {
+      silentCount = 3;
+      silentUntilMs = Number.POSITIVE_INFINITY;
+      expectWhole(await run());
+      expect(new Set(started).size).to.equal(4);
+      expect(retries).to.equal(3);
+    });
+
     it('ends at its deadline if the engine stays silent without a replacement', async () => {
       maxRetries = 0;
       silentUntilMs = Number.POSITIVE_INFINITY;
