Draw further servers only once the sample refuses

Callers saw: nothing so far.

Cause: drawServers drew the sample and the others together.

Evidence: a server that is listed while the sample is tried, and the only one that accepts connections, is not tried on the code before: the new case finds the service unreachable.

Change: drawSample and drawOthers, the second once all outcomes are refusals.

--- a/src/reachability/service_reachability.ts
+++ b/src/reachability/service_reachability.ts
@@ -13,14 +13,6 @@
   readonly dataCentre: string;
 }
 
-/** Servers that a check tries. */
-interface DrawnServers {
-  /** Servers that are tried in any case, until one is reached. */
-  readonly sample: readonly ReachableServer[];
-  /** Servers that are tried only if all of the sample refuse connections. */
-  readonly others: readonly ReachableServer[];
-}
-
 /** Dependencies of `ServiceReachability`. */
 export interface ServiceReachabilityOptions {
   readonly clock: Clock;
@@ -209,16 +201,18 @@
     state: ServiceState,
   ): Promise<boolean> {
     const {clock, metrics, tryConnection} = this.options;
-    const {sample, others} = this.drawServers(service);
+    const sample = this.drawSample(service);
     const outcomes: ConnectionOutcome[] = [];
     const startMs = clock.monotonicMs();
     // One connection is enough while the service is reachable.
-    for (const group of [sample.slice(0, 1), sample.slice(1), others]) {
-      if (group === others && !areAllRefused(outcomes)) {
-        break;
-      }
+    const draws = [
+      () => sample.slice(0, 1),
+      () => sample.slice(1),
+      () => (areAllRefused(outcomes) ? this.drawOthers(service, sample) : []),
+    ];
+    for (const draw of draws) {
       const tried = await Promise.all(
-        group.map(({address}) => tryConnection(address, TRY_TIMEOUT_MS)),
+        draw().map(({address}) => tryConnection(address, TRY_TIMEOUT_MS)),
       );
       outcomes.push(...tried);
       if (outcomes.includes(ConnectionOutcome.OPENED)) {
@@ -245,18 +239,28 @@
     return true;
   }
 
-  /** Draws the servers that a check tries, near and far ones, in random order. */
-  private drawServers(service: string): DrawnServers {
+  /** Draws the servers that a check tries first, near and far ones, in random order. */
+  private drawSample(service: string): readonly ReachableServer[] {
     const {listServers, dataCentre} = this.options;
     const servers = this.shuffle(listServers(service));
     const near = servers.filter(server => server.dataCentre === dataCentre);
     const far = servers.filter(server => server.dataCentre !== dataCentre);
-    const sample = this.shuffle([
+    return this.shuffle([
       ...near.slice(0, CHECKED_NEAR_SERVERS),
       ...far.slice(0, CHECKED_FAR_SERVERS),
     ]);
-    const others = servers.filter(server => !sample.includes(server));
-    return {sample, others: others.slice(0, CHECKED_AFTER_REFUSALS)};
+  }
+
+  /** Draws the servers that a check tries once all of the sample have refused connections. */
+  private drawOthers(
+    service: string,
+    sample: readonly ReachableServer[],
+  ): readonly ReachableServer[] {
+    const tried = new Set(sample.map(({id}) => id));
+    const others = this.options
+      .listServers(service)
+      .filter(({id}) => !tried.has(id));
+    return this.shuffle(others).slice(0, CHECKED_AFTER_REFUSALS);
   }
 
   private shuffle(servers: readonly ReachableServer[]): ReachableServer[] {
@@ -309,7 +313,7 @@
 
   private async recheck(service: string, state: ServiceState): Promise<void> {
     const {clock, log, tryConnection} = this.options;
-    const [server] = this.drawServers(service).sample;
+    const [server] = this.drawSample(service);
     const isReachable =
       server === undefined ||
       (await tryConnection(server.address, TRY_TIMEOUT_MS)) ===
--- a/test/reachability/service_reachability_test.ts
+++ b/test/reachability/service_reachability_test.ts
@@ -25,6 +25,8 @@
   let outcomes: Map<string, ConnectionOutcome>;
   let tried: string[];
   let closed: string[];
+  let onTry: () => void;
+  let addedServers: number;
   let reachability: ServiceReachability;
 
   beforeEach(() => {
@@ -32,6 +34,8 @@
     outcomes = new Map();
     tried = [];
     closed = [];
+    onTry = () => undefined;
+    addedServers = 0;
     reachability = new ServiceReachability({
       clock,
       log: new SilentLog(),
@@ -46,6 +50,7 @@
         })),
       tryConnection: async address => {
         tried.push(address);
+        onTry();
         return outcomes.get(address) ?? ConnectionOutcome.OPENED;
       },
       closeIdle: server => closed.push(server),
@@ -54,7 +59,8 @@
 
   /** Lists the numbers of the servers of a service. */
   function listNumbers(service: string): readonly number[] {
-    const count = SERVER_COUNTS[service] ?? DEFAULT_SERVER_COUNT;
+    const count =
+      (SERVER_COUNTS[service] ?? DEFAULT_SERVER_COUNT) + addedServers;
     return Array.from({length: count}, (_, index) => index + 1);
   }
 
@@ -122,6 +128,15 @@
       }
     });
 
+    // Guards against further servers that are listed at each check, though they are needed
+    // only if all of the sample refuse, and that may be gone by then.
+    it('leads to tries of the servers that are listed once the first have refused', async () => {
+      setAll(SERVICE, ConnectionOutcome.REFUSED);
+      onTry = () => (addedServers = 1);
+      expect(await reachability.check(SERVICE, false)).to.equal(false);
+      expect(tried).to.include(`${SERVICE}-${DEFAULT_SERVER_COUNT + 1}`);
+    });
+
     // Guards against a check that opens connections to every server of a large service.
     it('leads to a bounded number of tries', async () => {
       setAll('large', ConnectionOutcome.REFUSED);
