Give no slack to a host that has not read the list of hosts

Callers saw: nothing so far; computed in the postmortem of retries beyond the budget.

Cause: a host that starts in a partition, cut off from the store, knows only the hosts that it reaches, and divides the slack by these, while others divide it by all.

A host that starts while the store is away has only what its requests earn until the store is back.

--- a/src/peering/known_hosts.ts
+++ b/src/peering/known_hosts.ts
@@ -97,6 +97,7 @@
   private position: HostPosition | undefined;
   private positionMs = Number.NEGATIVE_INFINITY;
   private refreshedMs = Number.NEGATIVE_INFINITY;
+  private hasList = false;
 
   constructor(private readonly options: KnownHostsOptions) {}
 
@@ -201,6 +202,19 @@
     }
   }
 
+  /** Records that the list of all hosts has been read, and its hosts have been added. */
+  markListRead(): void {
+    this.hasList = true;
+  }
+
+  /**
+   * Returns whether the list of all hosts has been read. Until then, a host that has started
+   * in a partition knows only those that it reaches.
+   */
+  hasReadList(): boolean {
+    return this.hasList;
+  }
+
   /** Returns every known host that has not expired, alive or not, except this one. */
   listAddresses(): HostAddress[] {
     this.refresh();
--- a/src/relay_host/bind_cluster_state.ts
+++ b/src/relay_host/bind_cluster_state.ts
@@ -167,7 +167,7 @@
           ratio: retryRatio,
           windowMs: retryWindowMs,
           slack: retrySlack,
-          hosts: knownHosts.countHosts(),
+          hosts: knownHosts.hasReadList() ? knownHosts.countHosts() : undefined,
         };
       },
     });
--- a/src/retry_budget/retry_limit.ts
+++ b/src/retry_budget/retry_limit.ts
@@ -9,6 +9,9 @@
   readonly windowMs: number;
   /** Additional retries allowed per window, over all hosts. */
   readonly slack: number;
-  /** Number of hosts that this one knows, itself included. */
-  readonly hosts: number;
+  /**
+   * Number of hosts that this one knows, itself included; `undefined` as long as it has not
+   * read the list of all hosts.
+   */
+  readonly hosts: number | undefined;
 }
--- a/src/retry_budget/shared_retry_budget.ts
+++ b/src/retry_budget/shared_retry_budget.ts
@@ -52,13 +52,16 @@
   private readonly buckets = new Map<string, RetryBucket>();
   private readonly hosts = new RecentMaximum(HOST_MEMORY_MS);
   private readonly createdMs: number;
-  /** When this host last knew no other, or was created, monotonic milliseconds. */
-  private aloneMs: number;
+  /**
+   * When this host last could not know among how many to divide the slack, or was created,
+   * monotonic milliseconds.
+   */
+  private unknownMs: number;
 
   constructor(private readonly options: SharedRetryBudgetOptions) {
     const {clock, metrics} = options;
     this.createdMs = clock.monotonicMs();
-    this.aloneMs = this.createdMs;
+    this.unknownMs = this.createdMs;
     metrics.addCounter(
       'retries',
       'Retries that the budget of a service allowed or denied',
@@ -130,8 +133,8 @@
       advancePerRequest: perRequest * (1 - EARNED_SHARE),
       perMs: (slack * EARNED_SLACK_SHARE) / windowMs,
       advance: slack * (1 - EARNED_SLACK_SHARE),
-      earnedSinceMs: this.aloneMs,
-      advanceSinceMs: this.aloneMs + HOST_DISCOVERY_MS,
+      earnedSinceMs: this.unknownMs,
+      advanceSinceMs: this.unknownMs + HOST_DISCOVERY_MS,
       windowMs,
     };
   }
@@ -144,11 +147,11 @@
     limit: RetryLimit,
   ): Pick<RetryBudgetState, 'slack' | 'hosts'> {
     const nowMs = this.options.clock.monotonicMs();
-    const hosts = this.hosts.add(limit.hosts, nowMs);
-    if (hosts === 1) {
-      this.aloneMs = nowMs;
+    const hosts = this.hosts.add(limit.hosts ?? 1, nowMs);
+    if (limit.hosts === undefined || hosts === 1) {
+      this.unknownMs = nowMs;
     }
-    const knowsHosts = nowMs >= this.aloneMs + HOST_DISCOVERY_MS;
+    const knowsHosts = nowMs >= this.unknownMs + HOST_DISCOVERY_MS;
     return {slack: knowsHosts ? limit.slack / hosts : 0, hosts};
   }
 
--- a/test/platform/host_rows_test.ts
+++ b/test/platform/host_rows_test.ts
@@ -4,6 +4,7 @@
 import {MemoryTableService} from '../../src/table/index.js';
 import {VirtualClock} from '../../src/time/index.js';
 import {HostRows} from '../../platform/host_rows.js';
+import {FailingTable} from '../durable_counts/stored_host.js';
 
 const KEY = 'hosts/front-1';
 /** Time within which a host checks its row, in milliseconds. */
@@ -38,4 +39,30 @@
     stopped.abort();
     await clock.advance(CHECK_MS);
   });
+
+  // Guards against a host that takes those that it reaches for all, since it has started where
+  // it does not reach the table.
+  it('tells whether the list of hosts has been read', async () => {
+    const clock = new VirtualClock();
+    const table = new FailingTable();
+    table.isAway = true;
+    const log = new SilentLog();
+    const self = {host: 'front-1', dataCentre: 'here', address: '10.0.0.1:1'};
+    const known = new KnownHosts({
+      clock,
+      log,
+      self,
+      staleMs: 2000,
+      expiryMs: 30_000,
+    });
+    const stopped = new AbortController();
+    void new HostRows(table, clock, log, self, known).run(stopped.signal);
+    await clock.advance(CHECK_MS);
+    expect(known.hasReadList()).to.equal(false);
+    table.isAway = false;
+    await clock.advance(CHECK_MS);
+    expect(known.hasReadList()).to.equal(true);
+    stopped.abort();
+    await clock.advance(CHECK_MS);
+  });
 });
--- a/test/retry_budget/host_fleet.ts
+++ b/test/retry_budget/host_fleet.ts
@@ -168,14 +168,23 @@
     });
   }
 
-  /** Returns how many hosts a host knows, itself included. */
-  private countKnown(host: Host): number {
+  /**
+   * Returns how many hosts a host knows, itself included; `undefined` if it has started where
+   * it cannot read the list of hosts.
+   */
+  private countKnown(host: Host): number | undefined {
     const nowMs = this.clock.monotonicMs();
     if (nowMs < host.upMs + this.discoveryMs) {
       return 1;
     }
+    const hasStartedInPartition = this.hasStartedInPartition(host);
+    if (hasStartedInPartition && !this.canReadStore(host)) {
+      return undefined;
+    }
     const isForgotten =
-      nowMs > this.partitionMs + EXPIRY_MS && nowMs < this.healMs;
+      !hasStartedInPartition &&
+      nowMs > this.partitionMs + EXPIRY_MS &&
+      nowMs < this.healMs;
     const parity = this.hosts.indexOf(host) % 2;
     const known = this.hosts.filter(
       (other, index) =>
@@ -184,6 +193,18 @@
     );
     return known.length;
   }
+
+  private hasStartedInPartition({upMs}: Host): boolean {
+    const nowMs = this.clock.monotonicMs();
+    return upMs >= this.partitionMs && nowMs < this.healMs;
+  }
+
+  /** Returns whether a host reaches the store, which is on one side of a partition. */
+  private canReadStore(host: Host): boolean {
+    const nowMs = this.clock.monotonicMs();
+    const isCut = nowMs >= this.partitionMs && nowMs < this.healMs;
+    return !isCut || this.hosts.indexOf(host) % 2 === 0;
+  }
 }
 
 function pick(hosts: readonly Host[], at: number): Host {
--- a/test/retry_budget/restarted_hosts_test.ts
+++ b/test/retry_budget/restarted_hosts_test.ts
@@ -49,6 +49,25 @@
     expect(fleet.findWorstExcess()).to.be.at.most(0);
   });
 
+  // Guards against a host that starts in a partition and divides the slack by the hosts that it
+  // sees, while the store has the list of all.
+  it('gives hosts that start in a partition no more than their part of the slack', async () => {
+    const fleet = new HostFleet(BOUND, 8, new SeededRandom(1), DISCOVERY_MS);
+    for (let atMs = 0; atMs < LENGTH_MS; atMs += STEP_MS) {
+      if (atMs === 20_000) {
+        fleet.partition(LENGTH_MS);
+      }
+      if (atMs === 25_000) {
+        for (const host of [1, 3, 5]) {
+          fleet.restart(host, 300);
+        }
+      }
+      const failing = atMs < 50_000 ? 0.02 : 1;
+      await fleet.step(STEP_MS, {perSecond: 60, failing});
+    }
+    expect(fleet.findWorstExcess()).to.be.at.most(0);
+  });
+
   // Guards against a budget that exceeds the limit in some window, whatever happens to hosts
   // and traffic.
   it(`keeps within the limit in each window, ${SEEDS} seeds`, async () => {
--- a/test/retry_budget/shared_retry_budget_test.ts
+++ b/test/retry_budget/shared_retry_budget_test.ts
@@ -70,6 +70,22 @@
     expect(budget.getState('ledger').left).to.be.below(0.2 * hostSlack);
   });
 
+  // Guards against a host that starts in a partition, without the store, and divides the slack
+  // by the hosts that it reaches.
+  it('gives no slack to a host that has not read the list of hosts', async () => {
+    const clock = new VirtualClock();
+    const limit: {-readonly [Key in keyof RetryLimit]: RetryLimit[Key]} = {
+      ...bound,
+      hosts: undefined,
+    };
+    const budget = createBudget(clock, limit);
+    await clock.advance(20_000);
+    expect(budget.getState('ledger').left).to.equal(0);
+    limit.hosts = bound.hosts;
+    await clock.advance(4000);
+    expect(budget.getState('ledger').left).to.be.above(0);
+  });
+
   it('gives no slack to a host that has not heard of any other', async () => {
     const clock = new VirtualClock();
     const budget = createBudget(clock, {...bound, hosts: 1});
