Failing tests of answers that do not end

What callers saw: nothing yet; operators say that a server in trouble may send bytes without end until the caller closes. A host reads them until the deadline of the request, or for good.

--- a/test/answer/event_splitter_test.ts
+++ b/test/answer/event_splitter_test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {EventSplitter} from '../../src/answer/index.js';
+import {EventSplitter, IncompleteAnswer} from '../../src/answer/index.js';
 
 describe('EventSplitter', () => {
   it('returns an event only when it is complete', () => {
@@ -138,4 +138,75 @@
       expect(splitter.isInsideEvent(), text).to.equal(true);
     }
   });
+
+  describe('with a long event', () => {
+    const MAX_EVENT_BYTES = 1_048_576;
+
+    /** Creates a whole event of a length in bytes. */
+    function createEvent(length: number): Buffer {
+      const start = 'id: 7\ndata: ';
+      return Buffer.from(
+        `${start}${'x'.repeat(length - start.length - 2)}\n\n`,
+      );
+    }
+
+    function addInPieces(
+      splitter: EventSplitter,
+      bytes: Buffer,
+      pieceBytes: number,
+    ): Buffer[] {
+      const returned: Buffer[] = [];
+      for (let offset = 0; offset < bytes.length; offset += pieceBytes) {
+        const piece = bytes.subarray(offset, offset + pieceBytes);
+        returned.push(splitter.add(piece).bytes);
+      }
+      return returned;
+    }
+
+    // Guards against a host that a server in trouble fills with an event that never ends.
+    for (const pieceBytes of [1000, 65_536, 2_000_000]) {
+      it(`accepts 1 MiB and no more, in pieces of ${pieceBytes} bytes`, () => {
+        const longest = createEvent(MAX_EVENT_BYTES);
+        const returned = addInPieces(new EventSplitter(), longest, pieceBytes);
+        expect(Buffer.concat(returned).equals(longest)).to.equal(true);
+        const tooLong = createEvent(MAX_EVENT_BYTES + 1);
+        expect(() => addInPieces(new EventSplitter(), tooLong, pieceBytes))
+          .to.throw(IncompleteAnswer)
+          .with.property('reason', 'event-too-long');
+      });
+    }
+
+    it('counts each event alone', () => {
+      const splitter = new EventSplitter();
+      const events = Buffer.concat(
+        Array.from({length: 4}, () => createEvent(MAX_EVENT_BYTES / 2)),
+      );
+      const returned = addInPieces(splitter, events, 60_000);
+      expect(Buffer.concat(returned).equals(events)).to.equal(true);
+    });
+
+    // Guards against a cost that grows with the square of the length, which blocks the event loop.
+    for (const form of ['one line', 'many lines'] as const) {
+      it(`takes time in proportion to its length: ${form}`, () => {
+        const measureMs = (length: number) => {
+          const bytes = createEvent(length);
+          for (let end = 100; form === 'many lines' && end < length - 100;) {
+            bytes[end] = 0x0a;
+            end += 100;
+          }
+          const times = Array.from({length: 5}, () => {
+            const startMs = performance.now();
+            addInPieces(new EventSplitter(), bytes, 128);
+            return performance.now() - startMs;
+          });
+          return Math.min(...times);
+        };
+        const growth = 8;
+        const shortMs = measureMs(MAX_EVENT_BYTES / growth);
+        const longMs = measureMs(MAX_EVENT_BYTES);
+        // The square of the length would give 64 times.
+        expect(longMs / shortMs).to.be.below(3 * growth);
+      });
+    }
+  });
 });
--- a/test/platform/fakes/endless_answers.ts
+++ b/test/platform/fakes/endless_answers.ts
@@ -1,5 +1,10 @@
 import {Socket} from 'node:net';
-import {formatHead, ReceivedRequest, Script} from './fake_server.js';
+import {
+  formatChunk,
+  formatHead,
+  ReceivedRequest,
+  Script,
+} from './fake_server.js';
 
 /** A part of an answer that does not end. */
 export interface EndlessPart {
@@ -10,53 +15,139 @@
   readonly piece: Buffer;
 }
 
-/** What a server has sent on a connection. */
+/** A connection on which an answer does not end. */
 export interface EndlessConnection {
-  readonly openedMs: number;
+  /** When its request arrived, in milliseconds. */
+  readonly requestedMs: number;
   sentBytes: number;
-  /** Absent while the connection is open. */
+  /** When it was closed, in milliseconds; absent while it is open. */
   closedMs?: number;
 }
 
 /** Interval between two pieces, in milliseconds. */
 const PIECE_INTERVAL_MS = 2;
 const PIECE_BYTES = 65_536;
-const TEXT = Buffer.alloc(PIECE_BYTES, 'x');
 const STREAM = 'Content-Type: text/event-stream';
 const CHUNKED = 'Transfer-Encoding: chunked';
-const FIRST_EVENT = 'id: 1\ndata: x\n\nid: 2\ndata: ';
+const EVENT = 'id: 1\ndata: x\n\n';
+const TEXT = repeat('x');
 
 /** One line of an event without end, by how the end of the answer is marked. */
 export const ENDLESS_EVENTS: readonly EndlessPart[] = [
   {
     name: 'an event in chunks',
-    formatStart: request => {
-      const head = formatHead(request, 200, [STREAM, CHUNKED]);
-      return `${head}${FIRST_EVENT.length.toString(16)}\r\n${FIRST_EVENT}\r\n`;
-    },
-    piece: Buffer.concat([
-      Buffer.from(`${PIECE_BYTES.toString(16)}\r\n`),
-      TEXT,
-      Buffer.from('\r\n'),
-    ]),
+    formatStart: request =>
+      formatHead(request, 200, [STREAM, CHUNKED]) +
+      formatChunk(`${EVENT}id: 2\ndata: `),
+    piece: Buffer.from(formatChunk(TEXT.toString())),
   },
   {
     name: 'an event that the end of the connection marks',
-    formatStart: request => formatHead(request, 200, [STREAM]) + FIRST_EVENT,
+    formatStart: request =>
+      `${formatHead(request, 200, [STREAM])}${EVENT}id: 2\ndata: `,
     piece: TEXT,
   },
+  {
+    name: 'comments',
+    formatStart: request => formatHead(request, 200, [STREAM]) + EVENT,
+    piece: repeat(': x\n'),
+  },
 ];
 
-/** Sends an answer without end, and records its connections. */
-export class EndlessServer {
+/** What precedes the body of an answer, without end. */
+export const ENDLESS_HEADS: readonly EndlessPart[] = [
+  {
+    name: 'a header',
+    formatStart: request => `${formatOpenHead(request)}X-Header: `,
+    piece: TEXT,
+  },
+  {
+    name: 'headers',
+    formatStart: formatOpenHead,
+    piece: repeat('X-Header: x\r\n'),
+  },
+  {
+    name: 'informational responses',
+    formatStart: () => '',
+    piece: repeat('HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'),
+  },
+  {
+    name: 'responses that let the request continue',
+    formatStart: () => '',
+    piece: repeat('HTTP/1.1 100 Continue\r\n\r\n'),
+  },
+  {
+    name: 'line ends before the head',
+    formatStart: () => '',
+    piece: repeat('\r\n'),
+  },
+];
+
+/** What frames a body in chunks, without end. */
+export const ENDLESS_FRAMING: readonly EndlessPart[] = [
+  {
+    name: 'an extension of a chunk',
+    formatStart: request =>
+      `${formatHead(request, 200, [STREAM, CHUNKED])}1;x=`,
+    piece: TEXT,
+  },
+  {
+    name: 'extensions of small chunks',
+    formatStart: request => formatHead(request, 200, [STREAM, CHUNKED]),
+    piece: repeat('1;x=xxxxxxxxxxxxxxx\r\n:\r\n'),
+  },
+  {
+    name: 'zeros before the size of a chunk',
+    formatStart: request => formatHead(request, 200, [STREAM, CHUNKED]),
+    piece: repeat('0'),
+  },
+  {
+    name: 'trailers',
+    formatStart: request =>
+      `${formatHead(request, 200, [STREAM, CHUNKED])}${formatChunk(EVENT)}0\r\n`,
+    piece: repeat('X-Trailer: x\r\n'),
+  },
+];
+
+/** Bodies without end of answers that are not relayed. */
+export const ENDLESS_REJECTIONS: readonly EndlessPart[] = [
+  {
+    name: 'the body of a rejection',
+    formatStart: request => formatHead(request, 503, ['Not-Executed: full']),
+    piece: TEXT,
+  },
+  {
+    name: 'the body of an answer to a misdirected request',
+    formatStart: request => formatHead(request, 421),
+    piece: TEXT,
+  },
+  {
+    name: 'the body of an error response',
+    formatStart: request => formatHead(request, 500),
+    piece: TEXT,
+  },
+];
+
+function repeat(text: string): Buffer {
+  return Buffer.from(text.repeat(Math.ceil(PIECE_BYTES / text.length)));
+}
+
+/** Formats a head without the line that ends it. */
+function formatOpenHead(request: ReceivedRequest): string {
+  return formatHead(request, 200).slice(0, -'\r\n'.length);
+}
+
+/** Sends answers that do not end, and records their connections. */
+export class EndlessAnswers {
   readonly connections: EndlessConnection[] = [];
   readonly script: Script = (socket, request) => this.answer(socket, request);
 
+  /** @param part - What does not end. */
   constructor(private readonly part: EndlessPart) {}
 
   private answer(socket: Socket, request: ReceivedRequest): void {
     const connection: EndlessConnection = {
-      openedMs: performance.now(),
+      requestedMs: performance.now(),
       sentBytes: 0,
     };
     this.connections.push(connection);
