Bound the length of an event, and read streams in linear time

What callers saw: beside a server that sends an event without end, requests wait for the event loop, and the memory of the host grows until the deadline of each such stream.

Cause: EventSplitter joined each piece to all that came before, without a bound. A stream that may not be resumed has no limit on the pause between events, so that only its deadline ended it.

Change: bytes are copied once, into segments, and only new ones are read. An event of more than 1 MiB ends the attempt with the reason event-too-long: the connection is closed, the failure counts for the server's health, and a stream that may be resumed goes on at another server.

--- a/src/answer/event_splitter.ts
+++ b/src/answer/event_splitter.ts
@@ -1,3 +1,11 @@
+import {IncompleteAnswer, IncompleteReason} from './incomplete_answer.js';
+import {SegmentedBuffer} from './segmented_buffer.js';
+
+/**
+ * Longest event, in bytes. Events that carry an image or a tool call are shorter; a host keeps
+ * an incomplete event of each stream in its memory of 128 MB.
+ */
+const MAX_EVENT_BYTES = 1_048_576;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
@@ -8,6 +16,8 @@
 const ID_FIELD = /^id(?::[ ]?(.*))?$/;
 /** A field that is no part of an event. */
 const RETRY_FIELD = /^retry:/;
+/** Bytes of a line that tell which field it is: a byte order mark and the longest name. */
+const FIELD_START_BYTES = BYTE_ORDER_MARK.length + 'retry:'.length;
 
 /** Complete events of a stream. */
 export interface SplitEvents {
@@ -25,10 +35,10 @@
  */
 export class EventSplitter {
   /** Bytes after the last complete event. */
-  private rest: Buffer = Buffer.alloc(0);
+  private readonly rest = new SegmentedBuffer();
   /** Start of the current line in `rest`. */
   private lineStart = 0;
-  /** Number of bytes of `rest` whose lines are known. */
+  /** Number of bytes of `rest` that were read: all, or all but a CR at the end. */
   private scanned = 0;
   /** Whether the last byte was a CR, so that an LF belongs to the same line end. */
   private isAfterReturn = false;
@@ -40,18 +50,25 @@
   private eventId: string | undefined;
   private eventCount = 0;
 
-  /** Adds bytes; returns the events that are now complete. */
+  /**
+   * Adds bytes; returns the events that are now complete. The time that it takes is in
+   * proportion to the bytes, however the stream is split.
+   * @throws IncompleteAnswer - If an event is too long.
+   */
   add(bytes: Uint8Array): SplitEvents {
-    const all =
-      this.rest.length === 0
-        ? Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
-        : Buffer.concat([this.rest, bytes]);
+    const piece = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+    if (piece.length === 0) {
+      return {bytes: piece};
+    }
+    /** Position of the piece; positions count from the end of the last event. */
+    const offset = this.rest.length;
     let end = 0;
     let firstId: string | undefined;
     let lastId: string | undefined;
-    const length = this.getScannableLength(all);
+    const length = this.getScannableLength(piece);
     for (let index = this.scanned; index < length; index++) {
-      const byte = all[index];
+      // Of the bytes before the piece, only a CR may not have been read.
+      const byte = index < offset ? CARRIAGE_RETURN : piece[index - offset];
       if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) {
         this.isAfterReturn = false;
         continue;
@@ -62,19 +79,19 @@
         this.usesPairs = true;
         end = end > 0 && end === index ? index + 1 : end;
       } else if (index > this.lineStart) {
-        this.readLine(all, this.lineStart, index);
+        this.readLine(piece, index);
       } else {
+        checkLength(index + 1 - end);
         end = index + 1;
         lastId = this.endEvent() ?? lastId;
         firstId ??= lastId;
       }
       this.lineStart = index + 1;
     }
-    // A copy, so that a few bytes do not keep the whole buffer of a read in memory.
-    this.rest = Buffer.from(all.subarray(end));
+    checkLength(offset + piece.length - end);
     this.scanned = length - end;
     this.lineStart -= end;
-    const complete = all.subarray(0, end);
+    const complete = this.takeUntil(end, piece);
     return firstId === undefined || lastId === undefined
       ? {bytes: complete}
       : {bytes: complete, firstId, lastId};
@@ -91,48 +108,83 @@
    * follow the last event of a complete stream.
    */
   isInsideEvent(): boolean {
-    const {rest, lineStart} = this;
-    const from = lineStart + this.getMarkLength(rest, lineStart);
-    const isInsideLine = rest.toString('latin1', from).trim() !== '';
+    const line = Buffer.concat(this.rest.list(this.lineStart));
+    const from = this.getMarkLength(line);
+    const isInsideLine = line.toString('latin1', from).trim() !== '';
     return this.hasField || isInsideLine;
   }
 
   /** Returns and removes the bytes after the last complete event. */
   takeRest(): Buffer {
-    const {rest} = this;
-    this.rest = Buffer.alloc(0);
+    const rest = Buffer.concat(this.rest.list());
+    this.rest.clear();
     this.lineStart = 0;
     this.scanned = 0;
     return rest;
   }
 
+  /** Returns and removes the bytes up to an end, and keeps those after it. */
+  private takeUntil(end: number, piece: Buffer): Buffer {
+    const endInPiece = end - this.rest.length;
+    if (end === 0) {
+      this.rest.append(piece);
+      return piece.subarray(0, 0);
+    }
+    const complete = piece.subarray(0, endInPiece);
+    const taken =
+      this.rest.length === 0
+        ? complete
+        : Buffer.concat([...this.rest.list(), complete]);
+    this.rest.clear();
+    // A copy, so that a few bytes do not keep the whole buffer of a read in memory.
+    this.rest.append(piece.subarray(endInPiece));
+    return taken;
+  }
+
   /**
    * Returns how many bytes can be read now. Where lines end with CRLF, a CR at the end is half
    * of a line end, and another server must not continue the stream there.
    */
-  private getScannableLength(all: Buffer): number {
-    const waits = this.usesPairs && all.at(-1) === CARRIAGE_RETURN;
-    return waits ? all.length - 1 : all.length;
+  private getScannableLength(piece: Buffer): number {
+    const length = this.rest.length + piece.length;
+    const waits = this.usesPairs && piece.at(-1) === CARRIAGE_RETURN;
+    return waits ? length - 1 : length;
   }
 
-  /** Reads the line between two positions, without its line end. */
-  private readLine(bytes: Buffer, start: number, end: number): void {
-    const from = start + this.getMarkLength(bytes, start);
+  /** Reads the current line, whose line end is at a position. */
+  private readLine(piece: Buffer, end: number): void {
+    const start = this.readCurrentLine(
+      piece,
+      Math.min(end, this.lineStart + FIELD_START_BYTES),
+    );
+    const from = this.getMarkLength(start);
     this.isFirstLine = false;
-    if (!isField(bytes, from, end)) {
+    if (!isField(start, from, start.length)) {
       return;
     }
     this.hasField = true;
     // Most lines are data; only lines that may be an id are decoded.
     const id =
-      bytes[from] === LETTER_I
-        ? ID_FIELD.exec(bytes.toString('latin1', from, end))
+      start[from] === LETTER_I
+        ? ID_FIELD.exec(
+            this.readCurrentLine(piece, end).toString('latin1', from),
+          )
         : null;
     if (id !== null) {
       this.eventId = id[1] ?? '';
     }
   }
 
+  /** Returns the bytes of the current line up to a position. */
+  private readCurrentLine(piece: Buffer, end: number): Buffer {
+    const {lineStart, rest} = this;
+    if (lineStart >= rest.length) {
+      return piece.subarray(lineStart - rest.length, end - rest.length);
+    }
+    const all = Buffer.concat([...rest.list(lineStart), piece]);
+    return all.subarray(0, end - lineStart);
+  }
+
   /** Ends the current event at a blank line; returns its id, if it has one. */
   private endEvent(): string | undefined {
     const {eventId} = this;
@@ -144,12 +196,21 @@
   }
 
   /** Returns the length of the byte order mark that a stream may begin with. */
-  private getMarkLength(bytes: Buffer, start: number): number {
-    if (!this.isFirstLine) {
-      return 0;
-    }
-    const first = bytes.subarray(start, start + BYTE_ORDER_MARK.length);
-    return first.equals(BYTE_ORDER_MARK) ? BYTE_ORDER_MARK.length : 0;
+  private getMarkLength(line: Buffer): number {
+    return this.isFirstLine &&
+      line.subarray(0, BYTE_ORDER_MARK.length).equals(BYTE_ORDER_MARK)
+      ? BYTE_ORDER_MARK.length
+      : 0;
+  }
+}
+
+/** @throws IncompleteAnswer - If an event, or what has arrived of it, is too long. */
+function checkLength(bytes: number): void {
+  if (bytes > MAX_EVENT_BYTES) {
+    throw new IncompleteAnswer(
+      IncompleteReason.EVENT_TOO_LONG,
+      `an event is longer than ${MAX_EVENT_BYTES} bytes`,
+    );
   }
 }
 
--- a/src/answer/incomplete_answer.ts
+++ b/src/answer/incomplete_answer.ts
@@ -10,6 +10,8 @@
   NO_EVENT: 'no-event',
   /** A server that was to continue a stream repeats events of it. */
   REPEATED_EVENT: 'repeated-event',
+  /** An event of a stream is longer than is accepted. */
+  EVENT_TOO_LONG: 'event-too-long',
   /** Its run was stopped, so that it can continue at another server. */
   STOPPED: 'stopped',
 } as const;
--- a/test/platform/endless_answers_test.ts
+++ b/test/platform/endless_answers_test.ts
@@ -39,6 +39,10 @@
   /** The target latency of the route, in milliseconds. */
   const MAX_LOOP_DELAY_MS = 300;
   const MEMORY_INTERVAL_MS = 20;
+  /** Bytes of an event that stays incomplete but is not too long. */
+  const HELD_BYTES = 900_000;
+  /** Time in which bytes on the way arrive, in milliseconds. */
+  const SETTLE_MS = 200;
   let system: TestSystem;
   let host: RunningHost;
   let endless: EndlessAnswers;
@@ -155,20 +159,40 @@
 
     it('neither fill the memory nor block the event loop', async () => {
       await start(ENDLESS_EVENTS[0] as EndlessPart, false);
+      await readStreams('/s/other', OTHER_REQUESTS);
       const loopDelay = monitorEventLoopDelay({resolution: 5});
       const readMemory = createMemoryReader();
       const before = readMemory();
-      let maxBytes = 0;
-      const timer = setInterval(() => {
-        maxBytes = Math.max(maxBytes, readMemory() - before);
-      }, MEMORY_INTERVAL_MS);
+      const grownBytes: number[] = [];
+      const timer = setInterval(
+        () => grownBytes.push(readMemory() - before),
+        MEMORY_INTERVAL_MS,
+      );
       loopDelay.enable();
       await readStreams('/s/endless', ENDLESS_REQUESTS);
       loopDelay.disable();
       clearInterval(timer);
-      expect(maxBytes).to.be.within(1, MAX_MEMORY_BYTES);
+      expect(grownBytes).to.have.length.above(0);
+      expect(Math.max(...grownBytes)).to.be.below(MAX_MEMORY_BYTES);
       expect(loopDelay.max / 1e6).to.be.below(MAX_LOOP_DELAY_MS);
     });
+
+    it('take no more than the longest event each while they are open', async () => {
+      const part = ENDLESS_EVENTS[0] as EndlessPart;
+      await start(part, false);
+      await readStreams('/s/other', OTHER_REQUESTS);
+      endless.maxSentBytes = HELD_BYTES;
+      const readMemory = createMemoryReader();
+      const before = readMemory();
+      const streams = readStreams('/s/endless', ENDLESS_REQUESTS);
+      await system.waitFor(
+        () => endless.countSent(HELD_BYTES) === ENDLESS_REQUESTS,
+      );
+      await system.waitFor(() => readMemory() - before > HELD_BYTES);
+      await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+      expect(readMemory() - before).to.be.below(MAX_MEMORY_BYTES);
+      await streams;
+    });
   });
 });
 
--- a/test/platform/fakes/endless_answers.ts
+++ b/test/platform/fakes/endless_answers.ts
@@ -141,10 +141,17 @@
 export class EndlessAnswers {
   readonly connections: EndlessConnection[] = [];
   readonly script: Script = (socket, request) => this.answer(socket, request);
+  /** Bytes after which a connection sends nothing more, and stays open. */
+  maxSentBytes = Infinity;
 
   /** @param part - What does not end. */
   constructor(private readonly part: EndlessPart) {}
 
+  /** Returns how many connections have sent a number of bytes. */
+  countSent(bytes: number): number {
+    return this.connections.filter(({sentBytes}) => sentBytes >= bytes).length;
+  }
+
   private answer(socket: Socket, request: ReceivedRequest): void {
     const connection: EndlessConnection = {
       requestedMs: performance.now(),
@@ -154,7 +161,10 @@
     socket.write(this.part.formatStart(request));
     const timer = setInterval(() => {
       // Bytes that the host does not read must not pile up here.
-      if (!socket.writableNeedDrain) {
+      if (
+        !socket.writableNeedDrain &&
+        connection.sentBytes < this.maxSentBytes
+      ) {
         connection.sentBytes += this.part.piece.length;
         socket.write(this.part.piece);
       }
--- a/test/relay/attempt_end_test.ts
+++ b/test/relay/attempt_end_test.ts
@@ -1,7 +1,12 @@
 import {expect} from 'chai';
 import {Repeat} from '../../src/catalog/index.js';
 import {AttemptEnd} from '../../src/relay/index.js';
-import {disconnectAfter, hang, RelayFixture} from './relay_fixture.js';
+import {
+  createAnswer,
+  disconnectAfter,
+  hang,
+  RelayFixture,
+} from './relay_fixture.js';
 
 // Guards against logs that do not tell whether server, caller or host ended an answer.
 describe('an attempt without a complete answer', () => {
@@ -29,4 +34,35 @@
     await fixture.serve(route, 2000, caller.signal);
     expect(countEnds(fixture, AttemptEnd.CALLER_LEFT)).to.equal(1);
   });
+
+  // Guards against a stream that is read without end, and a server that seems sound then.
+  it('is logged and counts as a failure of its server if its event is too long', async () => {
+    let closedCount = 0;
+    const piece = 'x'.repeat(65_536);
+    function* writeEndlessEvent(): Generator<string> {
+      try {
+        yield 'id: 1\ndata: ';
+        for (;;) {
+          yield piece;
+        }
+      } finally {
+        closedCount++;
+      }
+    }
+    const fixture = new RelayFixture(async () =>
+      createAnswer(200, writeEndlessEvent()),
+    );
+    const count = 10;
+    for (let sent = 0; sent < count; sent++) {
+      await fixture.serve({streaming: true, repeat: Repeat.ONCE});
+    }
+    expect(closedCount).to.equal(count);
+    expect(countEnds(fixture, AttemptEnd.SERVER)).to.equal(count);
+    const events = fixture.warnings.map(({event, reason}) => ({event, reason}));
+    expect(events).to.deep.include({
+      event: 'attempt_failed',
+      reason: 'event-too-long',
+    });
+    expect(events.map(({event}) => event)).to.include('server_ejected');
+  });
 });
--- a/test/relay/relay_fixture.ts
+++ b/test/relay/relay_fixture.ts
@@ -6,7 +6,7 @@
 import {Problem} from '../../src/errors/index.js';
 import {Fleet, FleetServer, FleetState} from '../../src/fleet/index.js';
 import {ServerLimits} from '../../src/limits/index.js';
-import {SilentLog} from '../../src/log/index.js';
+import {LogFields, SilentLog} from '../../src/log/index.js';
 import {Metrics} from '../../src/metrics/index.js';
 import {
   TerminatedServers,
@@ -169,6 +169,8 @@
   learnsTimes = false;
   readonly quarantine: Quarantine;
   readonly metrics = new Metrics();
+  /** Warnings that were logged. */
+  readonly warnings: LogFields[] = [];
   readonly limits: ServerLimits;
   readonly ledger: UsageLedger;
   readonly brittle: BrittleServices;
@@ -209,7 +211,10 @@
     exchange: Exchange,
     createPlaceAdmission?: (fixture: RelayFixture) => PlaceAdmission,
   ) {
-    const log = new SilentLog();
+    const log = Object.assign(new SilentLog(), {
+      warn: (event: string, fields: LogFields = {}) =>
+        this.warnings.push({event, ...fields}),
+    });
     const {clock} = this;
     this.models = new ServerModels({
       clock,
