--- a/src/bin/slopes.ts
+++ b/src/bin/slopes.ts
@@ -3,6 +3,7 @@
 import {formatLine} from '../log/index.js';
 import {
   measureDaemon,
+  measureEventSplitter,
   measureLeaving,
   measureLimits,
   measureServerModel,
@@ -14,6 +15,7 @@
 for (const line of [
   ...measureSlopes(),
   ...measureLimits(),
+  ...measureEventSplitter(),
   ...measureServerModel(),
 ]) {
   process.stdout.write(`${formatLine(line)}\n`);
--- a/src/slopes/index.ts
+++ b/src/slopes/index.ts
@@ -3,6 +3,7 @@
  * benchmarks of a running system.
  */
 export {measureDaemon, measureIdleAtCurrentSize} from './measure_daemon.js';
+export {measureEventSplitter} from './measure_event_splitter.js';
 export {measureLimits} from './measure_limits.js';
 export {measureLeaving, measureSlopes} from './measure_slopes.js';
 export {measureTransfer} from './measure_transfer.js';
