--- a/test/platform/server_exchange_test.ts
+++ b/test/platform/server_exchange_test.ts
@@ -364,6 +364,38 @@
     });
   });
 
+  describe('a rejection', () => {
+    it('leaves its connection to the next request', async () => {
+      server.script = (socket, request) => {
+        const headers = [
+          'Not-Executed: full',
+          'Content-Length: 4',
+          'Keep-Alive: timeout=5',
+        ];
+        socket.write(`${formatHead(request, 503, headers)}full`);
+      };
+      await send();
+      await new Promise(resolve => setTimeout(resolve, 50));
+      await send();
+      expect(server.connectionCount).to.equal(1);
+    });
+
+    // Guards against connections that stay open for good.
+    it('is closed if its body does not end in time', async () => {
+      server.script = (socket, request) => {
+        socket.write(formatHead(request, 503, ['Not-Executed: full']));
+        const timer = setInterval(() => socket.write('x'), 50);
+        socket.once('close', () => clearInterval(timer));
+      };
+      const result = await send();
+      expect(result.kind).to.equal(ExchangeKind.NOT_RUN);
+      expect(server.sockets.size).to.equal(1);
+      while (server.sockets.size > 0) {
+        await new Promise(resolve => setTimeout(resolve, 50));
+      }
+    });
+  });
+
   describe('a server that cannot be reached', () => {
     it('has certainly not run the request', async () => {
       server.stop();
