End exchanges in which far more arrives than a body

What callers saw: 504 at the deadline of requests whose servers sent no answer without end, and other requests late by up to 1.1 s beside extensions of small chunks.

Cause: the parser limits a head, trailers and one extension of a chunk, but accepts without end line ends before a head, informational responses, zeros before the size of a chunk, and small chunks each of which has an extension. Nothing reaches the relay meanwhile that it could bound.

A response that had no head yet counts as unusable, as another response that is not one does.

--- a/src/answer/incomplete_answer.ts
+++ b/src/answer/incomplete_answer.ts
@@ -12,6 +12,8 @@
   REPEATED_EVENT: 'repeated-event',
   /** An event of a stream is longer than is accepted. */
   EVENT_TOO_LONG: 'event-too-long',
+  /** Much more arrived than belongs to its body. */
+  OVERHEAD: 'overhead',
   /** Its run was stopped, so that it can continue at another server. */
   STOPPED: 'stopped',
 } as const;
--- a/src/http/answer_body.ts
+++ b/src/http/answer_body.ts
@@ -1,5 +1,5 @@
 import {IncomingMessage} from 'node:http';
-import {checkBodyEnd, Framing} from '../answer/index.js';
+import {checkBodyEnd, Framing, IncompleteAnswer} from '../answer/index.js';
 import {waitForClose} from './wait_for_close.js';
 
 /** Number of buffered chunks at which reading from the connection is paused. */
@@ -41,7 +41,7 @@
         ? waitForClose(answer.socket)
         : Promise.resolve(true);
     answer.on('data', (chunk: Uint8Array) => this.add(chunk));
-    answer.on('error', () => this.finish(false));
+    answer.on('error', error => this.finish(false, error));
     answer.once('end', () => void this.finishOnEnd());
     answer.once('close', () => {
       if (!answer.complete) {
@@ -101,12 +101,15 @@
     this.finish(this.answer.complete && (await this.markedEnd));
   }
 
-  private finish(hasMarkedEnd: boolean): void {
+  private finish(hasMarkedEnd: boolean, error?: Error): void {
     if (this.isFinished) {
       return;
     }
     this.isFinished = true;
-    const failure = checkBodyEnd({framing: this.framing, hasMarkedEnd});
+    const failure =
+      error instanceof IncompleteAnswer
+        ? error
+        : checkBodyEnd({framing: this.framing, hasMarkedEnd});
     this.failure = failure;
     const {waiter} = this;
     this.waiter = undefined;
--- a/test/platform/server_exchange_test.ts
+++ b/test/platform/server_exchange_test.ts
@@ -364,6 +364,50 @@
     });
   });
 
+  // Guards against a server in trouble whose bytes a host reads until the deadline.
+  describe('bytes beside a body', () => {
+    const CHUNKED = 'Transfer-Encoding: chunked';
+
+    function repeat(text: string, bytes: number): string {
+      return text.repeat(Math.ceil(bytes / text.length));
+    }
+
+    it('are read if they frame short chunks', async () => {
+      const text = repeat('abc', 1_000_000);
+      server.script = (socket, request) => {
+        const chunks = repeat('3\r\nabc\r\n', (text.length / 3) * 8);
+        socket.write(
+          `${formatHead(request, 200, [CHUNKED])}${chunks}0\r\n\r\n`,
+        );
+      };
+      expect(await read(await send())).to.equal(text);
+    });
+
+    it('end an exchange that has no head yet if they are many', async () => {
+      server.script = socket => {
+        socket.write(repeat('HTTP/1.1 103 Early Hints\r\n\r\n', 400_000));
+      };
+      expect(await send()).to.deep.include({
+        kind: ExchangeKind.LOST,
+        corrupted: true,
+        reason: 'overhead',
+      });
+    });
+
+    it('end an exchange in its body if they are many', async () => {
+      server.script = (socket, request) => {
+        const chunks = repeat('1;x=xxxxxxxxxxxxxxx\r\n:\r\n', 400_000);
+        socket.write(formatHead(request, 200, [CHUNKED]) + chunks);
+      };
+      const result = await send();
+      const failure = await read(result).catch((error: unknown) => error);
+      expect(failure).to.have.property('reason', 'overhead');
+      while (server.sockets.size > 0) {
+        await new Promise(resolve => setTimeout(resolve, 10));
+      }
+    });
+  });
+
   describe('a rejection', () => {
     it('leaves its connection to the next request', async () => {
       server.script = (socket, request) => {
