Bound the responses to requests with JSON

What callers saw: nothing yet. A store, a cloud or a server that answers without end fills the memory of a host until the timeout of the call.

Cause: sendJson joined whatever arrived, for 1 to 11 s, whatever its length.

Change: a response longer than 16 MiB, or than the request states, ends the call, as one that had no answer.

--- a/src/http/http_request.ts
+++ b/src/http/http_request.ts
@@ -43,6 +43,8 @@
   readonly timeoutMs: number;
   /** Limits the time without received bytes, rather than the time of the whole body. */
   readonly progress?: ProgressTimeouts;
+  /** Longest body of a response, in bytes; by default, `MAX_RESPONSE_BYTES`. */
+  readonly maxResponseBytes?: number;
   /**
    * Whether a request must not reach the server after it has timed out; its connection is
    * then reset. A connection that is closed normally still delivers data that was held
@@ -51,6 +53,11 @@
   readonly recalls?: boolean;
 }
 
+/**
+ * Longest body of a response, in bytes: twice the longest row of a table, 4 MiB, as base64, with
+ * other rows. A host has 128 MB of memory.
+ */
+const MAX_RESPONSE_BYTES = 16_777_216;
 const UNREACHED_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
@@ -68,6 +75,7 @@
 ): Promise<Result<HttpResponse, HttpFailure>> {
   const timeoutReset = new TimeoutReset(request);
   const progressTimeout = new ProgressTimeout(request);
+  const responseLimit = new ResponseLimit(request);
   try {
     const call = got(request.url, {
       method: request.method,
@@ -82,6 +90,11 @@
       followRedirect: false,
     });
     void call.on('request', sent => timeoutReset.start(sent));
+    void call.on('downloadProgress', ({transferred}) => {
+      if (responseLimit.isExceededBy(transferred)) {
+        call.cancel();
+      }
+    });
     if (request.progress !== undefined) {
       progressTimeout.start();
       void call.on('downloadProgress', ({transferred}) =>
@@ -96,7 +109,10 @@
     });
   } catch (error) {
     return Result.err(
-      timeoutReset.failure ?? progressTimeout.failure ?? toHttpFailure(error),
+      timeoutReset.failure ??
+        progressTimeout.failure ??
+        responseLimit.failure ??
+        toHttpFailure(error),
     );
   } finally {
     timeoutReset.stop();
@@ -154,6 +170,24 @@
   }
 }
 
+/** Limits the length of a response. */
+class ResponseLimit {
+  /** Set once the response is too long. */
+  failure: HttpFailure | undefined;
+
+  constructor(private readonly request: HttpRequest) {}
+
+  isExceededBy(receivedBytes: number): boolean {
+    const {maxResponseBytes = MAX_RESPONSE_BYTES} = this.request;
+    if (receivedBytes <= maxResponseBytes) {
+      return false;
+    }
+    const detail = `response longer than ${maxResponseBytes} bytes`;
+    this.failure = {unreached: false, detail};
+    return true;
+  }
+}
+
 /** Resets the connection of a request that times out, if the request asks for that. */
 class TimeoutReset {
   /** Set once the request has timed out. */
--- a/test/http/http_request_test.ts
+++ b/test/http/http_request_test.ts
@@ -61,6 +61,46 @@
     expect(answer.isErr && answer.error.unreached).to.equal(true);
   });
 
+  // Guards against a service or server in trouble that fills the memory of a host.
+  describe('with a response that does not end', () => {
+    /** Answers without end; returns how many bytes were sent until the connection closed. */
+    async function countSentBytes(): Promise<number> {
+      const socket = await accepted;
+      const piece = Buffer.alloc(65_536, 'x');
+      let sentBytes = 0;
+      socket.on('error', () => undefined);
+      socket.write('HTTP/1.1 200 OK\r\n\r\n');
+      const timer = setInterval(() => {
+        if (!socket.writableNeedDrain) {
+          sentBytes += piece.length;
+          socket.write(piece);
+        }
+      }, 1);
+      await new Promise(resolve => socket.once('close', resolve));
+      clearInterval(timer);
+      return sentBytes;
+    }
+
+    for (const recalls of [false, true]) {
+      it(`fails after the longest response (${recalls ? 'with' : 'without'} recall)`, async () => {
+        const {port} = server.address() as AddressInfo;
+        const sent = countSentBytes();
+        const answer = await sendJson({
+          method: 'GET',
+          url: `http://127.0.0.1:${port}/`,
+          timeoutMs: 5000,
+          maxResponseBytes: 1_000_000,
+          recalls,
+        });
+        expect(answer.isErr && answer.error).to.deep.equal({
+          unreached: false,
+          detail: 'response longer than 1000000 bytes',
+        });
+        expect(await sent).to.be.below(3_000_000);
+      });
+    }
+  });
+
   describe('with timeouts of progress', () => {
     /** Sends a piece of a body every 20 ms; returns the answer to a request for it. */
     async function send(pieces: number, maxMs: number): Promise<string> {
