Bound the events of token streams, and read them in linear time

What callers saw: nothing yet. The product's own interface reads a token stream whose event does not end until its deadline, and searches all that came before for each piece.

Cause: as in streams that are relayed: readEventStream joined pieces without a bound.

Change: it uses EventSplitter, and accepts lines that end with CRLF or CR, which it never found.

--- a/src/backend/event_stream.ts
+++ b/src/backend/event_stream.ts
@@ -1,22 +1,23 @@
+import {EventSplitter} from '../answer/index.js';
+
+const LINE_END = /\r\n|\r/g;
+
 /**
  * Decodes a byte stream of server-sent events and yields the data of each event.
  * @param bytes - Received chunks; an event may span several chunks.
+ * @throws IncompleteAnswer - If an event is too long.
  */
 export async function* readEventStream(
   bytes: AsyncIterable<Uint8Array>,
 ): AsyncGenerator<string> {
-  const decoder = new TextDecoder();
-  let buffered = '';
+  const splitter = new EventSplitter();
   for await (const chunk of bytes) {
-    buffered += decoder.decode(chunk, {stream: true});
-    let end = buffered.indexOf('\n\n');
-    while (end >= 0) {
-      const data = getEventData(buffered.slice(0, end));
-      buffered = buffered.slice(end + 2);
+    const events = splitter.add(chunk).bytes.toString();
+    for (const event of events.replace(LINE_END, '\n').split('\n\n')) {
+      const data = getEventData(event);
       if (data !== undefined) {
         yield data;
       }
-      end = buffered.indexOf('\n\n');
     }
   }
 }
