Bound the answers of plain services

What callers saw: nothing yet. A service in trouble that answers without end fills the memory of a host until the timeout of the call.

Cause: the whole answer is kept, whatever its length.

Change: an answer of more than 16 MiB ends the call, as one that broke off.

--- a/src/backend/http_plain_service.ts
+++ b/src/backend/http_plain_service.ts
@@ -8,6 +8,8 @@
 
 const CONNECT_TIMEOUT_MS = 1000;
 const OUTCOME_TIMEOUT_MS = 2000;
+/** Longest answer, in bytes; it is kept whole, in a host's memory of 128 MB. */
+const MAX_ANSWER_BYTES = 16_777_216;
 const REQUEST_ID_HEADER = 'x-request-id';
 
 /** Client of a plain service over HTTP. */
@@ -24,6 +26,7 @@
     call: ServiceCall,
     timeoutMs: number,
   ): Promise<Result<ServiceAnswer, ServerFailure>> {
+    let tooLong: ServerFailure | undefined;
     try {
       const sending = got(this.url + call.path, {
         method: call.method as 'GET' | 'POST',
@@ -42,6 +45,15 @@
       const bodyEnd = new Promise<IncompleteAnswer | undefined>(resolve => {
         void sending.on('request', sent => resolve(waitForBodyEnd(sent)));
       });
+      void sending.on('downloadProgress', ({transferred}) => {
+        if (transferred > MAX_ANSWER_BYTES) {
+          tooLong = new ServerFailure(
+            DeliveryState.SENT,
+            `response longer than ${MAX_ANSWER_BYTES} bytes`,
+          );
+          sending.cancel();
+        }
+      });
       const response = await sending;
       const failure = await bodyEnd;
       if (failure !== undefined) {
@@ -66,7 +78,7 @@
         body: response.rawBody,
       });
     } catch (error) {
-      return Result.err(toServerFailure(error));
+      return Result.err(tooLong ?? toServerFailure(error));
     }
   }
 
--- a/test/backend/http_plain_service_test.ts
+++ b/test/backend/http_plain_service_test.ts
@@ -66,4 +66,26 @@
       }
     });
   }
+
+  // Guards against a server in trouble that fills the memory of a host until the timeout.
+  it('takes no answer without end', async () => {
+    const maxBytes = 16_777_216;
+    const piece = Buffer.alloc(262_144, 'x');
+    let sentBytes = 0;
+    end = socket => {
+      const writeNext = () => {
+        if (sentBytes < 10 * maxBytes && !socket.destroyed) {
+          sentBytes += piece.length;
+          socket.write(piece, writeNext);
+        }
+      };
+      writeNext();
+    };
+    const answer = await send();
+    expect(answer.isErr && answer.error).to.deep.include({
+      deliveryState: DeliveryState.SENT,
+      message: `response longer than ${maxBytes} bytes`,
+    });
+    expect(sentBytes).to.be.below(2 * maxBytes);
+  });
 });
