Read the head of a forwarded request in linear time

What callers saw: nothing yet. A sender that is not authenticated yet can block the event loop of a host by a head of up to 512 KB in small chunks.

Cause: all that had arrived was joined again for each chunk.

Change: it is joined for the length and once the head is complete.

Measured: the new case failed before (256 KB took 46 times as long as 32 KB) and passes.

--- a/src/forwarding/read_head.ts
+++ b/src/forwarding/read_head.ts
@@ -23,6 +23,7 @@
 ): Promise<ReceivedHead | undefined> {
   const received: Uint8Array[] = [];
   let length = 0;
+  let end: number | undefined;
   for (;;) {
     const next = await chunks.next();
     if (next.done === true) {
@@ -33,12 +34,13 @@
     if (length < PREFIX_BYTES) {
       continue;
     }
-    const all = Buffer.concat(received);
-    const end = PREFIX_BYTES + all.readUInt32BE(0);
+    // Joined for the prefix and at the end, not for each chunk.
+    end ??= PREFIX_BYTES + Buffer.concat(received).readUInt32BE(0);
     if (end > maxBytes) {
       return undefined;
     }
     if (length >= end) {
+      const all = Buffer.concat(received);
       const bytes = all.subarray(0, end);
       const reader = new FrameReader(maxBytes);
       reader.add(bytes);
