Bound what a stream sends beside its events

What callers saw: blank lines and comments of a server in trouble were relayed until the deadline.

Cause: a blank line ended an event that had no field, so that the bound on an event began anew.

Change: comments and blank lines count for the event that follows them.

--- a/src/answer/event_splitter.ts
+++ b/src/answer/event_splitter.ts
@@ -2,7 +2,7 @@
 import {SegmentedBuffer} from './segmented_buffer.js';
 
 /**
- * Longest event, in bytes. Events that carry an image or a tool call are shorter; a host keeps
+ * Longest event with the comments before it, in bytes. Events that carry an image or a tool call are shorter; a host keeps
  * an incomplete event of each stream in its memory of 128 MB.
  */
 const MAX_EVENT_BYTES = 1_048_576;
@@ -45,6 +45,8 @@
   private isFirstLine = true;
   /** Whether the current event has any field; comments and `retry` do not count. */
   private hasField = false;
+  /** Bytes of comments and blank lines since the last event that has a field. */
+  private emptyBytes = 0;
   private eventId: string | undefined;
   private eventCount = 0;
 
@@ -79,14 +81,14 @@
       } else if (index > this.lineStart) {
         this.readLine(piece, index);
       } else {
-        checkLength(index + 1 - end);
+        this.addEventBytes(index + 1 - end);
         end = index + 1;
         lastId = this.endEvent() ?? lastId;
         firstId ??= lastId;
       }
       this.lineStart = index + 1;
     }
-    checkLength(offset + piece.length - end);
+    checkLength(this.emptyBytes + offset + piece.length - end);
     this.scanned = length - end;
     this.lineStart -= end;
     this.returnEnd = this.returnEnd && this.returnEnd - end;
@@ -182,6 +184,15 @@
     }
   }
 
+  /**
+   * Adds the bytes up to a blank line; those without any field count for the next event.
+   * @throws IncompleteAnswer - If there are too many of them.
+   */
+  private addEventBytes(bytes: number): void {
+    checkLength(this.emptyBytes + bytes);
+    this.emptyBytes = this.hasField ? 0 : this.emptyBytes + bytes;
+  }
+
   /** Ends the current event at a blank line; returns its id, if it has one. */
   private endEvent(): string | undefined {
     const {eventId} = this;
--- a/test/answer/event_splitter_test.ts
+++ b/test/answer/event_splitter_test.ts
@@ -176,6 +176,26 @@
       });
     }
 
+    // Guards against bytes without any event that are relayed to a caller until the deadline.
+    for (const text of ['\n', '\r\n', ': ping\n\n']) {
+      it(`accepts no more without any event: ${JSON.stringify(text)}`, () => {
+        const length = 2.1 * MAX_EVENT_BYTES;
+        const bytes = Buffer.from(text.repeat(length / text.length));
+        expect(() => addInPieces(new EventSplitter(), bytes, 60_000))
+          .to.throw(IncompleteAnswer)
+          .with.property('reason', 'event-too-long');
+      });
+    }
+
+    it('counts comments anew after each event', () => {
+      const splitter = new EventSplitter();
+      const comments = ': ping\n\n'.repeat(MAX_EVENT_BYTES / 16);
+      const bytes = Buffer.from(`${comments}data: a\n\n`.repeat(4));
+      const returned = addInPieces(splitter, bytes, 60_000);
+      expect(Buffer.concat(returned).equals(bytes)).to.equal(true);
+      expect(splitter.countEvents()).to.equal(4);
+    });
+
     it('counts each event alone', () => {
       const splitter = new EventSplitter();
       const events = Buffer.concat(
--- a/test/platform/fakes/endless_answers.ts
+++ b/test/platform/fakes/endless_answers.ts
@@ -52,6 +52,11 @@
     formatStart: request => formatHead(request, 200, [STREAM]) + EVENT,
     piece: repeat(': x\n'),
   },
+  {
+    name: 'comments and blank lines',
+    formatStart: request => formatHead(request, 200, [STREAM]) + EVENT,
+    piece: repeat(': x\n\n'),
+  },
 ];
 
 /** What precedes the body of an answer, without end. */
