--- a/src/answer/event_splitter.ts
+++ b/src/answer/event_splitter.ts
@@ -2,8 +2,8 @@
 import {SegmentedBuffer} from './segmented_buffer.js';
 
 /**
- * Longest event with the comments before it, in bytes. Events that carry an image or a tool call are shorter; a host keeps
- * an incomplete event of each stream in its memory of 128 MB.
+ * Longest event with the comments before it, in bytes. Events that carry an image or a tool
+ * call are shorter; a host keeps an incomplete event of each stream in its memory of 128 MB.
  */
 const MAX_EVENT_BYTES = 1_048_576;
 const LINE_FEED = 0x0a;
