Refuse forwarded requests that state no length

What callers saw: nothing. Hosts state the length of what they forward.

Cause: a host counts the stated lengths of the forwarded requests that it holds, and 0 for one without; its body was kept whatever its length if it came from an authenticated host.

Change: a connection whose request states no length is closed. Bytes beside the body of another host's answer are bounded as those of servers.

A body without end of an authenticated host was read in the code, not run.

--- a/src/forwarding/forward_client.ts
+++ b/src/forwarding/forward_client.ts
@@ -4,6 +4,7 @@
 import {
   AnswerBody,
   ConnectionPool,
+  limitOverhead,
   parseAddress,
   whenConnected,
 } from '../http/index.js';
@@ -189,6 +190,7 @@
           return;
         }
         mayHaveSent = true;
+        limitOverhead(clientRequest);
         for (const bytes of message) {
           clientRequest.write(bytes);
         }
--- a/src/forwarding/forward_listener.ts
+++ b/src/forwarding/forward_listener.ts
@@ -115,7 +115,13 @@
   ): Promise<void> {
     const {socket} = message;
     response.sendDate = false;
-    const bytes = Number(message.headers['content-length'] ?? 0);
+    const length = message.headers['content-length'];
+    if (length === undefined) {
+      // Hosts state the length. A body without one may not end.
+      socket.destroy();
+      return;
+    }
+    const bytes = Number(length);
     this.busy.add(socket);
     this.heldBytes += bytes;
     response.once('close', () => {
--- a/test/forwarding/forward_client_test.ts
+++ b/test/forwarding/forward_client_test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
+import {connect} from 'node:net';
 import {problems, ExecutionStatus} from '../../src/errors/index.js';
+import {parseAddress} from '../../src/http/index.js';
 import {ExchangeKind, RelayRequest} from '../../src/relay/index.js';
 import {
   createForwardParams,
@@ -19,6 +21,27 @@
   afterEach(() => fixture.stop());
 
   describe('a request', () => {
+    // Guards against a host that holds a body of any length, as it counts the stated ones only.
+    it('is refused if it does not state its length', async () => {
+      await fixture.addHost(serveAnswer);
+      const socket = connect(parseAddress(fixture.getAddress(0)));
+      socket.on('error', () => undefined);
+      const piece = Buffer.alloc(65_536, 'x').toString();
+      const chunk = `${piece.length.toString(16)}\r\n${piece}\r\n`;
+      socket.write(
+        'POST /forward HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n',
+      );
+      const startMs = performance.now();
+      const timer = setInterval(() => {
+        if (!socket.writableNeedDrain) {
+          socket.write(chunk);
+        }
+      }, 2);
+      await new Promise(resolve => socket.once('close', resolve));
+      clearInterval(timer);
+      expect(performance.now() - startMs).to.be.below(3000);
+    });
+
     // Guards against UNASKED: a server that gets another request than the caller sent.
     it('arrives as it was received, and without the key', async () => {
       let received: RelayRequest | undefined;
--- a/test/forwarding/forwarding_fixture.ts
+++ b/test/forwarding/forwarding_fixture.ts
@@ -83,6 +83,11 @@
     return listener;
   }
 
+  /** Returns the address of a host by its index. */
+  getAddress(index: number): string {
+    return this.addresses[index] ?? '';
+  }
+
   /** Adds a host whose process is gone. */
   async addTerminatedHost(): Promise<void> {
     const [port = 0] = await findFreePorts(1);
