--- a/src/answer/event_splitter.ts
+++ b/src/answer/event_splitter.ts
@@ -1,3 +1,11 @@
+import {IncompleteAnswer, IncompleteReason} from './incomplete_answer.js';
+import {SegmentedBuffer} from './segmented_buffer.js';
+
+/**
+ * Longest event with the comments before it, in bytes. Events that carry an image or a tool
+ * call are shorter; a host keeps an incomplete event of each stream in its memory of 128 MB.
+ */
+const MAX_EVENT_BYTES = 1_048_576;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
@@ -25,56 +33,66 @@
  */
 export class EventSplitter {
   /** Bytes after the last complete event. */
-  private rest: Buffer = Buffer.alloc(0);
+  private readonly rest = new SegmentedBuffer();
   /** Start of the current line in `rest`. */
   private lineStart = 0;
-  /** Number of bytes of `rest` whose lines are known. */
+  /** Number of bytes of `rest` that were read: all, or all but a CR at the end. */
   private scanned = 0;
-  /** Whether the last byte was a CR, so that an LF belongs to the same line end. */
-  private isAfterReturn = false;
+  /** Position after the last CR, at which an LF belongs to the same line end. */
+  private returnEnd: number | undefined;
   /** Whether lines of the stream end with CRLF. */
   private usesPairs = false;
   private isFirstLine = true;
   /** Whether the current event has any field; comments and `retry` do not count. */
   private hasField = false;
+  /** Bytes of comments and blank lines since the last event that has a field. */
+  private emptyBytes = 0;
   private eventId: string | undefined;
   private eventCount = 0;
 
-  /** Adds bytes; returns the events that are now complete. */
+  /**
+   * Adds bytes; returns the events that are now complete. The time that it takes is in
+   * proportion to the bytes, however the stream is split.
+   * @throws IncompleteAnswer - If an event is too long.
+   */
   add(bytes: Uint8Array): SplitEvents {
-    const all =
-      this.rest.length === 0
-        ? Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
-        : Buffer.concat([this.rest, bytes]);
+    const piece = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+    if (piece.length === 0) {
+      return {bytes: piece};
+    }
+    /** Position of the piece; positions count from the end of the last event. */
+    const offset = this.rest.length;
     let end = 0;
     let firstId: string | undefined;
     let lastId: string | undefined;
-    const length = this.getScannableLength(all);
-    for (let index = this.scanned; index < length; index++) {
-      const byte = all[index];
+    const length = this.getScannableLength(piece);
+    for (let at = this.scanned - offset; at < length - offset; at++) {
+      // Of the bytes before the piece, only a CR may not have been read.
+      const byte = at < 0 ? CARRIAGE_RETURN : piece[at];
       if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) {
-        this.isAfterReturn = false;
         continue;
       }
-      const isSecondOfLineEnd = byte === LINE_FEED && this.isAfterReturn;
-      this.isAfterReturn = byte === CARRIAGE_RETURN;
+      const index = offset + at;
+      const isSecondOfLineEnd = byte === LINE_FEED && index === this.returnEnd;
+      this.returnEnd = byte === CARRIAGE_RETURN ? index + 1 : undefined;
       if (isSecondOfLineEnd) {
         this.usesPairs = true;
         end = end > 0 && end === index ? index + 1 : end;
       } else if (index > this.lineStart) {
-        this.readLine(all, this.lineStart, index);
+        this.readLine(piece, index);
       } else {
+        this.addEventBytes(index + 1 - end);
         end = index + 1;
         lastId = this.endEvent() ?? lastId;
         firstId ??= lastId;
       }
       this.lineStart = index + 1;
     }
-    // A copy, so that a few bytes do not keep the whole buffer of a read in memory.
-    this.rest = Buffer.from(all.subarray(end));
+    checkLength(this.emptyBytes + offset + piece.length - end);
     this.scanned = length - end;
     this.lineStart -= end;
-    const complete = all.subarray(0, end);
+    this.returnEnd = this.returnEnd && this.returnEnd - end;
+    const complete = this.takeUntil(end, piece);
     return firstId === undefined || lastId === undefined
       ? {bytes: complete}
       : {bytes: complete, firstId, lastId};
@@ -91,32 +109,65 @@
    * follow the last event of a complete stream.
    */
   isInsideEvent(): boolean {
-    const {rest, lineStart} = this;
-    const from = lineStart + this.getMarkLength(rest, lineStart);
-    const isInsideLine = rest.toString('latin1', from).trim() !== '';
+    const line = Buffer.concat(this.rest.list(this.lineStart));
+    const from = this.getMarkLength(line, 0);
+    const isInsideLine = line.toString('latin1', from).trim() !== '';
     return this.hasField || isInsideLine;
   }
 
   /** Returns and removes the bytes after the last complete event. */
   takeRest(): Buffer {
-    const {rest} = this;
-    this.rest = Buffer.alloc(0);
+    const rest = Buffer.concat(this.rest.list());
+    this.rest.clear();
     this.lineStart = 0;
     this.scanned = 0;
+    this.returnEnd = undefined;
     return rest;
   }
 
+  /** Returns and removes the bytes up to an end, and keeps those after it. */
+  private takeUntil(end: number, piece: Buffer): Buffer {
+    const endInPiece = end - this.rest.length;
+    if (end === 0) {
+      this.rest.append(piece);
+      return piece.subarray(0, 0);
+    }
+    const complete = piece.subarray(0, endInPiece);
+    const taken =
+      this.rest.length === 0
+        ? complete
+        : Buffer.concat([...this.rest.list(), complete]);
+    this.rest.clear();
+    // A copy, so that a few bytes do not keep the whole buffer of a read in memory.
+    this.rest.append(piece.subarray(endInPiece));
+    return taken;
+  }
+
   /**
    * Returns how many bytes can be read now. Where lines end with CRLF, a CR at the end is half
    * of a line end, and another server must not continue the stream there.
    */
-  private getScannableLength(all: Buffer): number {
-    const waits = this.usesPairs && all.at(-1) === CARRIAGE_RETURN;
-    return waits ? all.length - 1 : all.length;
+  private getScannableLength(piece: Buffer): number {
+    const length = this.rest.length + piece.length;
+    const waits = this.usesPairs && piece.at(-1) === CARRIAGE_RETURN;
+    return waits ? length - 1 : length;
+  }
+
+  /** Reads the current line, whose line end is at a position. */
+  private readLine(piece: Buffer, end: number): void {
+    const {lineStart, rest} = this;
+    const offset = rest.length;
+    if (lineStart >= offset) {
+      this.readField(piece, lineStart - offset, end - offset);
+      return;
+    }
+    const last = piece.subarray(0, Math.max(0, end - offset));
+    const line = Buffer.concat([...rest.list(lineStart), last]);
+    this.readField(line, 0, end - lineStart);
   }
 
   /** Reads the line between two positions, without its line end. */
-  private readLine(bytes: Buffer, start: number, end: number): void {
+  private readField(bytes: Buffer, start: number, end: number): void {
     const from = start + this.getMarkLength(bytes, start);
     this.isFirstLine = false;
     if (!isField(bytes, from, end)) {
@@ -133,6 +184,15 @@
     }
   }
 
+  /**
+   * Adds the bytes up to a blank line; those without any field count for the next event.
+   * @throws IncompleteAnswer - If there are too many of them.
+   */
+  private addEventBytes(bytes: number): void {
+    checkLength(this.emptyBytes + bytes);
+    this.emptyBytes = this.hasField ? 0 : this.emptyBytes + bytes;
+  }
+
   /** Ends the current event at a blank line; returns its id, if it has one. */
   private endEvent(): string | undefined {
     const {eventId} = this;
@@ -153,6 +213,16 @@
   }
 }
 
+/** @throws IncompleteAnswer - If an event, or what has arrived of it, is too long. */
+function checkLength(bytes: number): void {
+  if (bytes > MAX_EVENT_BYTES) {
+    throw new IncompleteAnswer(
+      IncompleteReason.EVENT_TOO_LONG,
+      `an event is longer than ${MAX_EVENT_BYTES} bytes`,
+    );
+  }
+}
+
 /** Returns whether a line is a field of an event; comments and `retry` are not. */
 function isField(bytes: Buffer, start: number, end: number): boolean {
   const first = bytes[start];
--- a/src/answer/incomplete_answer.ts
+++ b/src/answer/incomplete_answer.ts
@@ -10,6 +10,10 @@
   NO_EVENT: 'no-event',
   /** A server that was to continue a stream repeats events of it. */
   REPEATED_EVENT: 'repeated-event',
+  /** An event of a stream is longer than is accepted. */
+  EVENT_TOO_LONG: 'event-too-long',
+  /** Much more arrived than belongs to its body. */
+  OVERHEAD: 'overhead',
   /** Its run was stopped, so that it can continue at another server. */
   STOPPED: 'stopped',
 } as const;
