Sound servers that fall silent, and bytes without end, in the soak

Callers saw streams broken off while their servers were silent for a second (LOST). No soak had found it: its servers are in order or have a fault that ends what they do, its streams last 0.2 s, and no check asks whether an answer that ended could have gone on.

Change: series of silences of all servers or a part of them, beside changes of the configuration and reloads, stops and kills of hosts; longer ones; streams and heads that never end; callers of streams of 40 events over a second, two thirds of which may be resumed. A schedule with a silence of all servers has a small retry budget, since no other server can take over then.

Servers have no room for copies of runs: the orders for these came up with the longer streams, and counted as requests that nobody had sent.

--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -2,7 +2,7 @@
 import {callRaw, HttpVersion} from '../platform/fakes/raw_caller.js';
 import {Random} from '../../src/random/index.js';
 import {History, RequestKind, ResumedStream, SentRequest} from './history.js';
-import {listEvents} from './stream_events.js';
+import {findStreamRoute, listEvents} from './stream_events.js';
 import {CRASHING_PART} from './soak_server.js';
 import {SoakHost} from './soak_host.js';
 import {
@@ -11,6 +11,7 @@
   KEY,
   LOW_RATE_CUSTOMER,
   LOW_RATE_KEY,
+  ROUTE_TIMEOUT_MS,
   SoakSystem,
   wait,
 } from './soak_system.js';
@@ -28,7 +29,8 @@
 }
 
 const OK = 200;
-const DEADLINE_MS = 2500;
+/** Time for which a caller waits beyond the timeout of a route, in milliseconds. */
+const DEADLINE_SLACK_MS = 500;
 const PAUSE_MS = 60;
 const OVER_RATE_PAUSE_MS = 8;
 const CRASHING_PAUSE_MS = 150;
@@ -44,6 +46,10 @@
 const LEAVE_STREAM_AFTER_MS = 90;
 /** Of this many requests, one uses HTTP/1.0, on a connection of its own. */
 const HTTP_1_0_INTERVAL = 6;
+/** Callers of long streams; the events of all streams pass through the process of the soak. */
+const MAX_LONG_STREAM_CALLERS = 24;
+/** Of this many long streams, one may not be resumed. */
+const LONG_STREAM_ONCE_INTERVAL = 3;
 /** Share of requests that probe a route which a configuration change added. */
 const PROBE_SHARE = 0.15;
 
@@ -55,6 +61,7 @@
   readonly key: string;
   readonly customer: string;
   readonly abandonAfterMs: number | undefined;
+  readonly deadlineMs: number;
   readonly version: HttpVersion;
   readonly resumed?: ResumedStream;
   /** Shared parts of its prompt. */
@@ -90,6 +97,11 @@
       host: host.options.name,
       start: host.incarnation,
       sentMs: getNowMs(),
+      limitMs: Math.min(
+        outgoing.deadlineMs,
+        findStreamRoute(outgoing.path)?.timeoutMs ?? ROUTE_TIMEOUT_MS,
+      ),
+      hasLeft: false,
       endMs: 0,
       status: 0,
       answer: '',
@@ -134,17 +146,20 @@
     outgoing: OutgoingRequest,
     sent: SentRequest,
   ): Promise<boolean> {
-    const {path, version, body, abandonAfterMs = DEADLINE_MS} = outgoing;
+    const {path, version, body, deadlineMs} = outgoing;
+    const {abandonAfterMs = deadlineMs} = outgoing;
+    const signal = AbortSignal.timeout(Math.min(abandonAfterMs, deadlineMs));
     const answer = await callRaw(host.callers, {
       path,
       version,
       method: 'POST',
       body,
       headers: createHeaders(outgoing, sent.id),
-      signal: AbortSignal.timeout(Math.min(abandonAfterMs, DEADLINE_MS)),
+      signal,
     });
     const {status, headers, isWhole} = answer;
     const retryAfter = headers.get('retry-after');
+    sent.hasLeft = signal.aborted && abandonAfterMs < deadlineMs;
     sent.status = status;
     sent.answer = answer.body;
     sent.whole = isWhole;
@@ -170,11 +185,17 @@
         path: outgoing.path,
         headers: createHeaders(outgoing, sent.id),
       });
-      const deadlineTimer = setTimeout(() => request.destroy(), DEADLINE_MS);
+      const deadlineTimer = setTimeout(
+        () => request.destroy(),
+        outgoing.deadlineMs,
+      );
       const abandonTimer =
         outgoing.abandonAfterMs === undefined
           ? undefined
-          : setTimeout(() => request.destroy(), outgoing.abandonAfterMs);
+          : setTimeout(() => {
+              sent.hasLeft = true;
+              request.destroy();
+            }, outgoing.abandonAfterMs);
       const settle = (canReuse: boolean) => {
         clearTimeout(deadlineTimer);
         clearTimeout(abandonTimer);
@@ -201,7 +222,7 @@
 
 /** Creates the headers of a request. */
 function createHeaders(
-  {key, body, resumed, parts}: OutgoingRequest,
+  {key, body, resumed, parts, deadlineMs}: OutgoingRequest,
   id: string,
 ): Readonly<Record<string, string>> {
   return {
@@ -218,7 +239,7 @@
     Host: HOST_NAME,
     'Request-Id': id,
     Credential: key,
-    'Deadline-Remaining': String(DEADLINE_MS),
+    'Deadline-Remaining': String(deadlineMs),
     'Content-Length': String(body.length),
   };
 }
@@ -242,8 +263,9 @@
   ) {}
 
   /**
-   * Starts a number of callers, and two more that send only while their flag is set: one
-   * exceeds the rate of its customer, the other sends the request that crashes servers.
+   * Starts a number of callers, further ones of long streams, and three more that send only
+   * while their flag is set: one exceeds the rate of its customer, the others send requests
+   * that crash servers.
    */
   start(count: number): void {
     for (let index = 0; index < count; index++) {
@@ -251,6 +273,12 @@
         this.sendRepeatedly(() => this.drawRequest(), PAUSE_MS),
       );
     }
+    const longStreamCallers = Math.min(count, MAX_LONG_STREAM_CALLERS);
+    for (let index = 0; index < longStreamCallers; index++) {
+      this.running.push(
+        this.sendRepeatedly(() => this.createLongStreamRequest(), PAUSE_MS),
+      );
+    }
     this.running.push(
       this.sendRepeatedly(
         () =>
@@ -368,6 +396,14 @@
       : request;
   }
 
+  /** Creates a stream that lasts long; one of so many may not be resumed. */
+  private createLongStreamRequest(): OutgoingRequest {
+    const isOnce = this.sent % LONG_STREAM_ONCE_INTERVAL === 0;
+    return isOnce
+      ? this.createRequest(RequestKind.STREAM_ONCE, '/n/x')
+      : this.createRequest(RequestKind.STREAM, '/l/x');
+  }
+
   private createRequest(kind: RequestKind, path: string): OutgoingRequest {
     const isAbandoned =
       this.faults.abandonRequests && this.random.next() < ABANDON_SHARE;
@@ -378,6 +414,9 @@
       key: KEY,
       customer: CUSTOMER,
       abandonAfterMs: isAbandoned ? ABANDON_AFTER_MS : undefined,
+      deadlineMs:
+        (findStreamRoute(path)?.timeoutMs ?? ROUTE_TIMEOUT_MS) +
+        DEADLINE_SLACK_MS,
       version:
         this.sent % HTTP_1_0_INTERVAL === 0
           ? HttpVersion.HTTP_1_0
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -1,3 +1,9 @@
+import {
+  findBrokenOffInSilences,
+  findEndlessAnswersRead,
+  findExcessAttempts,
+  findRunsBesideEachOther,
+} from './find_broken_off.js';
 import {
   findChangedCounts,
   findExcessAtLimits,
@@ -63,6 +69,16 @@
     hasTimeBound: false,
     find: findMixedVersions,
   },
+  {
+    name: 'silence ends no answer',
+    hasTimeBound: false,
+    find: findBrokenOffInSilences,
+  },
+  {
+    name: 'servers for one request',
+    hasTimeBound: false,
+    find: findExcessAttempts,
+  },
   {name: 'nothing unasked', hasTimeBound: false, find: findUnsentRequests},
   {name: 'retry budget', hasTimeBound: false, find: findExcessRetries},
   {name: 'quota', hasTimeBound: false, find: findExcessUnits},
@@ -121,6 +137,16 @@
     hasTimeBound: true,
     find: findUnservedAtPartitions,
   },
+  {
+    name: 'one run goes on',
+    hasTimeBound: true,
+    find: findRunsBesideEachOther,
+  },
+  {
+    name: 'bytes without end are not read on',
+    hasTimeBound: true,
+    find: findEndlessAnswersRead,
+  },
   {name: 'recovery', hasTimeBound: true, find: findIncompleteRecovery},
 ];
 
--- a/test/soak/checks_test.ts
+++ b/test/soak/checks_test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {CHECKS, findViolations} from './checks.js';
+import {findBrokenOffInSilences} from './find_broken_off.js';
 import {findUnservedAtPartitions} from './find_unserved.js';
 import {
   Arrival,
@@ -43,6 +44,8 @@
     host: 'front-0',
     start: 1,
     sentMs: 10_000,
+    limitMs: 2000,
+    hasLeft: false,
     endMs: 10_050,
     status: 200,
     answer: `${id} by ${SERVER}`,
@@ -68,6 +71,7 @@
     hasCrashingPart: false,
     after: 0,
     ran: true,
+    eventsMs: [],
     answer: `${id} by ${SERVER}`,
     ...overrides,
   };
@@ -154,6 +158,7 @@
     history => {
       addRequest(history, 'r2', {
         kind: RequestKind.STREAM,
+        path: '/s/x',
         answer: 'id: 1\ndata: r2.1\n\nid: 3\ndata: r2.3\n\n',
       });
     },
@@ -174,6 +179,45 @@
       });
     },
   ],
+  ['silence ends no answer', history => addStreamBrokenOffInSilence(history)],
+  [
+    'servers for one request',
+    history => {
+      for (const id of ['r2', 'r3', 'r4', 'r5']) {
+        addRequest(history, id, {kind: RequestKind.REPEATABLE});
+        for (const server of ['i-2@1', 'i-3@1']) {
+          history.arrivals.push(createArrival({id, server}));
+        }
+      }
+    },
+  ],
+  [
+    'one run goes on',
+    ({sendings, arrivals}) => {
+      const stream = {kind: RequestKind.STREAM, path: '/l/x', endMs: 12_500};
+      sendings.push(createSentRequest({id: 'r2', ...stream}));
+      const eventsMs = [10_100, 11_000, 11_300, 11_700];
+      for (const [server, atMs] of [
+        ['i-2@1', 10_010],
+        ['i-3@1', 10_900],
+      ] as const) {
+        const sent = eventsMs.filter(ms => ms > atMs);
+        const run = {id: 'r2', server, atMs, eventsMs: sent, path: '/l/x'};
+        arrivals.push(createArrival(run));
+      }
+    },
+  ],
+  [
+    'bytes without end are not read on',
+    ({endlessAnswers}) => {
+      endlessAnswers.push({
+        id: 'r1',
+        server: SERVER,
+        bytes: 17 * 1024 * 1024,
+        closedMs: 10_050,
+      });
+    },
+  ],
   [
     'nothing unasked',
     ({arrivals}) => {
@@ -321,6 +365,35 @@
   });
 }
 
+/** Adds a stream that its host breaks off while its server is silent and goes on later. */
+function addStreamBrokenOffInSilence(
+  {sendings, arrivals, faults}: History,
+  overrides: Partial<SentRequest> = {},
+): void {
+  const stream = {kind: RequestKind.STREAM, path: '/l/x'};
+  sendings.push(
+    createSentRequest({
+      id: 'r2',
+      ...stream,
+      endMs: 11_000,
+      limitMs: 6000,
+      whole: false,
+      answer: 'id: 1\ndata: r2.1@v1\n\n',
+      ...overrides,
+    }),
+  );
+  arrivals.push(createArrival({id: 'r2', path: '/l/x', eventsMs: [10_100]}));
+  faults.push(
+    createFault({
+      kind: 'server-silent',
+      target: 'i-1',
+      fromMs: 10_200,
+      toMs: 11_400,
+      planned: false,
+    }),
+  );
+}
+
 /** Creates the partition of front-0 from all servers. */
 function createPartition(): FaultSpan {
   return createFault({
@@ -412,6 +485,60 @@
     });
   }
 
+  // Guards against a check that finds nothing in a silence, or blames what a host may do.
+  describe('find answers broken off in a silence', () => {
+    for (const [what, overrides, isFound] of [
+      ['with a stream cut', {}, true],
+      ['without an answer', {status: 0, answer: ''}, true],
+      ['with an error of the host', {status: 502, signed: false}, true],
+      ['not with an error of the server', {status: 502}, false],
+      ['not when most of its time is used', {endMs: 14_300}, false],
+      ['not when its caller has left', {hasLeft: true}, false],
+    ] as const) {
+      it(what, () => {
+        const history = createTestHistory();
+        addRequest(history, 'r1');
+        addStreamBrokenOffInSilence(history, overrides);
+        const found = [...findBrokenOffInSilences(history)];
+        expect(found.length).to.equal(isFound ? 1 : 0);
+      });
+    }
+
+    for (const [what, fault, isFound] of [
+      ['though the configuration changes', {kind: 'change'}, true],
+      ['though the settings change', {kind: 'host-reload'}, true],
+      ['though its host begins to stop', {kind: 'host-stop'}, true],
+      ['though another host is killed', {kind: 'host-kill', target: 'x'}, true],
+      ['not when its host is killed', {kind: 'host-kill'}, false],
+      ['not when its host was frozen', {kind: 'host-freeze'}, false],
+      [
+        'not when its server loses answers',
+        {kind: 'server-loses-answers', target: 'i-1'},
+        false,
+      ],
+      [
+        'not when the link to its server is reset',
+        {kind: 'server-link-reset', target: 'i-1'},
+        false,
+      ],
+    ] as const) {
+      it(what, () => {
+        const history = createTestHistory();
+        addStreamBrokenOffInSilence(history);
+        history.faults.push(createFault(fault));
+        const found = [...findBrokenOffInSilences(history)];
+        expect(found.length).to.equal(isFound ? 1 : 0);
+      });
+    }
+
+    it('not when its server ends', () => {
+      const history = createTestHistory();
+      addStreamBrokenOffInSilence(history);
+      history.serverEnds.push({server: SERVER, atMs: 10_900});
+      expect([...findBrokenOffInSilences(history)]).to.deep.equal([]);
+    });
+  });
+
   describe('accept only excused violations:', () => {
     it('a request cut off by a planned stop that overlaps a kill', () => {
       const history = createTestHistory();
--- a/test/soak/fault_injector.ts
+++ b/test/soak/fault_injector.ts
@@ -62,6 +62,10 @@
         return this.switchOnDuring(fault, 'servers', on =>
           system.setBrittle(on),
         );
+      case FaultKind.SERVERS_SILENT:
+        return this.switchOnDuring(fault, 'servers', on =>
+          system.setSilent(on),
+        );
       case FaultKind.SERVERS_REJECT:
         return this.switchOnDuring(fault, 'servers', on =>
           system.setRejecting(on),
@@ -191,6 +195,12 @@
           name,
           on => (faults.omitsFraming = on),
         );
+      case FaultKind.SERVER_SILENT:
+        return this.switchOnDuring(fault, name, on =>
+          server.setSilent(fault.kind, on),
+        );
+      case FaultKind.SERVER_ENDLESS:
+        return this.switchOnDuring(fault, name, on => (faults.neverEnds = on));
       case FaultKind.SERVER_FAILS:
         return this.switchOnDuring(fault, name, on => (faults.fails = on));
       case FaultKind.SERVER_SHEDS:
--- a/test/soak/find_wrong_answers.ts
+++ b/test/soak/find_wrong_answers.ts
@@ -1,6 +1,6 @@
 /** Checks of requests and answers that hold without any bound of time or number. */
-import {History, RequestKind} from './history.js';
-import {listEvents} from './stream_events.js';
+import {History, isStream, runsOnce} from './history.js';
+import {findStreamRoute, listEvents} from './stream_events.js';
 import {
   groupRunsById,
   isMarkedWhole,
@@ -10,13 +10,12 @@
 /** Statuses that guarantee that a request has not run and never will. */
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const OK = 200;
-const EVENT_COUNT = 8;
 
 export function* findRepeatedRuns(history: History): Iterable<string> {
   const runs = groupRunsById(history);
   for (const {id, kind} of history.sendings) {
     const count = runs.get(id)?.length ?? 0;
-    if (kind === RequestKind.ONCE && count > 1) {
+    if (runsOnce(kind) && count > 1) {
       yield `${id} ran ${count} times`;
     }
   }
@@ -25,7 +24,7 @@
 export function* findFalseRefusals(history: History): Iterable<string> {
   const runs = groupRunsById(history);
   for (const {id, kind, status, host} of history.sendings) {
-    if (kind === RequestKind.ONCE && NOT_RUN.has(status) && runs.has(id)) {
+    if (runsOnce(kind) && NOT_RUN.has(status) && runs.has(id)) {
       yield `${id} got ${status} from ${host} and ran`;
     }
   }
@@ -36,7 +35,7 @@
   for (const request of history.sendings) {
     const {id, kind, status, answer, signed} = request;
     const isWhole = isMarkedWhole(history, request);
-    if (status !== OK || !isWhole || kind === RequestKind.STREAM) {
+    if (status !== OK || !isWhole || isStream(kind)) {
       continue;
     }
     const ownRuns = runs.get(id) ?? [];
@@ -48,10 +47,11 @@
 
 export function* findDisorderedEvents(history: History): Iterable<string> {
   for (const request of history.sendings) {
-    const {id, kind, status, answer, resumed} = request;
-    if (kind !== RequestKind.STREAM || status !== OK) {
+    const {id, kind, path, status, answer, resumed} = request;
+    if (!isStream(kind) || status !== OK) {
       continue;
     }
+    const eventCount = findStreamRoute(path)?.eventCount ?? 0;
     const before = resumed?.eventCount ?? 0;
     const events = listEvents(request).map(({text}) => text);
     const wrongIndex = events.findIndex((event, index) => {
@@ -62,7 +62,7 @@
       yield `${id}: event ${wrongIndex + 1} is "${events[wrongIndex]}"`;
     } else if (
       isMarkedWhole(history, request) &&
-      (before + events.length < EVENT_COUNT || !endsBetweenEvents(answer))
+      (before + events.length < eventCount || !endsBetweenEvents(answer))
     ) {
       yield `${id}: complete answer with only ${before + events.length} events`;
     }
@@ -76,8 +76,8 @@
     const id = request.resumed?.id ?? request.id;
     const known = versions.get(id) ?? new Set<string>();
     versions.set(id, known);
-    const isStream = request.kind === RequestKind.STREAM;
-    for (const {version} of isStream ? listEvents(request) : []) {
+    const events = isStream(request.kind) ? listEvents(request) : [];
+    for (const {version} of events) {
       const isNew = !known.has(version);
       known.add(version);
       if (isNew && known.size > 1) {
--- a/test/soak/history.ts
+++ b/test/soak/history.ts
@@ -6,9 +6,26 @@
   ONCE: 'once',
   /** A stream that may be resumed at another server after its last event. */
   STREAM: 'stream',
+  /** A stream that may run at most once. */
+  STREAM_ONCE: 'stream-once',
 } as const;
 export type RequestKind = (typeof RequestKind)[keyof typeof RequestKind];
 
+/** Returns whether a request may run at most once. */
+export function runsOnce(kind: RequestKind): boolean {
+  return kind === RequestKind.ONCE || kind === RequestKind.STREAM_ONCE;
+}
+
+/** Returns how many servers one request may reach. */
+export function getMaxAttempts(kind: RequestKind): number {
+  return runsOnce(kind) ? 1 : 2;
+}
+
+/** Returns whether the answer of a request is a stream. */
+export function isStream(kind: RequestKind): boolean {
+  return kind === RequestKind.STREAM || kind === RequestKind.STREAM_ONCE;
+}
+
 /** A request as its caller sent it and saw it end. Times are in milliseconds of the run. */
 export interface SentRequest {
   readonly id: string;
@@ -20,6 +37,10 @@
   /** Incarnation of the host process, counted from 1. */
   readonly start: number;
   readonly sentMs: number;
+  /** Time after which the caller's deadline or the timeout of the route ends it. */
+  readonly limitMs: number;
+  /** Whether its caller left it before it ended. */
+  hasLeft: boolean;
   endMs: number;
   /** 0 until there is an answer, and if the connection closed without one. */
   status: number;
@@ -60,6 +81,8 @@
   readonly after: number;
   /** Whether the server started to process it. */
   ran: boolean;
+  /** Times at which the server sent the events of a stream. */
+  readonly eventsMs: number[];
   /** Body of the complete answer; undefined if the server gave none. */
   answer: string | undefined;
 }
@@ -94,6 +117,22 @@
   readonly forMs: number;
 }
 
+/** The end of a server: it crashed, or left. */
+export interface ServerEnd {
+  readonly server: string;
+  readonly atMs: number;
+}
+
+/** An answer whose bytes do not end. */
+export interface EndlessAnswer {
+  readonly id: string;
+  readonly server: string;
+  /** Bytes that the server wrote. */
+  bytes: number;
+  /** Time at which its connection was closed; infinite if it was not. */
+  closedMs: number;
+}
+
 /** A limit, and the time for which a server announced it. */
 export interface AnnouncedLimit {
   readonly server: string;
@@ -158,6 +197,8 @@
   /** Log entries of the hosts about leaving servers. */
   readonly words: LoggedLeaving[];
   readonly limits: AnnouncedLimit[];
+  readonly serverEnds: ServerEnd[];
+  readonly endlessAnswers: EndlessAnswer[];
   readonly leavingAnswers: LeavingAnswer[];
   readonly backoffs: RequestedBackoff[];
   readonly changes: Change[];
@@ -186,6 +227,8 @@
     leavings: [],
     words: [],
     limits: [],
+    serverEnds: [],
+    endlessAnswers: [],
     leavingAnswers: [],
     backoffs: [],
     changes: [],
--- a/test/soak/run_soak.ts
+++ b/test/soak/run_soak.ts
@@ -35,7 +35,11 @@
   quotaSlack: 10,
   rates: new Map([[LOW_RATE_CUSTOMER, [10, 10]]]),
 };
-/** A small retry budget, which servers that reject most requests use up. */
+/** Faults in whose schedules a small retry budget is used up. */
+const SCARCE_RETRIES: ReadonlySet<FaultKind> = new Set([
+  FaultKind.SERVERS_REJECT,
+  FaultKind.SERVERS_SILENT,
+]);
 const SMALL_RETRY_BUDGET = {retryRatio: 0.05, retrySlack: 40};
 const CALLERS_PER_HOST = 4;
 /** Time after the last fault within which everything must serve again, in milliseconds. */
@@ -43,10 +47,8 @@
 const RECOVERY_PROBES_PER_HOST = 10;
 
 function getBounds({faults}: Schedule): Bounds {
-  const isRejecting = faults.some(
-    ({kind}) => kind === FaultKind.SERVERS_REJECT,
-  );
-  return isRejecting ? {...BOUNDS, ...SMALL_RETRY_BUDGET} : BOUNDS;
+  const hasFewRetries = faults.some(({kind}) => SCARCE_RETRIES.has(kind));
+  return hasFewRetries ? {...BOUNDS, ...SMALL_RETRY_BUDGET} : BOUNDS;
 }
 
 /**
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -40,6 +40,9 @@
   SERVER_UNFRAMED: 'server-unframed',
   CRASHING_PART: 'crashing-part',
   SERVERS_REJECT: 'servers-reject',
+  SERVER_SILENT: 'server-silent',
+  SERVERS_SILENT: 'servers-silent',
+  SERVER_ENDLESS: 'server-endless',
 } as const;
 export type FaultKind = (typeof FaultKind)[keyof typeof FaultKind];
 
@@ -55,6 +58,9 @@
   FaultKind.SERVER_UNFRAMED,
   FaultKind.CRASHING_PART,
   FaultKind.SERVERS_REJECT,
+  FaultKind.SERVER_SILENT,
+  FaultKind.SERVERS_SILENT,
+  FaultKind.SERVER_ENDLESS,
 ];
 /** Seed offset for server limits, so that other draws stay the same. */
 const LIMITS_SEED_OFFSET = 0x5eed;
@@ -71,6 +77,10 @@
 const PARTS_SEED_OFFSET = 0x9a27;
 /** Seed offset for servers that reject most requests, so that other draws stay the same. */
 const REJECTIONS_SEED_OFFSET = 0x8e7c;
+/** Seed offset for silent servers, so that other draws stay the same. */
+const SILENCES_SEED_OFFSET = 0x51e7;
+/** Seed offset for bytes without end, so that other draws stay the same. */
+const ENDLESS_SEED_OFFSET = 0xe9d1;
 
 /** A fault in a schedule. */
 export interface Fault {
@@ -136,6 +146,28 @@
 /** Duration of these, in milliseconds: a server gets a few requests in a second. */
 const MIN_UNFRAMED_MS = 2000;
 const MAX_UNFRAMED_MS = 6000;
+/** Share of schedules in which sound servers are silent, and then go on where they were. */
+const SILENCES_SHARE = 0.7;
+const MAX_SILENCE_SERIES = 3;
+const MIN_SILENCE_MS = 500;
+const MAX_SILENCE_MS = 2000;
+/** Share of silences of all servers; the others are of a part of them. */
+const ALL_SILENT_SHARE = 0.5;
+/** Share of silences that overlap with one of the disruptions below. */
+const SILENCE_DISRUPTION_SHARE = 0.6;
+const SILENCE_DISRUPTIONS: readonly FaultKind[] = [
+  FaultKind.CHANGE,
+  FaultKind.HOST_RELOAD,
+  FaultKind.HOST_STOP,
+  FaultKind.HOST_KILL,
+];
+/** Share of these schedules that have a longer silence, too. */
+const LONG_SILENCES_SHARE = 0.4;
+const MIN_LONG_SILENCE_MS = 4000;
+const MAX_LONG_SILENCE_MS = 7000;
+/** Share of schedules in which servers send bytes without end, and how many do. */
+const ENDLESS_SHARE = 0.4;
+const MAX_ENDLESS_SERVERS = 2;
 /** Share of faults that come as a series of the same kind. */
 const SERIES_SHARE = 0.2;
 const SERIES_LENGTH = 3;
@@ -210,9 +242,15 @@
       hosts,
       lengthMs,
     ),
+    ...drawSilences(
+      new SeededRandom(seed + SILENCES_SEED_OFFSET),
+      hosts,
+      lengthMs,
+    ),
+    ...drawEndless(new SeededRandom(seed + ENDLESS_SEED_OFFSET), lengthMs),
   );
   faults.sort((a, b) => a.atMs - b.atMs);
-  return {seed, hosts, servers: 2 * hosts, lengthMs, faults};
+  return {seed, hosts, servers: countServers(hosts), lengthMs, faults};
 }
 
 /**
@@ -355,6 +393,90 @@
   }));
 }
 
+/**
+ * Draws silences of sound servers, of all or of a part, in series and overlapping with changes of
+ * the configuration and host faults, and servers that are silent for longer.
+ */
+function drawSilences(
+  random: Random,
+  hosts: number,
+  lengthMs: number,
+): Fault[] {
+  if (random.next() >= SILENCES_SHARE) {
+    return [];
+  }
+  const faults: Fault[] = [];
+  const spanMs = lengthMs - 2 * MARGIN_MS;
+  const series = 1 + Math.floor(random.next() * MAX_SILENCE_SERIES);
+  for (let count = 0; count < series; count++) {
+    let atMs = MARGIN_MS + spanMs * random.next();
+    for (let step = 0; step < SERIES_LENGTH; step++) {
+      const rangeMs = MAX_SILENCE_MS - MIN_SILENCE_MS;
+      const forMs = MIN_SILENCE_MS + rangeMs * random.next();
+      faults.push(...drawSilence(random, hosts, atMs, forMs));
+      const disruption = random.next();
+      if (disruption < SILENCE_DISRUPTION_SHARE) {
+        const index = random.next() * SILENCE_DISRUPTIONS.length;
+        const kind = SILENCE_DISRUPTIONS[Math.floor(index)];
+        faults.push({
+          kind: kind ?? FaultKind.CHANGE,
+          // Shortly before the silence, or in it.
+          atMs: Math.round(atMs + (random.next() - 0.5) * forMs),
+          forMs: MIN_FAULT_MS,
+          target: Math.floor(random.next() * 64),
+        });
+      }
+      atMs += forMs + MAX_SILENCE_MS * random.next();
+    }
+  }
+  if (random.next() < LONG_SILENCES_SHARE) {
+    const rangeMs = MAX_LONG_SILENCE_MS - MIN_LONG_SILENCE_MS;
+    const forMs = MIN_LONG_SILENCE_MS + rangeMs * random.next();
+    const atMs = MARGIN_MS + spanMs * random.next();
+    faults.push(...drawSilence(random, hosts, atMs, forMs));
+  }
+  return faults.filter(({atMs}) => atMs < lengthMs - MARGIN_MS);
+}
+
+/** Draws one silence, of all servers or of a part of them. */
+function drawSilence(
+  random: Random,
+  hosts: number,
+  atMs: number,
+  forMs: number,
+): Fault[] {
+  const times = {atMs: Math.round(atMs), forMs: Math.round(forMs)};
+  if (random.next() < ALL_SILENT_SHARE) {
+    return [{kind: FaultKind.SERVERS_SILENT, ...times, target: 0}];
+  }
+  const count = Math.ceil(countServers(hosts) * random.next());
+  const first = Math.floor(random.next() * 64);
+  return Array.from({length: count}, (_value, index) => ({
+    kind: FaultKind.SERVER_SILENT,
+    ...times,
+    target: first + index,
+  }));
+}
+
+/** Draws servers that send bytes without end instead of streams. */
+function drawEndless(random: Random, lengthMs: number): Fault[] {
+  if (random.next() >= ENDLESS_SHARE) {
+    return [];
+  }
+  const count = 1 + Math.floor(random.next() * MAX_ENDLESS_SERVERS);
+  const spanMs = lengthMs - 2 * MARGIN_MS;
+  return Array.from({length: count}, () => ({
+    kind: FaultKind.SERVER_ENDLESS,
+    atMs: Math.round(MARGIN_MS + spanMs * random.next()),
+    forMs: drawDurationMs(random),
+    target: Math.floor(random.next() * 64),
+  }));
+}
+
+function countServers(hosts: number): number {
+  return 2 * hosts;
+}
+
 /** Draws the duration of a fault, in milliseconds. */
 function drawDurationMs(random: Random): number {
   return Math.round(
--- a/test/soak/soak_server.ts
+++ b/test/soak/soak_server.ts
@@ -6,8 +6,10 @@
   ReceivedRequest,
   FakeServer,
 } from '../platform/fakes/fake_server.js';
-import {History} from './history.js';
+import {Arrival, EndlessAnswer, History} from './history.js';
 import {Link} from './link.js';
+import {FaultKind} from './schedule.js';
+import {findStreamRoute, StreamRoute} from './stream_events.js';
 
 /** Faults of a server; each may be switched while it runs. */
 export interface ServerFaults {
@@ -33,6 +35,8 @@
   isLeaving: boolean;
   /** States in its answers that it is brittle. */
   isBrittle: boolean;
+  /** Sends bytes without end instead of streams. */
+  neverEnds: boolean;
 }
 
 /** Dependencies of a server. */
@@ -51,17 +55,28 @@
 export const LIMIT_PER_SECOND = 1;
 /** Time for which a server asks a host to send it no requests, in seconds. */
 const BACKOFF_S = 1.5;
-const EVENT_COUNT = 8;
-const EVENT_INTERVAL_MS = 15;
 const WORK_MS = 15;
 /** A server that rejects most requests takes one of so many. */
 const TAKEN_ONE_OF = 4;
 /** Headers that callers send or hosts set, and that no server may see as they were sent. */
 const SECRET_HEADERS = ['credential', 'hold', 'kv-backup'];
-const STREAM_PREFIX = '/s/';
+/** Path of orders to copy a run; these servers have no room for copies. */
+const COPY_PATH = '/kv-move';
 /** Id of the part of a prompt that crashes servers. */
 export const CRASHING_PART = 'bad0';
 
+/** Size of the pieces of bytes without end, and the interval between them. */
+const ENDLESS_PIECE_BYTES = 16_384;
+const ENDLESS_INTERVAL_MS = 2;
+
+/** Where bytes without end are sent. */
+const EndlessForm = {
+  CHUNKED: 'chunked',
+  UNFRAMED: 'unframed',
+  HEAD: 'head',
+} as const;
+const ENDLESS_FORMS = Object.values(EndlessForm);
+
 /** Where a stream without a marked end is broken off. */
 interface StreamEnd {
   readonly event: number;
@@ -94,11 +109,16 @@
     asksForBackoff: false,
     isLeaving: false,
     isBrittle: false,
+    neverEnds: false,
   };
   readonly link: Link;
   private readonly server: FakeServer;
   private port: number | undefined;
   private served = 0;
+  /** Faults for which it is silent now. */
+  private readonly silences = new Set<FaultKind>();
+  /** What it sends once it is no longer silent, in order. */
+  private readonly delayed: (() => void)[] = [];
 
   /**
    * @param name - Name of the server and of its entry in the store.
@@ -123,6 +143,10 @@
     return `${this.name}@${this.startedMs}`;
   }
 
+  private get isSilent(): boolean {
+    return this.silences.size > 0;
+  }
+
   /** Starts listening; returns the address at which hosts reach it. */
   async listen(): Promise<string> {
     const address = await this.server.listen();
@@ -130,23 +154,58 @@
     return this.link.listen();
   }
 
+  /**
+   * Makes the server silent, or ends that. A silent server runs requests and keeps connections,
+   * and sends nothing; it then goes on where it was.
+   * @param fault - The fault that makes it silent; it may be silent for several.
+   * @param isSilent - Whether the fault begins.
+   */
+  setSilent(fault: FaultKind, isSilent: boolean): void {
+    if (isSilent) {
+      this.silences.add(fault);
+    } else {
+      this.silences.delete(fault);
+    }
+    while (!this.isSilent && this.delayed.length > 0) {
+      this.delayed.shift()?.();
+    }
+  }
+
   /** Terminates at once, with all requests in flight. */
   crash(): void {
+    const {history, getNowMs} = this.options;
+    history.serverEnds.push({server: this.incarnation, atMs: getNowMs()});
     this.port = undefined;
+    this.delayed.length = 0;
     this.server.stop();
     this.link.stop();
   }
 
+  /** Sends something now, or when the server is no longer silent. */
+  private send(action: () => void): void {
+    if (this.isSilent) {
+      this.delayed.push(action);
+    } else {
+      action();
+    }
+  }
+
   private serve(socket: Socket, request: ReceivedRequest): void {
     const {headers, line, body} = request;
     const [method = '', path = ''] = line.split(' ');
     const id = headers.get('request-id') ?? '';
+    if (path === COPY_PATH) {
+      this.send(() =>
+        socket.write(formatHead(request, 503, ['Content-Length: 0'])),
+      );
+      return;
+    }
     if (headers.get('expected-instance') !== this.name) {
       const headerLines = ['Content-Length: 0'];
-      socket.write(formatHead(request, 421, headerLines));
+      this.send(() => socket.write(formatHead(request, 421, headerLines)));
       return;
     }
-    const arrival = {
+    const arrival: Arrival = {
       id,
       server: this.incarnation,
       atMs: this.options.getNowMs(),
@@ -158,7 +217,8 @@
       hasCrashingPart: hasCrashingPart(headers),
       after: Number(headers.get('last-event-id') ?? 0),
       ran: false,
-      answer: undefined as string | undefined,
+      eventsMs: [],
+      answer: undefined,
     };
     this.options.history.arrivals.push(arrival);
     this.served++;
@@ -171,7 +231,7 @@
         ...(asksForBackoff ? this.createBackoffHeader(id) : []),
         ...this.createStatementHeaders(id),
       ];
-      socket.write(formatHead(request, 503, headerLines));
+      this.send(() => socket.write(formatHead(request, 503, headerLines)));
       return;
     }
     if (this.faults.unresponsive) {
@@ -186,11 +246,13 @@
       setTimeout(() => this.options.onCrash(this), WORK_MS);
       return;
     }
-    if (path.startsWith(STREAM_PREFIX)) {
-      this.stream(socket, request, arrival);
+    const route = findStreamRoute(path);
+    if (route !== undefined) {
+      this.send(() => this.stream(socket, request, arrival, route));
       return;
     }
-    setTimeout(() => this.answer(socket, request, arrival), WORK_MS);
+    const answer = () => this.answer(socket, request, arrival);
+    setTimeout(() => this.send(answer), WORK_MS);
   }
 
   private answer(
@@ -269,9 +331,14 @@
   private stream(
     socket: Socket,
     request: ReceivedRequest,
-    {id, after}: {readonly id: string; readonly after: number},
+    {id, after, eventsMs}: Arrival,
+    {eventCount, intervalMs}: StreamRoute,
   ): void {
     const {omitsFraming} = this.faults;
+    if (this.faults.neverEnds) {
+      this.sendWithoutEnd(socket, request, id);
+      return;
+    }
     const end = omitsFraming ? drawStreamEnd(this.served) : undefined;
     socket.write(
       formatHead(request, 200, [
@@ -282,12 +349,15 @@
     );
     let event = after;
     const timer = setInterval(() => {
+      if (this.isSilent && !socket.destroyed && this.port !== undefined) {
+        return;
+      }
       event++;
-      if (event > EVENT_COUNT || socket.destroyed || this.port === undefined) {
+      if (event > eventCount || socket.destroyed || this.port === undefined) {
         clearInterval(timer);
         if (omitsFraming) {
           // The close of a server that crashes would mark the end of the stream.
-          endConnection(socket, event <= EVENT_COUNT);
+          endConnection(socket, event <= eventCount);
         } else {
           socket.write('0\r\n\r\n');
         }
@@ -310,11 +380,57 @@
           );
           return;
         }
+        eventsMs.push(this.options.getNowMs());
         socket.write(omitsFraming ? text : formatChunk(text));
       } else {
         event--;
       }
-    }, EVENT_INTERVAL_MS);
+    }, intervalMs);
+  }
+
+  /**
+   * Sends a line that never ends in a signed stream, in chunks or unframed, or a head that
+   * never ends, until the connection is closed.
+   */
+  private sendWithoutEnd(
+    socket: Socket,
+    request: ReceivedRequest,
+    id: string,
+  ): void {
+    const {history, getNowMs} = this.options;
+    const endless: EndlessAnswer = {
+      id,
+      server: this.incarnation,
+      bytes: 0,
+      closedMs: Infinity,
+    };
+    history.endlessAnswers.push(endless);
+    const form = ENDLESS_FORMS[this.served % ENDLESS_FORMS.length];
+    const head = formatHead(request, 200, [
+      'Content-Type: text/event-stream',
+      ...(form === EndlessForm.CHUNKED ? ['Transfer-Encoding: chunked'] : []),
+    ]);
+    const start = 'id: 1\ndata: ';
+    const end = '\r\n\r\n'.length;
+    const isHead = form === EndlessForm.HEAD;
+    socket.write(isHead ? `${head.slice(0, -end)}\r\nX-Trace: ` : head);
+    const format = form === EndlessForm.CHUNKED ? formatChunk : String;
+    socket.write(isHead ? '' : format(start));
+    const bytes = format('x'.repeat(ENDLESS_PIECE_BYTES));
+    const timer = setInterval(() => {
+      if (!this.isSilent && !socket.writableNeedDrain) {
+        socket.write(bytes);
+        endless.bytes += bytes.length;
+      }
+    }, ENDLESS_INTERVAL_MS);
+    const stop = () => {
+      clearInterval(timer);
+      endless.closedMs = Math.min(endless.closedMs, getNowMs());
+    };
+    if (socket.destroyed) {
+      stop();
+    }
+    socket.once('close', stop);
   }
 }
 
--- a/test/soak/soak_system.ts
+++ b/test/soak/soak_system.ts
@@ -1,10 +1,16 @@
 import {createServer, Server} from 'node:http';
 import {AddressInfo} from 'node:net';
 import {FakeStore} from '../platform/fakes/fake_store.js';
-import {History, LoggedLeaving} from './history.js';
-import {LARGE_RUN_HOSTS} from './schedule.js';
+import {
+  getMaxAttempts,
+  History,
+  LoggedLeaving,
+  RequestKind,
+} from './history.js';
+import {FaultKind, LARGE_RUN_HOSTS} from './schedule.js';
 import {SoakHost} from './soak_host.js';
 import {SoakServer} from './soak_server.js';
+import {STREAM_ROUTES, StreamRoute} from './stream_events.js';
 
 /** Number of hosts and servers in a system. */
 export interface SoakSize {
@@ -27,6 +33,8 @@
 /** Time limit for all hosts to become ready, with allowance for a busy machine. */
 const READY_TIMEOUT_MS = 60_000;
 const SERVICE = 'ledger';
+/** Timeout of routes without streams, in milliseconds. */
+export const ROUTE_TIMEOUT_MS = 2000;
 const VERSION_COUNT = 2;
 /** Time from a crash until the entry expires, and until the server is back, in milliseconds. */
 const ENTRY_EXPIRY_MS = 900;
@@ -64,6 +72,7 @@
   private sequence = 0;
   private isBrittle = false;
   private isRejecting = false;
+  private isSilent = false;
   /** What the operator and the servers have written last, by key of the row. */
   private readonly written = new Map<string, () => void>();
 
@@ -214,6 +223,14 @@
     }
   }
 
+  /** Makes all servers silent, or no longer. */
+  setSilent(isSilent: boolean): void {
+    this.isSilent = isSilent;
+    for (const server of this.allServers) {
+      server.setSilent(FaultKind.SERVERS_SILENT, isSilent);
+    }
+  }
+
   /** Makes all servers reject most requests, or no longer. */
   setRejecting(isRejecting: boolean): void {
     this.isRejecting = isRejecting;
@@ -319,8 +336,11 @@
       version: this.version,
       routes: [
         createRoute('/i/', {kind: 'idempotent'}),
-        createRoute('/o/', {kind: 'non_idempotent', max_attempts: 1}),
-        createRoute('/s/', {kind: 'streaming', resumable: true}),
+        createRoute('/o/', {
+          kind: 'non_idempotent',
+          max_attempts: getMaxAttempts(RequestKind.ONCE),
+        }),
+        ...STREAM_ROUTES.map(createStreamRoute),
         createRoute(this.extraRoute, {kind: 'idempotent'}),
         ...Array.from({length: this.size.routes ?? 0}, (_unused, index) =>
           createRoute(`/unused-${index}/`, {kind: 'idempotent'}),
@@ -389,6 +409,7 @@
     });
     server.faults.isBrittle = this.isBrittle;
     server.faults.rejectsMost = this.isRejecting;
+    server.setSilent(FaultKind.SERVERS_SILENT, this.isSilent);
     this.allServers.add(server);
     const address = await server.listen();
     if (this.stopped) {
@@ -516,15 +537,29 @@
     name: `r${prefix}`,
     host: HOST_NAME,
     prefix,
-    timeout_ms: 2000,
+    timeout_ms: ROUTE_TIMEOUT_MS,
     target_latency_ms: 300,
     gap_target_ms: 300,
     service: SERVICE,
-    max_attempts: 2,
+    max_attempts: getMaxAttempts(RequestKind.REPEATABLE),
     ...overrides,
   };
 }
 
+function createStreamRoute({
+  prefix,
+  kind,
+  timeoutMs,
+}: StreamRoute): Readonly<Record<string, unknown>> {
+  const isResumable = kind === RequestKind.STREAM;
+  return createRoute(prefix, {
+    kind: 'streaming',
+    timeout_ms: timeoutMs,
+    resumable: isResumable,
+    max_attempts: getMaxAttempts(kind),
+  });
+}
+
 /**
  * Returns the version of a server's software. A server that starts again has the same one; two
  * versions serve side by side.
