--- a/src/generation/generation_runner.ts
+++ b/src/generation/generation_runner.ts
@@ -15,7 +15,7 @@
 } from '../configuration/index.js';
 import {problems, ExecutionStatus} from '../errors/index.js';
 import {Log} from '../log/index.js';
-import {WatchOptions} from '../quarantine/index.js';
+import {WatchedContent, WatchOptions} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
 import {
   ChooseServer,
@@ -26,11 +26,13 @@
   ScoredServer,
   ServerDirectory,
 } from '../routing/index.js';
-import {Clock, InactivityTimeout} from '../time/index.js';
+import {Clock} from '../time/index.js';
 import {AnswerLengths} from './answer_lengths.js';
 import {Generation} from './generation.js';
 import {GenerationMeter} from './generation_meter.js';
+import {OpenedRun} from './opened_run.js';
 import {RunningGenerations} from './running_generations.js';
+import {TokenWatch} from './token_watch.js';
 import {failBlocked, watchGeneration} from './watch_generation.js';
 
 /** Options of the runner. */
@@ -62,6 +64,11 @@
   readonly engine: ModelEngine;
   readonly blocks: readonly number[];
   readonly promptTokens: number;
+  /** Servers on which the generation has failed. */
+  readonly excluded: Set<string>;
+  readonly content: WatchedContent;
+  /** The run if it was begun beside the one before. */
+  readonly opened: OpenedRun | undefined;
 }
 
 /** Result of an attempt. */
@@ -74,6 +81,13 @@
   readonly failedAfterSend: boolean;
   /** Server that holds the exported cache, if any. */
   readonly preferred: string | undefined;
+  /** The run that takes the place of one whose server was silent, if any. */
+  readonly next: OpenedRun | undefined;
+}
+
+/** The run that follows the present one, if it was begun already. */
+interface FollowingRun {
+  run: OpenedRun | undefined;
 }
 
 const RETRY_TIMEOUT_MS = 3000;
@@ -128,9 +142,23 @@
    * @param signal - Stops it.
    */
   async run(generation: Generation, signal: AbortSignal): Promise<void> {
-    const excluded = new Set<string>();
     const content = watchGeneration(this.options, generation);
     this.options.budget.addRequest();
+    const following: FollowingRun = {run: undefined};
+    try {
+      await this.runAttempts(generation, content, following, signal);
+    } finally {
+      following.run?.discard();
+    }
+  }
+
+  private async runAttempts(
+    generation: Generation,
+    content: WatchedContent,
+    following: FollowingRun,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const excluded = new Set<string>();
     let detail = '';
     let preferred: string | undefined;
     for (let attempt = 0; !signal.aborted; attempt++) {
@@ -143,13 +171,16 @@
         failBlocked(generation, content, attempt > 0, blockedMs);
         return;
       }
-      if (attempt > 0 && !(await this.waitForRetry(generation, detail))) {
+      if (
+        attempt > 0 &&
+        following.run === undefined &&
+        !(await this.waitForRetry(generation, detail))
+      ) {
         return;
       }
-      const decision = applyPreferredServer(
-        this.choose(generation, excluded),
-        preferred,
-      );
+      const decision =
+        following.run?.decision ??
+        applyPreferredServer(this.choose(generation, excluded), preferred);
       this.logDecision(generation, decision, attempt);
       const {chosen} = decision;
       if (chosen === undefined && excluded.size > 0) {
@@ -164,10 +195,17 @@
         return;
       }
       content.beginRun();
+      const opened = following.run;
       const ended = await this.attempt(
-        this.createAttempt(generation, deployment, chosen, engine),
+        {
+          ...this.createAttempt(generation, deployment, chosen, engine),
+          excluded,
+          content,
+          opened,
+        },
         signal,
       );
+      following.run = ended.next;
       if (generation.isOver()) {
         if (ended.detail === '') {
           content.addAnswer();
@@ -234,7 +272,7 @@
     deployment: Deployment,
     chosen: ScoredServer,
     engine: ModelEngine,
-  ): Attempt {
+  ): Omit<Attempt, 'excluded' | 'content' | 'opened'> {
     const prompt = getPromptText(generation.request.body);
     return {
       generation,
@@ -251,21 +289,21 @@
     attempt: Attempt,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
-    const {generation, chosen, blocks} = attempt;
-    const {directory, running} = this.options;
-    const known = directory.listKnowledge([chosen.server], blocks)[0];
-    const prefill = attempt.promptTokens - (known?.cachedTokens ?? 0);
-    const inFlight = directory.trackRequest(chosen.server, blocks, prefill);
+    const {generation, chosen, opened} = attempt;
+    const {running} = this.options;
+    const inFlight = opened?.inFlight ?? this.trackRequest(attempt, chosen);
     const handle = running.add(generation, chosen.server);
-    const stop = AbortSignal.any([signal, handle.moved]);
+    const watch = this.createWatch(attempt, signal);
+    const stop = AbortSignal.any([signal, handle.moved, watch.getSignal()]);
     try {
-      await this.stream(attempt, inFlight, stop);
+      await this.stream(attempt, inFlight, watch, stop);
       inFlight.finish(true);
       return {
         detail: '',
         moved: false,
         failedAfterSend: false,
         preferred: undefined,
+        next: undefined,
       };
     } catch (error) {
       await handle.waitForMove();
@@ -281,33 +319,42 @@
         moved,
         failedAfterSend,
         preferred: handle.getPreferredServer(),
+        next: moved ? undefined : watch.takeNext(),
       };
     } finally {
+      watch.stop();
       running.remove(generation.request.id);
     }
   }
 
+  private trackRequest(
+    {blocks, promptTokens}: Pick<Attempt, 'blocks' | 'promptTokens'>,
+    {server}: ScoredServer,
+  ): InFlightRequest {
+    const {directory} = this.options;
+    const known = directory.listKnowledge([server], blocks)[0];
+    const prefill = promptTokens - (known?.cachedTokens ?? 0);
+    return directory.trackRequest(server, blocks, prefill);
+  }
+
   private async stream(
     attempt: Attempt,
     inFlight: InFlightRequest,
+    watch: TokenWatch,
     signal: AbortSignal,
   ): Promise<void> {
-    const {generation, deployment, engine, chosen} = attempt;
+    const {generation, deployment, engine, chosen, opened} = attempt;
     const {clock, meter, lengths} = this.options;
-    const {deadlineMs} = generation.request;
-    // Past the deadline the limit is 0, so that a stream ends even if tokens arrive.
-    const limitToDeadline = (limitMs: number) =>
-      Math.max(0, Math.min(limitMs, deadlineMs - clock.monotonicMs()));
-    const watch = new InactivityTimeout(
-      clock,
-      limitToDeadline(this.options.firstTokenTimeoutMs),
-    );
-    const stop = AbortSignal.any([signal, watch.getSignal()]);
-    const order = this.createOrder(generation, deployment);
-    const startMs = clock.monotonicMs();
+    const tokens =
+      opened === undefined
+        ? engine.generate(this.createOrder(generation, deployment), signal)
+        : opened.read(signal);
+    const startMs = opened?.startMs ?? clock.monotonicMs();
     let previousMs = startMs;
     try {
-      for await (const token of engine.generate(order, stop)) {
+      for await (const token of tokens) {
+        // A token that arrives when another run has gone on is not added.
+        watch.getSignal().throwIfAborted();
         this.options.checkToken(token, generation);
         const nowMs = clock.monotonicMs();
         const first = previousMs === startMs;
@@ -316,7 +363,7 @@
         }
         meter.addToken(generation.request, nowMs - previousMs, first);
         previousMs = nowMs;
-        watch.touch(limitToDeadline(this.options.tokenTimeoutMs));
+        watch.touch();
         generation.addToken(token.text);
         if (token.finishReason !== undefined) {
           lengths.add(deployment.name, generation.getTexts().length);
@@ -330,15 +377,99 @@
       );
     } catch (error) {
       if (watch.getSignal().aborted) {
-        const detail = `no token for ${watch.getLimitMs()} ms`;
+        const detail = `no token for ${Math.round(watch.getSilentMs())} ms`;
         throw new ServerFailure(DeliveryState.SENT, detail);
       }
       throw error;
-    } finally {
-      watch.stop();
     }
   }
 
+  private createWatch(attempt: Attempt, signal: AbortSignal): TokenWatch {
+    const {clock, firstTokenTimeoutMs, tokenTimeoutMs} = this.options;
+    return new TokenWatch({
+      clock,
+      deadlineMs: attempt.generation.request.deadlineMs,
+      firstTokenTimeoutMs,
+      tokenTimeoutMs,
+      openNext: sinceMs => this.openNext(attempt, sinceMs, signal),
+      onNextFailed: (run, error) => this.handleNextFailed(attempt, run, error),
+    });
+  }
+
+  /** Begins a run beside a silent one, if there are a server and a retry for it. */
+  private openNext(
+    attempt: Attempt,
+    sinceMs: number,
+    signal: AbortSignal,
+  ): OpenedRun | undefined {
+    const {generation, deployment} = attempt;
+    const {budget, clock, directory, log} = this.options;
+    const decision = this.findNext(attempt, sinceMs);
+    const chosen = decision?.chosen;
+    const engine = chosen && directory.getEngine(chosen.server);
+    if (!decision || !chosen || !engine || !budget.spend()) {
+      return undefined;
+    }
+    log.info('generation_run_added', {
+      request: generation.request.id,
+      server: chosen.server,
+      beside: attempt.chosen.server,
+      silent_ms: Math.round(clock.monotonicMs() - sinceMs),
+    });
+    return new OpenedRun(
+      decision,
+      engine,
+      this.createOrder(generation, deployment),
+      this.trackRequest(attempt, chosen),
+      clock.monotonicMs(),
+      token => this.options.checkToken(token, generation),
+      signal,
+    );
+  }
+
+  private handleNextFailed(
+    {generation, excluded, content}: Attempt,
+    {decision}: OpenedRun,
+    error: unknown,
+  ): void {
+    const {directory, log} = this.options;
+    const server = decision.chosen?.server ?? '';
+    excluded.add(server);
+    const isUnsent =
+      error instanceof ServerFailure &&
+      error.deliveryState === DeliveryState.NOT_SENT;
+    if (!isUnsent) {
+      void content.addLoss(directory.getServer(server));
+    }
+    log.warn('generation_interrupted', {
+      request: generation.request.id,
+      server,
+      tokens: generation.getTexts().length,
+      detail: error instanceof Error ? error.message : String(error),
+    });
+  }
+
+  /** Finds the server that continues a generation whose server is silent. */
+  private findNext(
+    {generation, chosen, excluded}: Attempt,
+    sinceMs: number,
+  ): RoutingDecision | undefined {
+    const {directory} = this.options;
+    const untried = new Set([...excluded, chosen.server]);
+    for (const unwanted of [untried, new Set([chosen.server])]) {
+      const decision = this.choose(generation, unwanted);
+      const server = decision.chosen?.server;
+      if (server !== undefined && !directory.isEjected(server)) {
+        return decision;
+      }
+    }
+    // A server that reports its load meanwhile responds; only its stream is silent.
+    const isResponding = directory.hasReportedSince(chosen.server, sinceMs);
+    return isResponding
+      ? {chosen, runnersUp: [], reason: 'restart'}
+      : undefined;
+  }
+
   private createOrder(
     generation: Generation,
     deployment: Deployment,
