Keep the logs of a soak whose hosts do not become ready

A run whose hosts were not ready 60 s after the faults ended with an error and kept neither schedule nor logs, so that such runs of 44 and 60 hosts could not be traced. They now count as broken and are saved like the others.

--- a/test/soak/run_soak.ts
+++ b/test/soak/run_soak.ts
@@ -70,6 +70,7 @@
   const system = new SoakSystem(schedule, history, folder);
   const random = new SeededRandom(schedule.seed + 1);
   const callers = new Callers(system, history, random);
+  let unready: Violation[] = [];
   try {
     await system.start();
     callers.start(CALLERS_PER_HOST * schedule.hosts);
@@ -79,9 +80,12 @@
       onFault,
     );
     await wait(checkTimeBounds ? RECOVERY_MS : 0);
-    await system.waitUntilReady();
+    unready = await findUnready(system);
     await callers.stop();
-    await callers.probeHosts(RECOVERY_PROBES_PER_HOST);
+    // Hosts that are not ready would only make the run longer.
+    await callers.probeHosts(
+      unready.length === 0 ? RECOVERY_PROBES_PER_HOST : 0,
+    );
     await waitForLogLines();
   } finally {
     await system.stop();
@@ -97,7 +101,7 @@
   return {
     schedule,
     history,
-    violations: findViolations(history, checkTimeBounds),
+    violations: [...unready, ...findViolations(history, checkTimeBounds)],
     exitsBeforeScript: system.hosts.reduce(
       (sum, {exitsBeforeScript}) => sum + exitsBeforeScript,
       0,
@@ -109,6 +113,16 @@
   };
 }
 
+/** Waits until every host is ready; reports those that are not, so that their logs are kept. */
+async function findUnready(system: SoakSystem): Promise<Violation[]> {
+  try {
+    await system.waitUntilReady();
+    return [];
+  } catch (error) {
+    return [{check: 'hosts are ready again', detail: String(error)}];
+  }
+}
+
 /** Waits for the last lines of a process, which reach their reader with a short delay. */
 function waitForLogLines(): Promise<void> {
   return wait(200);
--- a/test/soak/soak_server.ts
+++ b/test/soak/soak_server.ts
@@ -335,6 +335,9 @@
     {eventCount, intervalMs}: StreamRoute,
   ): void {
     const {omitsFraming} = this.faults;
+    if (socket.destroyed) {
+      return;
+    }
     if (this.faults.neverEnds) {
       this.sendWithoutEnd(socket, request, id);
       return;
@@ -427,9 +430,6 @@
       clearInterval(timer);
       endless.closedMs = Math.min(endless.closedMs, getNowMs());
     };
-    if (socket.destroyed) {
-      stop();
-    }
     socket.once('close', stop);
   }
 }
