Count no request that its caller left, or that crashes servers, at partitioned hosts

Change: both are left out by what the callers record. A case for each; refused sound requests are found as before.

--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -102,6 +102,7 @@
         findStreamRoute(outgoing.path)?.timeoutMs ?? ROUTE_TIMEOUT_MS,
       ),
       hasLeft: false,
+      hasCrashingPart: outgoing.parts?.includes(CRASHING_PART) ?? false,
       endMs: 0,
       status: 0,
       answer: '',
--- a/test/soak/checks_test.ts
+++ b/test/soak/checks_test.ts
@@ -46,6 +46,7 @@
     sentMs: 10_000,
     limitMs: 2000,
     hasLeft: false,
+    hasCrashingPart: false,
     endMs: 10_050,
     status: 200,
     answer: `${id} by ${SERVER}`,
@@ -485,6 +486,26 @@
     });
   }
 
+  // Guards against blaming a partitioned host for requests that no host owes an answer.
+  for (const [what, overrides, isFound] of [
+    ['sound requests', {}, true],
+    ['requests that their callers left', {hasLeft: true}, false],
+    ['prompts that crash servers', {hasCrashingPart: true}, false],
+  ] as const) {
+    it(`report ${isFound ? 'a violation' : 'nothing'} if a partitioned host refuses ${what}`, () => {
+      const history = createTestHistory();
+      history.faults.push(createPartition());
+      for (let count = 0; count < 30; count++) {
+        const times = {sentMs: 20_000, endMs: 20_100, status: 503};
+        const id = `q${count}`;
+        history.sendings.push(createSentRequest({id, ...times, ...overrides}));
+      }
+      addWhilePartitioned(history, 'front-1', 45, 45);
+      const found = [...findUnservedAtPartitions(history)];
+      expect(found.length).to.equal(isFound ? 1 : 0);
+    });
+  }
+
   // Guards against a check that finds nothing in a silence, or blames what a host may do.
   describe('find answers broken off in a silence', () => {
     for (const [what, overrides, isFound] of [
--- a/test/soak/find_unserved.ts
+++ b/test/soak/find_unserved.ts
@@ -30,8 +30,10 @@
       request.sentMs >= fromMs + history.bounds.contactMs &&
       request.endMs <= toMs &&
       !NOT_OWED.has(request.status) &&
-      // The request that crashes servers is quarantined.
+      // Requests that crash servers are quarantined.
       request.body !== history.endingBody &&
+      !request.hasCrashingPart &&
+      !request.hasLeft &&
       !wasStopped(history, request.host, request) &&
       // Without another host that can take it, a request has no way to a server.
       others.some(host => !wasStopped(history, host, request)),
--- a/test/soak/history.ts
+++ b/test/soak/history.ts
@@ -41,6 +41,8 @@
   readonly limitMs: number;
   /** Whether its caller left it before it ended. */
   hasLeft: boolean;
+  /** Whether its prompt has the part that crashes servers. */
+  readonly hasCrashingPart: boolean;
   endMs: number;
   /** 0 until there is an answer, and if the connection closed without one. */
   status: number;
