--- a/src/fleet/tracked_server.ts
+++ b/src/fleet/tracked_server.ts
@@ -15,6 +15,10 @@
   addFirstByte(tookMs: number, wasServed?: boolean): void;
   /** Records that more of the answer was received. */
   addProgress(): void;
+  /** Records whether the server has sent nothing for too long. */
+  setSilent(isSilent: boolean): void;
+  /** Records that the first byte of this request is to tell whether the server responds. */
+  markProbe(): void;
   /** Ends the request and records its outcome. */
   finish(outcome: RequestOutcome): void;
 }
@@ -64,6 +68,10 @@
   readonly prefill = new PendingPrefill();
   /** Number of answers that have started and not ended. */
   private startedAnswers = 0;
+  /** Number of requests for which the server has sent nothing for too long. */
+  private silentRequests = 0;
+  /** Requests without a first byte, with the time from which each is late, monotonic ms. */
+  private readonly waiting = new Map<object, number>();
   /** When an answer last made progress, in monotonic milliseconds. */
   private lastProgressMs = 0;
   private excessMs = 0;
@@ -123,14 +131,37 @@
     return this.lateWatch.getLateness();
   }
 
-  /** Returns whether all started answers have stopped making progress. */
+  /**
+   * Returns whether all started answers have stopped making progress, or one request has waited
+   * for too long while no answer made progress.
+   */
   isStalled(): boolean {
-    const idleMs = this.clock.monotonicMs() - this.lastProgressMs;
     return (
-      this.startedAnswers >= MIN_STARTED_ANSWERS && idleMs > STALL_TIMEOUT_MS
+      (this.startedAnswers >= MIN_STARTED_ANSWERS || this.silentRequests > 0) &&
+      !this.hasProgressed()
     );
   }
 
+  /**
+   * Returns whether the server is likely to respond: an answer makes progress, or there is none
+   * that should, and no request has waited for longer than predicted.
+   */
+  isResponsive(): boolean {
+    if (this.inFlight === 0 || this.hasProgressed()) {
+      return true;
+    }
+    const nowMs = this.clock.monotonicMs();
+    return (
+      this.startedAnswers === 0 &&
+      [...this.waiting.values()].every(lateMs => lateMs > nowMs)
+    );
+  }
+
+  private hasProgressed(): boolean {
+    const idleMs = this.clock.monotonicMs() - this.lastProgressMs;
+    return idleMs <= STALL_TIMEOUT_MS;
+  }
+
   /**
    * Returns whether no request is in flight and none has been answered for
    * long.
@@ -151,8 +182,11 @@
     let pending = this.countUncached(parts);
     let open = true;
     let hasStarted = false;
+    let isSilent = false;
     const sentMs = this.clock.monotonicMs();
     const endWait = this.watchFirstByte(learned);
+    const waiter = {};
+    this.waiting.set(waiter, sentMs + predictedMs + STALL_TIMEOUT_MS);
     this.inFlight++;
     this.prefill.add(urgency, pending);
     this.cachedParts.add(parts);
@@ -160,11 +194,26 @@
       this.prefill.add(urgency, -pending);
       pending = 0;
     };
+    const setSilent = (value: boolean) => {
+      this.silentRequests += Number(value) - Number(isSilent);
+      isSilent = value;
+    };
     return {
       addProgress: () => {
         this.lastProgressMs = this.clock.monotonicMs();
       },
+      setSilent: value => {
+        if (open) {
+          setSilent(value);
+        }
+      },
+      markProbe: () => {
+        if (this.waiting.has(waiter)) {
+          this.waiting.set(waiter, sentMs);
+        }
+      },
       addFirstByte: (tookMs, wasServed = true) => {
+        this.waiting.delete(waiter);
         endPrefill();
         endWait(wasServed ? tookMs : undefined);
         if (open && !hasStarted) {
@@ -179,6 +228,8 @@
           return;
         }
         open = false;
+        setSilent(false);
+        this.waiting.delete(waiter);
         endPrefill();
         const waitedMs = this.clock.monotonicMs() - sentMs;
         // A request that is given up takes at least the time that it has waited.
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -12,7 +12,8 @@
 import {PlaceAdmission} from './place_admission.js';
 import {RelayOptions} from './relay_options.js';
 import {RelayRequest} from './relay_request.js';
-import {ForwardedAttempts, RelayRun, RelayRunParams} from './relay_run.js';
+import {RelayRun} from './relay_run.js';
+import {ForwardedAttempts, RelayRunParams} from './relay_run_params.js';
 
 const MS_PER_SECOND = 1000;
 /**
@@ -44,6 +45,10 @@
       'attempts_failed',
       'Attempts without a complete answer, by what ended them',
     );
+    metrics.addCounter(
+      'silent_runs',
+      'Runs of silent servers: resumed, replaced, or why none began beside them',
+    );
     metrics.addCounter('relocated', 'Streams moved off leaving servers');
     metrics.addCounter('relayed', 'Relayed requests by route and outcome');
     metrics.addCounter(
