Blame no request for an answer of its server that does not end

What callers would have seen: a request whose server sends an event or bytes beside a body without end counted as one whose run its server had lost, so that it was suspected of terminating the server.

Cause: an answer that is ended for its length looked like a broken connection.

Change: it counts as unusable, as other bytes do that are no answer; the failure still counts for the server.

Measured: the new case of relay_test failed without the change; 56 tests of relay_test and endless_answers_test pass.

--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -21,6 +21,11 @@
   AttemptEnd.REROUTED,
   'servers unreachable from this host',
 );
+/** Reasons that show that the server is running, though what it sends is unusable. */
+const ENDLESS_REASONS: ReadonlySet<IncompleteReason> = new Set([
+  IncompleteReason.EVENT_TOO_LONG,
+  IncompleteReason.OVERHEAD,
+]);
 const OK_FIRST = 200;
 const OK_LAST = 299;
 const SERVER_ERROR = 500;
@@ -307,7 +312,12 @@
     return {
       kind: ExchangeKind.LOST,
       detail: cause instanceof Error ? cause.message : String(cause),
-      ...(cause instanceof IncompleteAnswer ? {reason: cause.reason} : {}),
+      ...(cause instanceof IncompleteAnswer
+        ? {
+            reason: cause.reason,
+            corrupted: ENDLESS_REASONS.has(cause.reason),
+          }
+        : {}),
     };
   }
 
--- a/test/relay/relay_test.ts
+++ b/test/relay/relay_test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {IncompleteAnswer, IncompleteReason} from '../../src/answer/index.js';
 import {Repeat} from '../../src/catalog/index.js';
 import {ExecutionStatus} from '../../src/errors/index.js';
 import {createIncarnationId, FleetState} from '../../src/fleet/index.js';
@@ -110,6 +111,26 @@
       expect(fixture.quarantine.hasSuspects()).to.equal(false);
     });
 
+    // Guards against a request that is blamed for a server that sends bytes without end.
+    it('is not suspected if the answer was too long to be one', async () => {
+      for (const reason of [
+        IncompleteReason.EVENT_TOO_LONG,
+        IncompleteReason.OVERHEAD,
+      ]) {
+        const endless: Exchange = async () =>
+          createAnswer(
+            200,
+            (function* () {
+              yield 'data';
+              throw new IncompleteAnswer(reason, 'too long');
+            })(),
+          );
+        const fixture = createFixture(endless, true);
+        await serveOften(fixture);
+        expect(fixture.quarantine.hasSuspects()).to.equal(false);
+      }
+    });
+
     it('is not suspected if its caller disconnected', async () => {
       const fixture = createFixture(hang, true);
       await fixture.serve(route, 2000, AbortSignal.timeout(20));
