Share the stream that the tests of silent servers use

Cause: four test files each created the same route and the same whole stream.

Change: paused_stream.ts exports them. No assertion changes; one compares with the constant of the same value.

--- a/test/relay/paused_stream.ts
+++ b/test/relay/paused_stream.ts
@@ -1,5 +1,17 @@
+import {Repeat, Route} from '../../src/catalog/index.js';
 import {Exchange} from '../../src/relay/index.js';
-import {createAnswer} from './relay_fixture.js';
+import {createAnswer, formatEvents} from './relay_fixture.js';
+
+/** Events of a whole stream. */
+export const EVENTS = 6;
+/** Body of a whole stream. */
+export const WHOLE = formatEvents(1, EVENTS).join('');
+/** A route whose streams may be resumed at one more server. */
+export const STREAM: Partial<Route> = {
+  streaming: true,
+  repeat: Repeat.RESUME,
+  maxAttempts: 2,
+};
 
 /** How a server streams the events of one run. */
 export interface PausedStream {
--- a/test/relay/race_forwarded_test.ts
+++ b/test/relay/race_forwarded_test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
-import {Repeat, Route} from '../../src/catalog/index.js';
 import {ConnectionOutcome} from '../../src/http/index.js';
 import {ExchangeKind, ExchangeResult} from '../../src/relay/index.js';
+import {EVENTS, STREAM, WHOLE} from './paused_stream.js';
 import {
   CollectedAnswer,
   createAnswer,
@@ -10,14 +10,6 @@
   RelayFixture,
 } from './relay_fixture.js';
 
-const EVENTS = 6;
-const WHOLE = formatEvents(1, EVENTS).join('');
-const STREAM: Partial<Route> = {
-  streaming: true,
-  repeat: Repeat.RESUME,
-  maxAttempts: 2,
-};
-
 describe('a forwarded stream whose server falls silent', () => {
   // Guards against LOST: the second run went to the silent server as well.
   it('goes on at another server than the one that the other host named', async () => {
--- a/test/relay/race_unreachable_test.ts
+++ b/test/relay/race_unreachable_test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
-import {Repeat, Route} from '../../src/catalog/index.js';
 import {ConnectionOutcome} from '../../src/http/index.js';
 import {ExchangeKind} from '../../src/relay/index.js';
+import {EVENTS, STREAM, WHOLE} from './paused_stream.js';
 import {
   createAnswer,
   formatEvents,
@@ -9,14 +9,6 @@
   RelayFixture,
 } from './relay_fixture.js';
 
-const EVENTS = 6;
-const WHOLE = formatEvents(1, EVENTS).join('');
-const STREAM: Partial<Route> = {
-  streaming: true,
-  repeat: Repeat.RESUME,
-  maxAttempts: 2,
-};
-
 describe('a host that finds the servers unreachable', () => {
   // Guards against BUDGET: requests of which nothing was sent used up the retries.
   it('takes no retry for a request that was not sent', async () => {
--- a/test/relay/race_unsent_superseded_test.ts
+++ b/test/relay/race_unsent_superseded_test.ts
@@ -1,20 +1,7 @@
 import {expect} from 'chai';
-import {Repeat, Route} from '../../src/catalog/index.js';
 import {ExchangeKind} from '../../src/relay/index.js';
-import {STEADY, streamInTurn} from './paused_stream.js';
-import {
-  answerInTurn,
-  formatEvents,
-  hang,
-  RelayFixture,
-} from './relay_fixture.js';
-
-const EVENTS = 6;
-const STREAM: Partial<Route> = {
-  streaming: true,
-  repeat: Repeat.RESUME,
-  maxAttempts: 2,
-};
+import {EVENTS, STEADY, STREAM, WHOLE, streamInTurn} from './paused_stream.js';
+import {answerInTurn, hang, RelayFixture} from './relay_fixture.js';
 
 // Guards against LOST: a run of which no byte was sent used up an attempt of the route.
 describe('a run beside a silent one that was not sent yet', () => {
@@ -38,6 +25,6 @@
     const fixture = new RelayFixture(answerInTurn(stream, connect, stream));
     const sink = await fixture.serve(STREAM, 4000);
     expect(fixture.sent).to.have.length(3);
-    expect(sink.body).to.equal(formatEvents(1, EVENTS).join(''));
+    expect(sink.body).to.equal(WHOLE);
   });
 });
--- a/test/relay/silent_servers_test.ts
+++ b/test/relay/silent_servers_test.ts
@@ -5,7 +5,14 @@
 import {FleetState} from '../../src/fleet/index.js';
 import {ConnectionOutcome} from '../../src/http/index.js';
 import {AttemptEnd, ExchangeKind} from '../../src/relay/index.js';
-import {PausedStream, STEADY, streamInTurn} from './paused_stream.js';
+import {
+  EVENTS,
+  PausedStream,
+  STEADY,
+  STREAM,
+  WHOLE,
+  streamInTurn,
+} from './paused_stream.js';
 import {
   answerInTurn,
   CollectedAnswer,
@@ -19,13 +26,6 @@
   RelayFixture,
 } from './relay_fixture.js';
 
-const EVENTS = 6;
-const WHOLE = formatEvents(1, EVENTS).join('');
-const STREAM: Partial<Route> = {
-  streaming: true,
-  repeat: Repeat.RESUME,
-  maxAttempts: 2,
-};
 /** Longer than the pause after which a server counts as silent. */
 const SILENCE_MS = 1100;
 const TIMEOUT_MS = 4000;
