--- a/review/lib/model_server.mjs
+++ b/review/lib/model_server.mjs
@@ -1,7 +1,6 @@
 // Stand-in of a model server that moves the memory of its runs, as PROTOCOL.md describes
 // /kv-move and Kv-From. It works on up to `slots` requests at once. Their prompts are read in
-// chunks by turns, so that all of them make progress, and a prompt is read when its share of the
-// server's speed suffices. Moves run one after another on the link of their source.
+// chunks by turns between the tokens of its streams. Moves run one after another on the link of their source.
 import {createServer} from 'node:net';
 import {listen, parseHead} from './net.mjs';
 
@@ -11,10 +10,16 @@
 
 /** Figures of `redactor` at casillas-playa. */
 const PREFILL_TOKENS_PER_MS = 101;
+const CHUNK_TOKENS = 2048;
+const STEP_MS = 2.97;
+const STEP_MS_PER_SLOT = 0.0222;
+const PAIRS_MS_PER_MILLION = 0.184;
+const TOKENS_PER_EVENT = 6;
 const KV_BYTES_PER_TOKEN = 327_680;
 const LINK_BYTES_PER_MS = (340_000 * 1e6) / 8 / 1000;
 const MOVE_SETUP_MS = 2.7;
-const STEP_MS = 30;
+/** Pause between looks for work while there is none. */
+const IDLE_MS = 5;
 
 export class ModelServer {
   service = 'redactor';
@@ -23,8 +28,6 @@
   /** Runs that this server began to work on. */
   runs = [];
   active = new Map();
-  events = 20;
-  gapMs = 25;
   /** Ends when the link is free. */
   link = Promise.resolve();
 
@@ -35,28 +38,73 @@
   async start() {
     this.server = createServer(socket => this.serve(socket));
     this.address = await listen(this.server);
-    this.timer = setInterval(() => this.prefill(), STEP_MS);
+    void this.work();
     this.system.register(this);
   }
 
-  /** Reads a part of each prompt that is not read yet. */
-  prefill() {
-    const nowMs = this.system.nowMs();
-    const tokens = (nowMs - (this.steppedMs ?? nowMs)) * PREFILL_TOKENS_PER_MS;
-    this.steppedMs = nowMs;
-    const reading = [...this.active.values()].filter(run => run.left > 0);
+  /** Makes steps: each reads a chunk of the prompts by turns, and one token of each stream. */
+  async work() {
+    let dueMs = this.system.nowMs();
+    while (!this.isStopped) {
+      const active = [...this.active.values()];
+      const stepMs = active.length === 0 ? IDLE_MS : this.step(active);
+      dueMs = Math.max(dueMs + stepMs, this.system.nowMs() - stepMs);
+      await pause(Math.max(0, dueMs - this.system.nowMs()));
+    }
+  }
+
+  /** Makes a step; returns how long it takes. */
+  step(active) {
+    const reading = active.filter(({left}) => left > 0);
+    let chunk = 0;
+    let pairs = 0;
     for (const run of reading) {
-      const part = Math.min(run.left, tokens / reading.length);
+      const part = Math.min(run.left, CHUNK_TOKENS / reading.length);
       run.left -= part;
       run.inMemory += part;
+      chunk += part;
+      pairs += part * run.inMemory;
+    }
+    for (const run of active) {
       if (run.left <= 0) {
-        run.onRead();
+        this.addToken(run);
       }
     }
+    return (
+      STEP_MS +
+      STEP_MS_PER_SLOT * active.length +
+      chunk / PREFILL_TOKENS_PER_MS +
+      (pairs / 1e6) * PAIRS_MS_PER_MILLION
+    );
+  }
+
+  /** Makes one token of a stream, and sends an event when there are enough. */
+  addToken(run) {
+    run.tokens++;
+    run.inMemory++;
+    run.firstTokenMs ??= this.system.nowMs();
+    const event = Math.floor(run.tokens / TOKENS_PER_EVENT);
+    if (event <= run.sentEvent) {
+      return;
+    }
+    run.sentEvent = event;
+    const {socket, id} = run;
+    if (!run.hasHead) {
+      run.hasHead = true;
+      socket.write(
+        `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Signature: ${this.id}.${id}\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\nTransfer-Encoding: chunked\r\nKeep-Alive: timeout=5\r\n\r\n`,
+      );
+    }
+    const text = `id: ${event}\ndata: piece ${event} of ${id}\n\n`;
+    socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
+    if (run.tokens >= run.maxTokens) {
+      run.finish('answered');
+      socket.write('0\r\n\r\n');
+    }
   }
 
   stop() {
-    clearInterval(this.timer);
+    this.isStopped = true;
     this.server?.close();
     for (const socket of this.sockets) {
       socket.destroy();
@@ -101,67 +149,40 @@
       return;
     }
     const from = headers['kv-from'];
-    let generated = 0;
-    let inCopy = 0;
-    if (from !== undefined) {
-      const copy = copies.get(from);
-      if (copy === undefined || copy.to !== this.address || copy.id !== id) {
-        this.write(socket, 503, id, '', ['Not-Executed: 1']);
-        return;
-      }
-      copies.delete(from);
-      generated = copy.generated;
-      inCopy = copy.inMemory;
+    const held = copies.get(from);
+    const isHere = held?.to === this.address && held.id === id;
+    if (from !== undefined && !isHere) {
+      this.write(socket, 503, id, '', ['Not-Executed: 1']);
+      return;
     }
+    copies.delete(from);
+    const copy = held?.state;
     if (this.active.size >= this.slots) {
       this.write(socket, 503, id, '', ['Not-Executed: 1']);
       return;
     }
     const after = Number(headers['last-event-id'] ?? 0);
-    const promptTokens = Number(headers['token-count'].split(',')[0]);
-    const inMemory = from === undefined ? 0 : inCopy;
-    void this.run(socket, id, {after, from, generated, promptTokens, inMemory});
-  }
-
-  async run(socket, id, {after, from, generated, promptTokens, inMemory}) {
+    const [promptTokens, maxTokens] = headers['token-count']
+      .split(',')
+      .map(Number);
     const run = {
       id,
       server: this.id,
       atMs: this.system.nowMs(),
-      from,
-      generated,
       socket,
-      inMemory,
-      left: Math.max(1, promptTokens - inMemory),
+      maxTokens,
       moved: 0,
+      ...(copy ?? {tokens: 0, inMemory: 0, left: promptTokens}),
+      sentEvent: after,
     };
-    const isRead = new Promise(resolve => (run.onRead = resolve));
-    this.runs.push(run);
-    this.active.set(id, run);
-    const end = how => {
+    run.finish = how => {
       run.end ??= how;
       run.endMs ??= this.system.nowMs();
       this.active.delete(id);
     };
-    socket.once('close', () => end('dropped: channel closed'));
-    await isRead;
-    if (run.end !== undefined) {
-      return;
-    }
-    socket.write(
-      `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Signature: ${this.id}.${id}\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\nTransfer-Encoding: chunked\r\nKeep-Alive: timeout=5\r\n\r\n`,
-    );
-    for (let number = after + 1; number <= this.events; number++) {
-      await pause(this.gapMs);
-      if (run.end !== undefined) {
-        return;
-      }
-      run.generated = number;
-      const event = `id: ${number}\ndata: piece ${number} of ${id}\n\n`;
-      socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
-    }
-    end('answered');
-    socket.write('0\r\n\r\n');
+    this.runs.push(run);
+    this.active.set(id, run);
+    socket.once('close', () => run.finish('dropped: channel closed'));
   }
 
   /** Copies the memory of a run; with `last`, stops it and closes its stream without its end. */
@@ -177,20 +198,18 @@
     }
     run.isMoving = true;
     if (last === true) {
-      run.end = 'stopped by kv-move';
-      run.endMs = this.system.nowMs();
-      this.active.delete(id);
+      run.finish('stopped by kv-move');
       run.socket.destroySoon();
     }
     await this.transfer(run);
     run.isMoving = false;
     const handle = `h${++handles}`;
     if (last === true) {
-      const {generated, inMemory} = run;
-      const copy = {id, to, generated, inMemory};
-      copies.set(`${this.address}/${handle}`, copy);
+      const {tokens, inMemory, left, firstTokenMs} = run;
+      const state = {tokens, inMemory, left, firstTokenMs};
+      copies.set(`${this.address}/${handle}`, {id, to, state});
     }
-    const answer = JSON.stringify({handle, created: run.generated});
+    const answer = JSON.stringify({handle, created: run.sentEvent});
     this.write(socket, 200, undefined, answer);
   }
 
