--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,9 +1,9 @@
 // Planned stops of the hosts in turn while requesters use their kept channels again at once.
-import {Channel, formatRequest} from '../lib/channel.mjs';
-import {PlainServer} from '../lib/plain_server.mjs';
-import {System} from '../lib/system.mjs';
-import {wait} from '../lib/net.mjs';
-import {runCase} from '../lib/run_case.mjs';
+import {Channel, formatRequest} from '../channel.mjs';
+import {PlainServer} from '../plain_server.mjs';
+import {System} from '../system.mjs';
+import {wait} from '../net.mjs';
+import {runCase} from '../run_case.mjs';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 const CHANNELS = Number(process.env.CHANNELS ?? 40);
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,10 +1,10 @@
 // A server hands out wrong bytes in one stream and breaks it off; the host goes on elsewhere.
-import {Channel, formatRequest} from '../lib/channel.mjs';
-import {PlainServer} from '../lib/plain_server.mjs';
-import {StreamServer} from '../lib/stream_server.mjs';
-import {System} from '../lib/system.mjs';
-import {wait} from '../lib/net.mjs';
-import {runCase} from '../lib/run_case.mjs';
+import {Channel, formatRequest} from '../channel.mjs';
+import {PlainServer} from '../plain_server.mjs';
+import {StreamServer} from '../stream_server.mjs';
+import {System} from '../system.mjs';
+import {wait} from '../net.mjs';
+import {runCase} from '../run_case.mjs';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 const BOOKERS = 12;
