Handle a caller's request only while its answer can be sent

Cause: a request was passed on as soon as it was read, whatever became of its connection. The answers in flight at SIGTERM promised a kept connection, since the header was decided when their request arrived; the host then ended its sending side only, and passed on what still arrived. The first answer of a pair that announced the end cut off the second one, which was running already.

The end is announced when the head of an answer is written, in the answer to the last request that was read; nothing is accepted after it. A connection whose answer had begun before stays open for one more request until the host stops listening. What waits behind an answer when listening stops is refused as not run.

--- /dev/null
+++ b/src/http/connection_request.ts
@@ -0,0 +1,62 @@
+import {IncomingMessage} from 'node:http';
+
+/** When a request of a connection may be handled. */
+export const Turn = {
+  /** Now: all requests before it are answered. */
+  NOW: 'now',
+  /** No more, since the listener has stopped; it can still be answered. */
+  STOPPED: 'stopped',
+  /** Never: its connection ends before it could be answered. */
+  NEVER: 'never',
+} as const;
+export type Turn = (typeof Turn)[keyof typeof Turn];
+
+/** Created once: an error per request would cost a stack trace each. */
+const DISCONNECTED = new Error('the caller closed the connection');
+
+/** A request on a connection of an HTTP server, until its answer is complete. */
+export class ConnectionRequest {
+  private readonly controller = new AbortController();
+  private resolveTurn: (turn: Turn) => void = () => undefined;
+  private readonly turn = new Promise<Turn>(resolve => {
+    this.resolveTurn = resolve;
+  });
+
+  /**
+   * @param message - The request.
+   * @param closeAfter - See `closeAfter`.
+   */
+  constructor(
+    readonly message: IncomingMessage,
+    private readonly onCloseAfter: (request: ConnectionRequest) => void,
+  ) {}
+
+  /** Aborted when the connection ends before the answer is complete. */
+  get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  /** Resolves when all requests before it are answered, or it never can be. */
+  waitForTurn(): Promise<Turn> {
+    return this.turn;
+  }
+
+  /** Has no effect after the first call. */
+  startTurn(turn: Turn): void {
+    this.resolveTurn(turn);
+  }
+
+  /**
+   * Makes this the last request of its connection. Those behind it are not handled, and the
+   * connection ends after the answer.
+   */
+  closeAfter(): void {
+    this.onCloseAfter(this);
+  }
+
+  /** Ends the request without an answer: its connection has ended, or it is not answered. */
+  abort(): void {
+    this.resolveTurn(Turn.NEVER);
+    this.controller.abort(DISCONNECTED);
+  }
+}
