Decline forwarded requests that cross the end of their connection

What callers saw: a request that this host forwards on a kept connection to a host that has just stopped listening counted as lost, and was answered without the promise that it was not run; one that may not be repeated failed.

Change: idle connections between hosts stay open until the host has stopped. A request that arrives there is declined as not run, with the end of the connection.

Result: 'to a host that has stopped listening declines what crosses its end' fails before (lost for not-run) and passes now.

--- a/src/forwarding/forward_listener.ts
+++ b/src/forwarding/forward_listener.ts
@@ -1,5 +1,5 @@
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
-import {Socket} from 'node:net';
+import {Server as NetServer, Socket} from 'node:net';
 import {Log} from '../log/index.js';
 import {Metrics} from '../metrics/index.js';
 import {Relay, RelayRequest} from '../relay/index.js';
@@ -50,7 +50,6 @@
   private readonly server: Server;
   /** Connections on which a request is served; each carries one at a time. */
   private readonly busy = new Set<Socket>();
-  private readonly sockets = new Set<Socket>();
   private heldBytes = 0;
   private isDraining = false;
 
@@ -59,10 +58,6 @@
       {keepAlive: true, noDelay: true, requestTimeout: 0},
       (message, response) => void this.serve(message, response),
     );
-    this.server.on('connection', socket => {
-      this.sockets.add(socket);
-      socket.once('close', () => this.sockets.delete(socket));
-    });
     const {metrics} = options;
     metrics.addCounter(
       'forwards_received',
@@ -93,14 +88,13 @@
     this.isDraining = true;
   }
 
-  /** Accepts no more connections and closes the idle ones. */
+  /**
+   * Accepts no more connections. Idle ones stay open until `stop`: a request that crossed their
+   * end would count as lost at the host that forwarded it, though it was not run.
+   */
   stopListening(): void {
-    this.server.close();
-    for (const socket of this.sockets) {
-      if (!this.busy.has(socket)) {
-        socket.end();
-      }
-    }
+    // The method of node:http would close the idle connections.
+    NetServer.prototype.close.call(this.server);
   }
 
   /** Stops listening and closes all connections. */
--- a/src/forwarding/forwarded_answer.ts
+++ b/src/forwarding/forwarded_answer.ts
@@ -79,6 +79,7 @@
 
   /** Declines the request; nothing of it was sent to a server. */
   decline(reason: DeclineReason): void {
+    this.response.shouldKeepAlive &&= reason !== DeclineReason.STOPPING;
     this.writeHead({outcome: 'declined', reason});
     this.end();
   }
--- a/test/forwarding/forward_client_test.ts
+++ b/test/forwarding/forward_client_test.ts
@@ -152,6 +152,18 @@
     });
   });
 
+  describe('a kept connection', () => {
+    // Guards against a request that crosses the end of its connection and counts as lost, though
+    // it was not run.
+    it('to a host that has stopped listening declines what crosses its end', async () => {
+      const host = await fixture.addHost(serveAnswer);
+      expect(await readBody(await fixture.send())).to.equal('firstother');
+      host.startDraining();
+      host.stopListening();
+      expect((await fixture.send()).kind).to.equal(ExchangeKind.NOT_RUN);
+    });
+  });
+
   describe('an outcome', () => {
     // Guards against REFUSED: a request reported as not run that may have run.
     it('is lost if the other host ends after it got the request', async () => {
