Continue a stream before an event whose id cannot be sent

Cause: the id of an event was taken from any bytes. When the stream broke off, it went into the header Last-Event-Id of the next attempt; node:http throws ERR_INVALID_CHAR for it, in an event of a socket, where nothing catches it.

Change: EventSplitter returns an event whose id cannot stand in a header, or is longer than 1,024 bytes, together with the next one. If the stream breaks off in between, another server continues after the event before it, so that no event comes twice and none is left out; if the server goes on, nothing is given up. After two in a row both are relayed and the position is not known, as after an empty id; such a stream is not continued or relocated until a usable id. The log says unusable_event_id, and unusable_event_ids counts them. An error in a callback of a request to a server or to another host fails that request.

Ruled out: the bytes e9 and an id of 40,000 digits do not throw (the latter is refused by servers, since their heads are limited).

--- a/src/answer/event_splitter.ts
+++ b/src/answer/event_splitter.ts
@@ -1,3 +1,4 @@
+import {isHeaderValue} from '../headers/index.js';
 import {IncompleteAnswer, IncompleteReason} from './incomplete_answer.js';
 import {SegmentedBuffer} from './segmented_buffer.js';
 
@@ -6,6 +7,10 @@
  * call are shorter; a host keeps an incomplete event of each stream in its memory of 128 MB.
  */
 const MAX_EVENT_BYTES = 1_048_576;
+/** Longest id that is sent to a server, in bytes. Servers limit a head to 8 KB and more. */
+const MAX_ID_BYTES = 1024;
+/** Id after an event whose own id cannot be sent to a server: no server can continue there. */
+const UNKNOWN_ID = '';
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
@@ -21,15 +26,31 @@
 export interface SplitEvents {
   /** Bytes of the events; empty if there are none. */
   readonly bytes: Buffer;
-  /** Ids of the first and the last event that have one. */
+  /**
+   * Ids of the first and the last event that have one. An empty one resets the id, so that the
+   * position in the stream is not known.
+   */
   readonly firstId?: string;
   readonly lastId?: string;
 }
 
+/** Whether a stream can be continued after the last event that was read. */
+const Position = {
+  KNOWN: 'known',
+  /** Its id cannot be sent to a server; it waits for the next event. */
+  HELD: 'held',
+  UNKNOWN: 'unknown',
+} as const;
+type Position = (typeof Position)[keyof typeof Position];
+
 /**
  * Splits a stream of server-sent events after each event, so that only complete events
  * are relayed and another server can continue the stream. As in the specification of
  * server-sent events, lines end with LF, CRLF or CR, and a blank line ends an event.
+ *
+ * An event whose id cannot be sent to a server is returned with the next one: until then, another
+ * server could only continue before it. If that one has no id to continue after either, both are
+ * returned, and the position is not known.
  */
 export class EventSplitter {
   /** Bytes after the last complete event. */
@@ -49,6 +70,8 @@
   private emptyBytes = 0;
   private eventId: string | undefined;
   private eventCount = 0;
+  private position: Position = Position.KNOWN;
+  private unusableIdCount = 0;
 
   /**
    * Adds bytes; returns the events that are now complete. The time that it takes is in
@@ -82,9 +105,10 @@
         this.readLine(piece, index);
       } else {
         this.addEventBytes(index + 1 - end);
-        end = index + 1;
-        lastId = this.endEvent() ?? lastId;
-        firstId ??= lastId;
+        const id = this.endEvent();
+        lastId = id ?? lastId;
+        firstId ??= id;
+        end = this.position === Position.HELD ? end : index + 1;
       }
       this.lineStart = index + 1;
     }
@@ -93,9 +117,16 @@
     this.lineStart -= end;
     this.returnEnd = this.returnEnd && this.returnEnd - end;
     const complete = this.takeUntil(end, piece);
-    return firstId === undefined || lastId === undefined
-      ? {bytes: complete}
-      : {bytes: complete, firstId, lastId};
+    return {
+      bytes: complete,
+      ...(firstId === undefined ? {} : {firstId}),
+      ...(lastId === undefined ? {} : {lastId}),
+    };
+  }
+
+  /** Returns the number of events whose id cannot be sent to a server. */
+  countUnusableIds(): number {
+    return this.unusableIdCount;
   }
 
   /** Returns the number of complete events. */
@@ -195,12 +226,28 @@
 
   /** Ends the current event at a blank line; returns its id, if it has one. */
   private endEvent(): string | undefined {
-    const {eventId} = this;
+    const {eventId, hasField} = this;
     this.isFirstLine = false;
-    this.eventCount += this.hasField ? 1 : 0;
+    this.eventCount += hasField ? 1 : 0;
     this.hasField = false;
     this.eventId = undefined;
-    return eventId;
+    return hasField ? this.updatePosition(eventId) : eventId;
+  }
+
+  /** Updates the position after an event; returns the id to continue after, if it has changed. */
+  private updatePosition(eventId: string | undefined): string | undefined {
+    const isUsable = eventId === undefined || isUsableId(eventId);
+    this.unusableIdCount += isUsable ? 0 : 1;
+    if (eventId !== undefined && isUsable) {
+      this.position = Position.KNOWN;
+      return eventId;
+    }
+    if (isUsable && this.position === Position.KNOWN) {
+      return undefined;
+    }
+    this.position =
+      this.position === Position.KNOWN ? Position.HELD : Position.UNKNOWN;
+    return this.position === Position.UNKNOWN ? UNKNOWN_ID : undefined;
   }
 
   /** Returns the length of the byte order mark that a stream may begin with. */
@@ -223,6 +270,11 @@
   }
 }
 
+/** Returns whether an id can be sent to a server that is to continue after it. */
+function isUsableId(id: string): boolean {
+  return id.length <= MAX_ID_BYTES && isHeaderValue(id);
+}
+
 /** Returns whether a line is a field of an event; comments and `retry` are not. */
 function isField(bytes: Buffer, start: number, end: number): boolean {
   const first = bytes[start];
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -12,6 +12,7 @@
 export {AnswerBody} from './answer_body.js';
 export {breakOff} from './break_off.js';
 export {discardBody} from './discard_body.js';
+export {failOnThrow} from './fail_on_throw.js';
 export {limitOverhead} from './limit_overhead.js';
 export {writeChunk} from './write_chunk.js';
 export {parseAddress} from './parse_address.js';
--- a/src/http/when_connected.ts
+++ b/src/http/when_connected.ts
@@ -1,4 +1,5 @@
 import {ClientRequest} from 'node:http';
+import {failOnThrow} from './fail_on_throw.js';
 import {startTimeout} from './start_timeout.js';
 
 /**
@@ -7,16 +8,17 @@
  * @param clientRequest - The request; nothing has been written yet.
  * @param timeoutMs - Connect timeout in milliseconds.
  * @param onConnected - Invoked once, when the connection is open, with whether it already
- *   was.
+ *   was. If it throws, the request fails.
  */
 export function whenConnected(
   clientRequest: ClientRequest,
   timeoutMs: number,
   onConnected: (isReused: boolean) => void,
 ): void {
+  const connected = failOnThrow(clientRequest, onConnected);
   clientRequest.once('socket', socket => {
     if (!socket.connecting) {
-      onConnected(true);
+      connected(true);
       return;
     }
     const cancelTimeout = startTimeout(timeoutMs, () =>
@@ -24,7 +26,7 @@
     );
     socket.once('connect', () => {
       cancelTimeout();
-      onConnected(false);
+      connected(false);
     });
     socket.once('close', cancelTimeout);
   });
--- a/src/relay/answer_relay.ts
+++ b/src/relay/answer_relay.ts
@@ -24,6 +24,8 @@
   /** Called before and after the caller takes a part; no more is read meanwhile. */
   readonly onRelaying: () => void;
   readonly onRelayed: () => void;
+  /** Called when an event has an id after which no server can continue. */
+  readonly onUnusableId: () => void;
 }
 
 /**
@@ -128,9 +130,14 @@
     /** Id after which the stream is to go on; absent once it did, or if it begins. */
     let continued = this.begun ? this.lastEventId : undefined;
     const splitter = new EventSplitter();
+    let unusableIds = 0;
     for await (const piece of answer.body) {
       const events = splitter.add(piece);
       const {bytes, lastId} = events;
+      if (splitter.countUnusableIds() > unusableIds) {
+        unusableIds = splitter.countUnusableIds();
+        run.onUnusableId();
+      }
       if (bytes.length === 0) {
         continue;
       }
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -49,6 +49,10 @@
       'silent_runs',
       'Runs of silent servers: resumed, replaced, or why none began beside them',
     );
+    metrics.addCounter(
+      'unusable_event_ids',
+      'Events with an id after which no server can continue their stream',
+    );
     metrics.addCounter('relocated', 'Streams moved off leaving servers');
     metrics.addCounter('relayed', 'Relayed requests by route and outcome');
     metrics.addCounter(
--- a/src/relay/relay_attempt.ts
+++ b/src/relay/relay_attempt.ts
@@ -413,9 +413,16 @@
       // A caller that reads slowly holds up the server.
       onRelaying: () => this.silenceWatch?.pause(),
       onRelayed: () => this.silenceWatch?.touch(limitMs),
+      onUnusableId: () => this.recordUnusableId(),
     };
   }
 
+  private recordUnusableId(): void {
+    const {record, answer} = this.context;
+    const afterEvent = answer.getLastEventId();
+    record.addUnusableId(this.params.server.id, afterEvent);
+  }
+
   /** Records that a server has responded, which shows that this host reaches it. */
   private addBytes(): void {
     if (this.params.forward === undefined) {
--- a/src/relay/relay_record.ts
+++ b/src/relay/relay_record.ts
@@ -202,6 +202,20 @@
     });
   }
 
+  /**
+   * Logs and counts an event after whose id no server can continue the stream.
+   * @param server - Server that sent it.
+   * @param afterEvent - Id of the event before it, if there is one.
+   */
+  addUnusableId(server: string, afterEvent: string | undefined): void {
+    this.options.metrics.increment('unusable_event_ids');
+    this.options.log.warn('unusable_event_id', {
+      request: this.request.id,
+      server,
+      after_event: afterEvent,
+    });
+  }
+
   /** Logs an attempt that brought no complete answer. */
   logFailure(server: string, failure: FailedAttempt): void {
     const {kind, detail, reason, framing, afterEvent, attempt} = failure;
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -193,7 +193,13 @@
    */
   relocate(server: FleetServer): void {
     const {streaming, repeat} = this.request.route;
-    if (this.race.isAt(server.id) && streaming && repeat === Repeat.ONCE) {
+    const isPositionKnown = this.answer.getLastEventId() !== '';
+    if (
+      this.race.isAt(server.id) &&
+      streaming &&
+      repeat === Repeat.ONCE &&
+      isPositionKnown
+    ) {
       this.relocation.begin(server);
     }
   }
--- a/test/answer/event_splitter_test.ts
+++ b/test/answer/event_splitter_test.ts
@@ -139,6 +139,45 @@
     }
   });
 
+  // Guards against an id that cannot be sent to a server and is the one to continue after.
+  describe('with an id that cannot stand in a header', () => {
+    const WRONG = 'id: 2\u0016\ndata: b\n\n';
+
+    it('returns the event with the next one that has an id', () => {
+      const splitter = new EventSplitter();
+      const first = splitter.add(Buffer.from(`id: 1\ndata: a\n\n${WRONG}`));
+      expect(first.bytes.toString()).to.equal('id: 1\ndata: a\n\n');
+      expect(first.lastId).to.equal('1');
+      const comment = splitter.add(Buffer.from(': ping\n\n'));
+      expect(comment.bytes.length).to.equal(0);
+      const second = splitter.add(Buffer.from('id: 3\ndata: c\n\n'));
+      expect(second.bytes.toString()).to.equal(
+        `${WRONG}: ping\n\nid: 3\ndata: c\n\n`,
+      );
+      expect(second).to.include({firstId: '3', lastId: '3'});
+      expect(splitter.countUnusableIds()).to.equal(1);
+    });
+
+    it('has it in the rest of a stream that ends', () => {
+      const splitter = new EventSplitter();
+      expect(splitter.add(Buffer.from(WRONG)).bytes.length).to.equal(0);
+      expect(splitter.isInsideEvent()).to.equal(false);
+      expect(splitter.takeRest().toString()).to.equal(WRONG);
+    });
+
+    it('does not know the position after two in a row, until a usable one', () => {
+      const splitter = new EventSplitter();
+      splitter.add(Buffer.from('id: 1\ndata: a\n\n'));
+      const both = splitter.add(Buffer.from(WRONG + WRONG));
+      expect(both.bytes.toString()).to.equal(WRONG + WRONG);
+      expect(both.lastId).to.equal('');
+      const third = splitter.add(Buffer.from(WRONG));
+      expect(third.bytes.toString()).to.equal(WRONG);
+      const last = splitter.add(Buffer.from('id: 9\ndata: z\n\n'));
+      expect(last.lastId).to.equal('9');
+    });
+  });
+
   describe('with a long event', () => {
     const MAX_EVENT_BYTES = 1_048_576;
 
--- /dev/null
+++ b/test/platform/wrong_bytes_test.ts
@@ -0,0 +1,146 @@
+import {expect} from 'chai';
+import {formatHead, Script} from './fakes/fake_server.js';
+import {callRaw, HttpVersion} from './fakes/raw_caller.js';
+import {
+  AMPLE_RETRY_RATIO,
+  KEY,
+  RunningHost,
+  TestSystem,
+} from './fakes/test_system.js';
+
+const EVENTS = 8;
+const STREAMS = 12;
+
+/**
+ * Guards against bytes of a server that an API of node:http refuses: thrown in an event of a
+ * socket, the error ends the process with all requests in flight there.
+ */
+describe('a host whose servers send wrong bytes', () => {
+  let system: TestSystem;
+  let host: RunningHost;
+  let failures: unknown[];
+  const onUncaught = (error: unknown) => failures.push(error);
+  let listeners: NodeJS.UncaughtExceptionListener[];
+
+  beforeEach(async () => {
+    failures = [];
+    listeners = process.listeners('uncaughtException');
+    process.removeAllListeners('uncaughtException');
+    process.on('uncaughtException', onUncaught);
+    system = new TestSystem();
+    system.bootstrap = true;
+    system.retryRatio = AMPLE_RETRY_RATIO;
+    await system.start();
+    system.putConfig({
+      routes: [
+        system.createRoute('/a/', {}),
+        system.createRoute('/s/', {
+          kind: 'streaming',
+          resumable: true,
+          max_attempts: 3,
+        }),
+      ],
+    });
+    [host] = (await system.startHosts(['front-1'])) as [RunningHost];
+  });
+
+  afterEach(async () => {
+    await system.stop();
+    process.off('uncaughtException', onUncaught);
+    for (const listener of listeners) {
+      process.on('uncaughtException', listener);
+    }
+  });
+
+  function formatEvent(number: number, suffix = ''): string {
+    return `id: ${number}${suffix}\ndata: t${number}\n\n`;
+  }
+
+  function formatEvents(from: number): string {
+    return Array.from({length: EVENTS - from + 1}, (_, index) =>
+      formatEvent(from + index),
+    ).join('');
+  }
+
+  /** Streams on from the event that the request names, and spoils the answers of one server. */
+  function createScript(spoils: boolean, suffix: string, breaks: boolean) {
+    const script: Script = (socket, request) => {
+      const after = Number(request.headers.get('last-event-id') ?? 0);
+      const head = formatHead(request, 200, [
+        'Content-Type: text/event-stream',
+      ]);
+      if (!spoils || after > 0) {
+        socket.end(head + formatEvents(after + 1));
+        return;
+      }
+      const spoiled = formatEvent(1) + formatEvent(2, suffix);
+      if (breaks) {
+        socket.write(head + spoiled);
+        setTimeout(() => socket.resetAndDestroy(), 30);
+        return;
+      }
+      socket.end(head + spoiled + formatEvents(3));
+    };
+    return script;
+  }
+
+  function stream(id: string) {
+    return callRaw(host.callers, {
+      path: '/s/x',
+      version: HttpVersion.HTTP_1_1,
+      headers: {
+        Host: 'desk.example',
+        'Request-Id': id,
+        Credential: KEY,
+        'Deadline-Remaining': '2000',
+      },
+    });
+  }
+
+  function streamAll() {
+    return Promise.all(
+      Array.from({length: STREAMS}, (_, index) => stream(`s${index}`)),
+    );
+  }
+
+  const suffixes: Record<string, string> = {
+    'the byte 00': '\u0000',
+    'the byte 01': '\u0001',
+    'the byte 16': '\u0016',
+    'the byte 1f': '\u001f',
+    'the byte 7f': '\u007f',
+    'more bytes than a head may have': '0'.repeat(40_000),
+  };
+  for (const [name, suffix] of Object.entries(suffixes)) {
+    it(`continues a stream before an event whose id has ${name}`, async () => {
+      for (const [index, server] of system.servers.entries()) {
+        server.script = createScript(index === 0, suffix, true);
+      }
+      const answers = await streamAll();
+      expect(failures).to.deep.equal([]);
+      // No event comes twice, none is left out, and none has the id.
+      expect(answers.map(({body}) => body)).to.deep.equal(
+        Array.from({length: STREAMS}, () => formatEvents(1)),
+      );
+      expect(answers.every(({isWhole}) => isWhole)).to.equal(true);
+      const resumed = system.servers[1]?.requests.filter(
+        ({headers}) => headers.get('last-event-id') === '1',
+      );
+      expect(resumed?.length ?? 0).to.be.above(0);
+    });
+  }
+
+  // Guards against a stream that is given up although its server goes on.
+  it('relays all events of a server that goes on after such an id', async () => {
+    for (const [index, server] of system.servers.entries()) {
+      server.script = createScript(index === 0, '\u0001', false);
+    }
+    const answers = await streamAll();
+    const spoiled = formatEvent(1) + formatEvent(2, '\u0001') + formatEvents(3);
+    expect(answers.every(({isWhole}) => isWhole)).to.equal(true);
+    expect([...new Set(answers.map(({body}) => body))]).to.have.members([
+      spoiled,
+      formatEvents(1),
+    ]);
+  });
+});
