Check values from outside where they enter, before an API throws on them

What callers saw: a server with the status 000 or 099 had the caller's connection closed without an answer, 6 of 6 times each.

Cause: the value is used where an error has no owner: writeHead, appendHeader and connect throw, in an event of a socket or in a promise of which the request knows nothing.

Change: entries of servers, handles, and frames of forwarded requests are checked when they are decoded. A final status has 200 or more; another one is no answer, and the caller gets 502. A request whose headers cannot be sent is not sent, and says nothing about the server. A peer at no usable port counts as unreachable.

--- a/src/forwarding/forward_frame.ts
+++ b/src/forwarding/forward_frame.ts
@@ -1,13 +1,22 @@
 import {z} from 'zod';
 import {Repeat} from '../catalog/index.js';
 import {ExecutionStatus, ProblemKind} from '../errors/index.js';
+import {
+  isHeaderName,
+  isHeaderValue,
+  isRequestTarget,
+} from '../headers/index.js';
 
 const MAX_NAME_LENGTH = 200;
 const MAX_LISTED = 4096;
+/** Statuses of final responses. */
+const FINAL_FIRST = 200;
+const STATUS_LAST = 999;
 const name = z.string().max(MAX_NAME_LENGTH);
 const count = z.number().min(0);
+const headerValue = z.string().refine(isHeaderValue);
 const rawHeaders = z
-  .array(z.tuple([z.string(), z.string()]).readonly())
+  .array(z.tuple([z.string().refine(isHeaderName), headerValue]).readonly())
   .max(MAX_LISTED);
 
 /**
@@ -17,9 +26,9 @@
 export const forwardRequestSchema = z.object({
   /** Host that received the request from its caller. */
   from: name.min(1),
-  id: name.min(1),
-  method: name.min(1),
-  path: z.string(),
+  id: name.min(1).refine(isHeaderValue),
+  method: name.min(1).refine(isHeaderName),
+  path: z.string().refine(isRequestTarget),
   headers: rawHeaders,
   route: z.object({
     name: z.string(),
@@ -32,7 +41,9 @@
   }),
   service: name.min(1),
   /** Customer whose key the first host has verified, and its urgency rank. */
-  customer: z.object({name, urgency: count.optional()}).optional(),
+  customer: z
+    .object({name: name.refine(isHeaderValue), urgency: count.optional()})
+    .optional(),
   prompt: z.object({
     /** Id and tokens of each part. */
     parts: z.array(z.tuple([z.string(), count])).max(MAX_LISTED),
@@ -43,7 +54,7 @@
   elapsedMs: count,
   /** Time until the deadline, in milliseconds. */
   remainingMs: count,
-  lastEventId: z.string().optional(),
+  lastEventId: headerValue.optional(),
   /** Version at which a stream that goes on began; absent if the stream begins. */
   boundVersion: z.string().optional(),
   /** Ids of the servers that must not get the request again. */
@@ -69,7 +80,7 @@
 
 const problemSchema = z.object({
   kind: z.enum(ProblemKind),
-  status: z.number().int(),
+  status: z.number().int().min(FINAL_FIRST).max(STATUS_LAST),
   detail: z.string(),
   remedy: z.string(),
   ran: z.enum(ExecutionStatus),
@@ -81,7 +92,7 @@
   z.object({
     /** A server has answered; the body of its answer follows. */
     outcome: z.literal('answered'),
-    status: z.number().int(),
+    status: z.number().int().min(FINAL_FIRST).max(STATUS_LAST),
     headers: rawHeaders,
     /** Id of the server. */
     server: name,
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -13,6 +13,7 @@
 export {breakOff} from './break_off.js';
 export {discardBody} from './discard_body.js';
 export {failOnThrow} from './fail_on_throw.js';
+export {isAddress} from './is_address.js';
 export {limitOverhead} from './limit_overhead.js';
 export {writeChunk} from './write_chunk.js';
 export {parseAddress} from './parse_address.js';
--- a/src/peer/peer_link.ts
+++ b/src/peer/peer_link.ts
@@ -47,6 +47,7 @@
 }
 
 const CONNECT_TIMEOUT_MS = 1000;
+const MAX_PORT = 65_535;
 const INITIAL_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 1000;
 
@@ -92,6 +93,10 @@
     const separator = this.options.address.lastIndexOf(':');
     const host = this.options.address.slice(0, separator);
     const port = Number(this.options.address.slice(separator + 1));
+    if (!(port > 0 && port <= MAX_PORT)) {
+      // `connect` would throw. The address comes from another host or from the store.
+      return undefined;
+    }
     return new Promise(resolve => {
       const socket = connect({host, port});
       const fail = () => {
--- a/test/platform/wrong_bytes_test.ts
+++ b/test/platform/wrong_bytes_test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {formatHead, Script} from './fakes/fake_server.js';
+import {answerWith, formatHead, Script} from './fakes/fake_server.js';
 import {callRaw, HttpVersion} from './fakes/raw_caller.js';
 import {
   AMPLE_RETRY_RATIO,
@@ -143,4 +143,80 @@
       formatEvents(1),
     ]);
   });
+
+  for (const status of ['000', '099', '100', '101', '199']) {
+    // Guards against callers whose connection is closed without an answer.
+    it(`answers callers whose server sends the status ${status}`, async () => {
+      for (const server of system.servers) {
+        server.script = (socket, request) =>
+          void socket.end(
+            formatHead(request, 200, ['Content-Length: 0']).replace(
+              '200',
+              status,
+            ),
+          );
+      }
+      const answer = await system.call(host, '/a/x');
+      expect(answer.whole).to.equal(true);
+      expect(answer.status).to.equal(502);
+      expect(failures).to.deep.equal([]);
+    });
+  }
+
+  it('serves on beside entries with an address or a name that cannot be used', async () => {
+    for (const server of system.servers) {
+      server.script = answerWith('whole');
+    }
+    await system.register('i-port', '127.0.0.1:70000', 'ready');
+    await system.register('i-none', '127.0.0.1:0', 'ready');
+    await system.register('i-ip', '999.0.0.1:80', 'ready');
+    await system.register('i-\u0001', system.addresses[0] ?? '', 'ready');
+    await system.register('i-3', system.addresses[0] ?? '', 'ready');
+    await system.waitFor(async () => {
+      const state = await system.get(host.metrics, '/state');
+      return state.body.includes('"id":"i-3"');
+    });
+    for (let count = 0; count < 40; count++) {
+      const answer = await system.call(host, '/a/x');
+      expect(answer.status).to.equal(200);
+    }
+    expect(failures).to.deep.equal([]);
+  });
+
+  it('refuses a request whose target cannot be sent on', async () => {
+    const answer = await callRaw(host.callers, {
+      path: '/a/x\ty',
+      version: HttpVersion.HTTP_1_1,
+      headers: {
+        Host: 'desk.example',
+        'Request-Id': 't',
+        Credential: KEY,
+      },
+    });
+    expect(answer.status).to.equal(400);
+    expect(answer.isWhole).to.equal(true);
+  });
+
+  it('refuses the requests of a customer whose name cannot be sent, and no others', async () => {
+    for (const server of system.servers) {
+      server.script = answerWith('whole');
+    }
+    system.putConfig({
+      tenants: [
+        {name: 'guild', api_keys: [KEY]},
+        {name: 'g\u0001', api_keys: ['k2']},
+      ],
+    });
+    await system.waitFor(async () => {
+      const answer = await system.call(host, '/a/x', {Credential: 'k2'});
+      return answer.status !== 401;
+    });
+    const refused = await system.call(host, '/a/x', {Credential: 'k2'});
+    expect(refused.status).to.be.within(500, 503);
+    expect(refused.body).to.contain('"ran":"no"');
+    for (let count = 0; count < 20; count++) {
+      expect((await system.call(host, '/a/x')).status).to.equal(200);
+    }
+    expect(failures).to.deep.equal([]);
+  });
 });
