--- a/test/platform/fakes/test_system.ts
+++ b/test/platform/fakes/test_system.ts
@@ -112,9 +112,10 @@
     address: string,
     state: string,
     version = 'v1',
+    service = 'ledger',
   ): Promise<void> {
     this.store.put('servers', id, {
-      service: 'ledger',
+      service,
       address,
       zone: 'here',
       version,
