Soak: callers that use their connection again at once, and pairs of requests

Three callers now send the next booking as soon as the last one is answered, and three send pairs of bookings on one connection. A further check finds requests that a server has run and whose connection a planned stop ended without an answer, also after the balancer has removed the host; checks_test has a history that it must find.

A connection that is open and has had no request when the host stops listening gets 100 ms for its first one, which is refused as not run.

--- a/src/http/server_connection.ts
+++ b/src/http/server_connection.ts
@@ -41,6 +41,11 @@
  * bytes, it is reset, and the reset can destroy an answer that the caller has not read.
  */
 const LINGER_MS = 1000;
+/**
+ * Time for the first request of a connection after the listener has stopped, in milliseconds. A
+ * caller sends it as soon as its connection is open, and is told that it was not run.
+ */
+const FIRST_REQUEST_MS = 100;
 
 /**
  * A connection of an HTTP server. A request is handled only while its answer can be sent: one at
@@ -54,6 +59,8 @@
   private isClosing = false;
   private isSendingEnded = false;
   private ignoredCount = 0;
+  /** Whether a request has arrived, or has been waited for. */
+  private hasBeenUsed = false;
 
   constructor(
     private readonly socket: Socket,
@@ -92,6 +99,7 @@
       this.closeAfter(request),
     );
     this.open.push(request);
+    this.hasBeenUsed = true;
     // The caller has announced that this is its last request.
     this.isClosing = !response.shouldKeepAlive;
     response.beforeHead = () => this.announceClose(request, response);
@@ -122,9 +130,15 @@
 
   /** Ends the connection if no request is being read or answered. */
   closeIfIdle(): void {
-    if (!this.isBusy()) {
+    if (this.isBusy()) {
+      return;
+    }
+    if (this.hasBeenUsed) {
       this.endSending();
+      return;
     }
+    this.hasBeenUsed = true;
+    setTimeout(() => this.closeIfIdle(), FIRST_REQUEST_MS).unref();
   }
 
   private closeAfter(request: ConnectionRequest): void {
--- a/test/platform/closing_connections_test.ts
+++ b/test/platform/closing_connections_test.ts
@@ -206,6 +206,23 @@
       expect(connection.received).to.contain('"ran":"no"');
     });
 
+    // Guards against a caller whose new connection ends before its request is read.
+    it('refuses the first request of a connection as not run', async () => {
+      frontend.startDraining();
+      frontend.stopListening();
+      connection.send(PATH, 'a');
+      await waitUntil(() => connection.isEnded);
+      expect(passed.size).to.equal(0);
+      expect(listAnswers()).to.deep.equal([['a', 503, true]]);
+    });
+
+    it('ends a connection on which no request arrives', async () => {
+      frontend.startDraining();
+      frontend.stopListening();
+      await waitUntil(() => connection.isEnded);
+      expect(connection.received).to.equal('');
+    });
+
     it('passes on nothing that arrives on a connection without a request', async () => {
       await send('a');
       await answer('a');
--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -2,6 +2,7 @@
 import {callRaw, HttpVersion} from '../platform/fakes/raw_caller.js';
 import {Random} from '../../src/random/index.js';
 import {History, RequestKind, ResumedStream, SentRequest} from './history.js';
+import {PairCaller} from './pair_caller.js';
 import {findStreamRoute, listEvents} from './stream_events.js';
 import {CRASHING_PART} from './soak_server.js';
 import {SoakHost} from './soak_host.js';
@@ -33,6 +34,8 @@
 const DEADLINE_SLACK_MS = 500;
 const PAUSE_MS = 60;
 const OVER_RATE_PAUSE_MS = 8;
+/** Shortest pause after a request that was not served, in milliseconds. */
+const FAILURE_PAUSE_MS = 20;
 const CRASHING_PAUSE_MS = 150;
 const ABANDON_AFTER_MS = 25;
 const ABANDON_SHARE = 0.3;
@@ -50,6 +53,8 @@
 const MAX_LONG_STREAM_CALLERS = 24;
 /** Of this many long streams, one may not be resumed. */
 const LONG_STREAM_ONCE_INTERVAL = 3;
+/** Callers that use their connection again at once, and as many that send pairs. */
+const EAGER_CALLERS = 3;
 /** Share of requests that probe a route which a configuration change added. */
 const PROBE_SHARE = 0.15;
 
@@ -88,30 +93,7 @@
   async send(outgoing: OutgoingRequest, id: string): Promise<SentRequest> {
     const {history, getNowMs} = this.options;
     const host = this.chooseHost();
-    const sent: SentRequest = {
-      id,
-      kind: outgoing.kind,
-      path: outgoing.path,
-      body: outgoing.body,
-      customer: outgoing.customer,
-      host: host.options.name,
-      start: host.incarnation,
-      sentMs: getNowMs(),
-      limitMs: Math.min(
-        outgoing.deadlineMs,
-        findStreamRoute(outgoing.path)?.timeoutMs ?? ROUTE_TIMEOUT_MS,
-      ),
-      hasLeft: false,
-      hasCrashingPart: outgoing.parts?.includes(CRASHING_PART) ?? false,
-      endMs: 0,
-      status: 0,
-      answer: '',
-      whole: false,
-      endsWithConnection: false,
-      signed: false,
-      retryAfter: undefined,
-      ...(outgoing.resumed === undefined ? {} : {resumed: outgoing.resumed}),
-    };
+    const sent = createRecord(host, outgoing, id, getNowMs());
     history.sendings.push(sent);
     const canReuse =
       outgoing.version === HttpVersion.HTTP_1_0
@@ -221,6 +203,39 @@
   }
 }
 
+/** Creates the record of a request that is sent now and has no answer yet. */
+function createRecord(
+  host: SoakHost,
+  outgoing: OutgoingRequest,
+  id: string,
+  sentMs: number,
+): SentRequest {
+  return {
+    id,
+    kind: outgoing.kind,
+    path: outgoing.path,
+    body: outgoing.body,
+    customer: outgoing.customer,
+    host: host.options.name,
+    start: host.incarnation,
+    sentMs,
+    limitMs: Math.min(
+      outgoing.deadlineMs,
+      findStreamRoute(outgoing.path)?.timeoutMs ?? ROUTE_TIMEOUT_MS,
+    ),
+    hasLeft: false,
+    hasCrashingPart: outgoing.parts?.includes(CRASHING_PART) ?? false,
+    endMs: 0,
+    status: 0,
+    answer: '',
+    whole: false,
+    endsWithConnection: false,
+    signed: false,
+    retryAfter: undefined,
+    ...(outgoing.resumed === undefined ? {} : {resumed: outgoing.resumed}),
+  };
+}
+
 /** Creates the headers of a request. */
 function createHeaders(
   {key, body, resumed, parts, deadlineMs}: OutgoingRequest,
@@ -274,6 +289,12 @@
         this.sendRepeatedly(() => this.drawRequest(), PAUSE_MS),
       );
     }
+    for (let index = 0; index < EAGER_CALLERS; index++) {
+      this.running.push(
+        this.sendRepeatedly(() => this.createBooking(), 0),
+        this.sendPairs(),
+      );
+    }
     const longStreamCallers = Math.min(count, MAX_LONG_STREAM_CALLERS);
     for (let index = 0; index < longStreamCallers; index++) {
       this.running.push(
@@ -333,15 +354,59 @@
     const caller = this.createCaller(() => this.system.listInRotation());
     while (!this.stopped) {
       const outgoing = draw();
+      let isServed = false;
       if (outgoing !== undefined) {
         const sent = await caller.send(outgoing, this.createId());
         await this.takeUp(caller, outgoing, sent);
+        isServed = sent.status === OK;
+      }
+      const restMs = isServed ? pauseMs : pauseMs || FAILURE_PAUSE_MS;
+      if (restMs > 0) {
+        await wait(restMs * (0.5 + this.random.next()));
       }
-      await wait(pauseMs * (0.5 + this.random.next()));
     }
     caller.disconnect();
   }
 
+  /** Sends pairs of bookings, each as soon as the last one is answered. */
+  private sendPairs(): Promise<void> {
+    const {history, random, system} = this;
+    const booking = this.createBooking();
+    const {
+      'Content-Length': _,
+      'Request-Id': _id,
+      ...headers
+    } = createHeaders(booking, '');
+    let host: SoakHost;
+    const caller = new PairCaller({
+      chooseAddress: () => {
+        const hosts = system.listInRotation();
+        host = hosts[Math.floor(random.next() * hosts.length)] as SoakHost;
+        return host.callers;
+      },
+      headers,
+      path: booking.path,
+      record: body => {
+        const outgoing = {...booking, body};
+        const id = this.createId();
+        const sent = createRecord(host, outgoing, id, system.getNowMs());
+        history.sendings.push(sent);
+        return sent;
+      },
+      getNowMs: () => system.getNowMs(),
+      isStopped: () => this.stopped,
+    });
+    return caller.run();
+  }
+
+  private createBooking(): OutgoingRequest {
+    return {
+      ...this.createRequest(RequestKind.ONCE, '/o/x'),
+      abandonAfterMs: undefined,
+      version: HttpVersion.HTTP_1_1,
+    };
+  }
+
   /** Takes a stream that has begun and is not complete up at other hosts, if any. */
   private async takeUp(
     caller: Caller,
--- a/test/soak/checks.ts
+++ b/test/soak/checks.ts
@@ -17,6 +17,7 @@
   findRepeatedCrashingRequests,
   findLateChanges,
   findRequestsCutByStops,
+  findRunsLostByStops,
   findIncompleteRecovery,
   findConfigurationRollbacks,
 } from './find_late.js';
@@ -111,6 +112,11 @@
     hasTimeBound: true,
     find: findRequestsCutByStops,
   },
+  {
+    name: 'planned stops leave no run without an answer',
+    hasTimeBound: true,
+    find: findRunsLostByStops,
+  },
   {
     name: 'requests that end servers',
     hasTimeBound: true,
--- a/test/soak/checks_test.ts
+++ b/test/soak/checks_test.ts
@@ -309,6 +309,15 @@
       Object.assign(history.sendings[0] ?? {}, {status: 0, answer: ''});
     },
   ],
+  [
+    'planned stops leave no run without an answer',
+    ({sendings, arrivals, faults}) => {
+      faults.push(createFault());
+      const late = {sentMs: 13_200, endMs: 13_220, status: 0, answer: ''};
+      sendings.push(createSentRequest({id: 'r2', ...late}));
+      arrivals.push(createArrival({id: 'r2', atMs: 13_210}));
+    },
+  ],
   [
     'requests that end servers',
     history => {
--- a/test/soak/find_late.ts
+++ b/test/soak/find_late.ts
@@ -14,6 +14,8 @@
 const CRASHES_UNTIL_KNOWN = 3;
 /** Time within which the balancer removes a host that is stopping, in milliseconds. */
 const BALANCER_REMOVAL_MS = 3000;
+/** From this share of its grace period on, a host may cut what still runs. */
+const GRACE_SHARE = 5 / 6;
 /** Tolerance for an apparent rollback of one host's configuration, in milliseconds. */
 const ROLLBACK_SLACK_MS = 250;
 
@@ -92,6 +94,33 @@
   }
 }
 
+/**
+ * Finds requests that a server has run around a planned stop, and whose connection ended without
+ * an answer, also those sent after the balancer has removed the host. At the end of the grace
+ * period a host may cut what still runs.
+ */
+export function* findRunsLostByStops(history: History): Iterable<string> {
+  const {contactMs, graceMs} = history.bounds;
+  const arrived = new Set(history.arrivals.map(({id}) => id));
+  for (const stop of history.faults) {
+    const fromMs = stop.fromMs - contactMs;
+    const toMs = stop.fromMs + graceMs * GRACE_SHARE;
+    const isOnlyFault = history.faults.every(
+      fault => fault.planned || !overlaps(fault, fromMs, toMs),
+    );
+    if (!stop.planned || !isOnlyFault) {
+      continue;
+    }
+    for (const {id, host, endMs, status, hasLeft} of history.sendings) {
+      const wasLost = status === 0 && !hasLeft && arrived.has(id);
+      const wasAtStop = endMs > stop.fromMs && endMs <= toMs;
+      if (wasLost && host === stop.target && wasAtStop) {
+        yield `${id} was run, and its connection closed without an answer by the planned stop of ${host}`;
+      }
+    }
+  }
+}
+
 export function* findRepeatedCrashingRequests(
   history: History,
 ): Iterable<string> {
