Stop a stream for its relocation only once its next attempt is secured

Cause: a host stopped the run at the server that drains and asked the retry budget afterwards. When it was used up, nothing could go on; and since a relocation recorded no run, the request counted as not run. At the host of a forwarded request no retry is ever granted, so each stopped run was reported to the first host as rejected, which ran it again.

Change: the retry is taken before the run is stopped. If there is none, the run goes on at the server that drains, which serves on for a while (relocation_denied, relocations_denied). A stopped run counts as a run, so that no answer says that it was not run, and no server runs it anew without its copy.

--- a/src/attempts/attempts.ts
+++ b/src/attempts/attempts.ts
@@ -13,6 +13,8 @@
   private unexecuted = 0;
   /** Attempts of which no byte was sent to a server. */
   private unsent = 0;
+  /** Whether the retry of the next attempt has been taken from the budget. */
+  private hasReservedRetry = false;
 
   constructor(private readonly rules: AttemptRules) {}
 
@@ -36,13 +38,27 @@
    * needs no retry if no byte was sent before: no server gets a second request.
    */
   begin(): boolean {
-    if (this.started > this.unsent && !this.rules.spendRetry()) {
-      return false;
+    if (this.started > this.unsent) {
+      if (!this.reserveRetry()) {
+        return false;
+      }
+      this.hasReservedRetry = false;
     }
     this.started++;
     return true;
   }
 
+  /** Takes the retry of the next attempt now; returns whether the retry budget allows it. */
+  reserveRetry(): boolean {
+    this.hasReservedRetry ||= this.rules.spendRetry();
+    return this.hasReservedRetry;
+  }
+
+  /** Returns whether the request may be run anew, and not only go on from a copy of its run. */
+  mayRunAnew(): boolean {
+    return this.rules.repeat !== Repeat.ONCE || this.runs === 0;
+  }
+
   /** Excludes a server from further attempts. */
   exclude(server: string): void {
     this.tried.add(server);
@@ -66,6 +82,15 @@
     return this.allowsAnotherAfter(this.runs);
   }
 
+  /**
+   * Records an attempt whose run was stopped, so that it goes on from a copy, and excludes its
+   * server.
+   */
+  recordStopped(server: string): void {
+    this.exclude(server);
+    this.runs++;
+  }
+
   /**
    * Records an attempt that was given up, since another one goes on, and excludes its server.
    * @param server - The server that was tried.
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -54,6 +54,10 @@
       'Events with an id after which no server can continue their stream',
     );
     metrics.addCounter('relocated', 'Streams moved off leaving servers');
+    metrics.addCounter(
+      'relocations_denied',
+      'Streams left at leaving servers, since the retry budget was used up',
+    );
     metrics.addCounter('relayed', 'Relayed requests by route and outcome');
     metrics.addCounter(
       'answers',
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -245,6 +245,10 @@
       return this.failWithoutRetry();
     }
     const copiedRun = this.relocation.getCopiedRun();
+    if (copiedRun === undefined && !this.attempts.mayRunAnew()) {
+      this.end.addDetail('its copy is lost');
+      return this.end.fail();
+    }
     let decision = this.choice.choose();
     while (
       decision.isFull &&
@@ -294,6 +298,8 @@
     await this.relocation.wait();
     const newCopy = this.relocation.getCopiedRun();
     if (newCopy !== undefined && newCopy !== copiedRun) {
+      this.end.setFailure(last.result.detail);
+      this.attempts.recordStopped(last.server);
       return true;
     }
     return this.handleFailure(last);
@@ -395,7 +401,7 @@
     if (forwarded === undefined) {
       this.record.logRetryDenied(this.service, this.getBudget());
       this.end.addDetail('retry budget exhausted');
-    } else {
+    } else if (!this.attempts.mayHaveRun()) {
       forwarded.onRejected();
       this.end.addDetail('left to the host that forwarded it');
     }
--- a/src/relay/relocate_run.ts
+++ b/src/relay/relocate_run.ts
@@ -19,6 +19,11 @@
   readonly isDestinationReady: (server: FleetServer) => boolean;
   /** Chooses the server where the run continues; absent if there is none. */
   readonly chooseDestination: () => FleetServer | undefined;
+  /**
+   * Secures the attempt at the destination; returns whether the retry budget allows it. If not,
+   * the run goes on where it is.
+   */
+  readonly secureAttempt: () => boolean;
   /** Called when the run is to be stopped at its server, with the result of that. */
   readonly onStop: (result: Promise<Result<string, CopyFailure>>) => void;
   /** Aborted when the caller disconnects or the deadline passes. */
@@ -70,6 +75,9 @@
     const preCopy = await copyRun({requestId, from, to, stops: false});
     // A stopped run can resume only at this destination, so check it before stopping.
     if (preCopy.isOk && run.isAtSource() && run.isDestinationReady(to)) {
+      if (!run.secureAttempt()) {
+        return undefined;
+      }
       const stopping = copyRun({requestId, from, to, stops: true});
       run.onStop(stopping);
       const finalCopy = await stopping;
--- a/src/relay/run_relocation.ts
+++ b/src/relay/run_relocation.ts
@@ -78,6 +78,7 @@
         isAtSource: () => isRunningAt(from) && !cancelled.aborted,
         isDestinationReady: server => this.isReady(server),
         chooseDestination: () => this.chooseDestination(from),
+        secureAttempt: () => this.secureAttempt(from),
         onStop: result => {
           this.stopping = result;
         },
@@ -97,6 +98,20 @@
     });
   }
 
+  /** Takes the retry before the run is stopped, since nothing could go on without it. */
+  private secureAttempt(from: FleetServer): boolean {
+    const isSecured = this.params.attempts.reserveRetry();
+    if (!isSecured) {
+      this.options.metrics.increment('relocations_denied');
+      this.options.log.info('relocation_denied', {
+        request: this.params.requestId,
+        server: from.id,
+        reason: 'retry-budget',
+      });
+    }
+    return isSecured;
+  }
+
   private isReady({id}: FleetServer): boolean {
     const {backoffs, fleet} = this.options;
     return fleet.isReady(id) && !backoffs.isActive(id);
--- a/test/relay/relocated_streams_test.ts
+++ b/test/relay/relocated_streams_test.ts
@@ -3,7 +3,13 @@
 import {Framing} from '../../src/answer/index.js';
 import {Repeat} from '../../src/catalog/index.js';
 import {FleetState} from '../../src/fleet/index.js';
-import {CopyFailure, Exchange} from '../../src/relay/index.js';
+import {ExecutionStatus} from '../../src/errors/index.js';
+import {
+  CopyFailure,
+  Exchange,
+  ExchangeKind,
+  ExchangeResult,
+} from '../../src/relay/index.js';
 import {
   createAnswer,
   createServer,
@@ -132,4 +138,58 @@
       );
     });
   }
+
+  describe('before its first event', () => {
+    /** Creates a relay whose first server makes events once the others are known to be left. */
+    function createSlow(secondResult: ExchangeResult): void {
+      let sent = 0;
+      const exchange: Exchange = async params => {
+        sent++;
+        return sent === 1
+          ? createAnswer(200, readSlowly(params.server.id), Framing.CHUNKS)
+          : secondResult;
+      };
+      fixture = new RelayFixture(exchange);
+      for (const id of ['s1', 's2', 's3']) {
+        fixture.fleet.register({...createServer(id), version: VERSION}, 'test');
+      }
+    }
+
+    async function* readSlowly(server: string): AsyncGenerator<string> {
+      const leaving = createServer(server, FleetState.DRAINING);
+      fixture.fleet.register(
+        {...leaving, version: VERSION, leavesMs: 1000},
+        'test',
+      );
+      const isDenied = () => fixture.metrics.getCount('relocations_denied') > 0;
+      while (!isDenied() && fixture.copies.every(copy => !copy.stops)) {
+        await new Promise(resolve => setImmediate(resolve));
+      }
+      if (!isDenied()) {
+        throw new Error('response ended before its body was complete');
+      }
+      yield* formatEvents(1, 2);
+    }
+
+    // Guards against REFUSED: a stream that the host stops although no retry is left for its copy
+    // is told that it was not run.
+    it('goes on at its server if no retry is left', async () => {
+      createSlow({kind: ExchangeKind.NOT_RUN, detail: 'full', full: true});
+      fixture.budget = 0;
+      const sink = await fixture.serve(STREAM);
+      expect(fixture.copies.some(({stops}) => stops)).to.equal(false);
+      expect(sink.ended).to.equal(true);
+      expect(sink.body).to.equal(formatEvents(1, 2).join(''));
+      expect(fixture.sent.length).to.equal(1);
+    });
+
+    // Guards against REFUSED: a server worked on the stream before the host stopped it.
+    it('is not told that it was not run if no server takes its copy', async () => {
+      createSlow({kind: ExchangeKind.NOT_RUN, detail: 'full', full: true});
+      const sink = await fixture.serve(STREAM);
+      expect(fixture.copies.some(({stops}) => stops)).to.equal(true);
+      expect(sink.problem?.status).to.equal(502);
+      expect(sink.problem?.ran).not.to.equal(ExecutionStatus.NOT_EXECUTED);
+    });
+  });
 });
