--- a/src/http/connection_request.ts
+++ b/src/http/connection_request.ts
@@ -24,7 +24,7 @@
 
   /**
    * @param message - The request.
-   * @param closeAfter - See `closeAfter`.
+   * @param onCloseAfter - Called by `closeAfter`.
    */
   constructor(
     readonly message: IncomingMessage,
--- a/src/relay/relay_run.ts
+++ b/src/relay/relay_run.ts
@@ -1,4 +1,3 @@
-import {decideByWait} from '../admission/index.js';
 import {Attempts} from '../attempts/index.js';
 import {Repeat} from '../catalog/index.js';
 import {Problem, problems} from '../errors/index.js';
@@ -13,6 +12,7 @@
 import {AttemptTarget} from './attempt_params.js';
 import {AttemptOutcome, AttemptResult} from './attempt_result.js';
 import {createForwardTarget} from './create_forward_target.js';
+import {decideByPlace} from './decide_by_place.js';
 import {CopiedRun} from './relocate_run.js';
 import {Forward} from './exchange.js';
 import {nameStream} from './name_stream.js';
@@ -621,30 +621,20 @@
     return this.cancelled.aborted || this.getRemainingMs() < MIN_REMAINING_MS;
   }
 
-  /**
-   * Checks a new stream before its first attempt; one whose predicted wait exceeds the
-   * first-token target must not be sent: its caller would give up, and it would delay
-   * other requests. Returns the reason to refuse it; `undefined` to send it.
-   */
+  /** Returns the reason to refuse a new stream before its first attempt; `undefined` to send it. */
   private checkPredictedWait(
     chosen: ScoredServer | undefined,
   ): Problem | undefined {
-    const {request, options, answer} = this;
+    const {answer, attempts, options, relocation, request, service} = this;
     const isFirstAttempt =
-      this.attempts.count() === 1 &&
-      this.relocation.getCopiedRun() === undefined;
+      attempts.count() === 1 && relocation.getCopiedRun() === undefined;
     const isResumed = answer.getLastEventId() !== undefined;
     if (!request.route.streaming || !isFirstAttempt || isResumed) {
       return undefined;
     }
     const waitMs = chosen?.waitMs ?? 0;
-    const {placeAdmission, random} = options;
-    if (placeAdmission?.isEnabled() !== true) {
-      return decideByWait(waitMs, request.route.targetMs, random);
-    }
     const remainingMs = this.getRemainingMs();
-    const {service} = this;
-    return placeAdmission.decide({request, service, waitMs, remainingMs});
+    return decideByPlace(options, {request, service, waitMs, remainingMs});
   }
 
   private getRemainingMs(): number {
--- a/test/platform/wrong_bytes_fuzz_test.ts
+++ b/test/platform/wrong_bytes_fuzz_test.ts
@@ -12,6 +12,7 @@
   RunningHost,
   TestSystem,
 } from './fakes/test_system.js';
+import {UncaughtErrors} from './fakes/uncaught_errors.js';
 
 const SEED = Number(process.env['FUZZ_SEED'] ?? 20261204);
 /** Duration in milliseconds; longer by hand. */
@@ -37,17 +38,12 @@
   const random = new SeededRandom(SEED);
   let system: TestSystem;
   let host: RunningHost;
-  let failures: unknown[];
+  let errors: UncaughtErrors;
   let untilMs: number;
   let sent = 0;
-  const onUncaught = (error: unknown) => failures.push(error);
-  let listeners: NodeJS.UncaughtExceptionListener[];
 
   beforeEach(async () => {
-    failures = [];
-    listeners = process.listeners('uncaughtException');
-    process.removeAllListeners('uncaughtException');
-    process.on('uncaughtException', onUncaught);
+    errors = new UncaughtErrors();
     system = new TestSystem();
     system.bootstrap = true;
     system.retryRatio = AMPLE_RETRY_RATIO;
@@ -89,10 +85,7 @@
 
   afterEach(async () => {
     await system.stop();
-    process.off('uncaughtException', onUncaught);
-    for (const listener of listeners) {
-      process.on('uncaughtException', listener);
-    }
+    errors.stop();
   });
 
   function isOver(): boolean {
@@ -170,7 +163,7 @@
       putRows(),
       ...counts,
     ]);
-    expect(failures).to.deep.equal([]);
+    expect(errors.list).to.deep.equal([]);
     const served = await Promise.all(counts);
     expect(Math.min(...served)).to.be.above(0);
   }).timeout(DURATION_MS + TIMEOUT_MS);
--- a/test/platform/wrong_bytes_test.ts
+++ b/test/platform/wrong_bytes_test.ts
@@ -7,6 +7,7 @@
   RunningHost,
   TestSystem,
 } from './fakes/test_system.js';
+import {UncaughtErrors} from './fakes/uncaught_errors.js';
 
 const EVENTS = 8;
 const STREAMS = 12;
@@ -18,15 +19,10 @@
 describe('a host whose servers send wrong bytes', () => {
   let system: TestSystem;
   let host: RunningHost;
-  let failures: unknown[];
-  const onUncaught = (error: unknown) => failures.push(error);
-  let listeners: NodeJS.UncaughtExceptionListener[];
+  let errors: UncaughtErrors;
 
   beforeEach(async () => {
-    failures = [];
-    listeners = process.listeners('uncaughtException');
-    process.removeAllListeners('uncaughtException');
-    process.on('uncaughtException', onUncaught);
+    errors = new UncaughtErrors();
     system = new TestSystem();
     system.bootstrap = true;
     system.retryRatio = AMPLE_RETRY_RATIO;
@@ -46,10 +42,7 @@
 
   afterEach(async () => {
     await system.stop();
-    process.off('uncaughtException', onUncaught);
-    for (const listener of listeners) {
-      process.on('uncaughtException', listener);
-    }
+    errors.stop();
   });
 
   function formatEvent(number: number, suffix = ''): string {
@@ -117,7 +110,7 @@
         server.script = createScript(index === 0, suffix, true);
       }
       const answers = await streamAll();
-      expect(failures).to.deep.equal([]);
+      expect(errors.list).to.deep.equal([]);
       // No event comes twice, none is left out, and none has the id.
       expect(answers.map(({body}) => body)).to.deep.equal(
         Array.from({length: STREAMS}, () => formatEvents(1)),
@@ -159,7 +152,7 @@
       const answer = await system.call(host, '/a/x');
       expect(answer.whole).to.equal(true);
       expect(answer.status).to.equal(502);
-      expect(failures).to.deep.equal([]);
+      expect(errors.list).to.deep.equal([]);
     });
   }
 
@@ -180,7 +173,7 @@
       const answer = await system.call(host, '/a/x');
       expect(answer.status).to.equal(200);
     }
-    expect(failures).to.deep.equal([]);
+    expect(errors.list).to.deep.equal([]);
   });
 
   it('refuses a request whose target cannot be sent on', async () => {
@@ -217,6 +210,6 @@
     for (let count = 0; count < 20; count++) {
       expect((await system.call(host, '/a/x')).status).to.equal(200);
     }
-    expect(failures).to.deep.equal([]);
+    expect(errors.list).to.deep.equal([]);
   });
 });
