Soak: judge planned stops by the faults of the host alone

The check for runs without an answer excused each stop beside any other fault, and schedules have so many that it hardly ever judged one. A host answers its callers whatever becomes of servers and store, so only a kill or a standstill of the host itself excuses it now; callers that gave up at their deadline do not count.

--- a/test/soak/find_late.ts
+++ b/test/soak/find_late.ts
@@ -1,6 +1,7 @@
 /** Checks of configuration changes, planned stops, crashing requests and recovery. */
 import {History, SentRequest} from './history.js';
-import {hadRecentFault, overlaps} from './history_queries.js';
+import {affects, hadRecentFault, overlaps} from './history_queries.js';
+import {FaultKind} from './schedule.js';
 
 const NOT_FOUND = 404;
 const OK = 200;
@@ -14,6 +15,12 @@
 const CRASHES_UNTIL_KNOWN = 3;
 /** Time within which the balancer removes a host that is stopping, in milliseconds. */
 const BALANCER_REMOVAL_MS = 3000;
+/** Faults of a host that end its connections to callers. */
+const CUTTING_FAULTS: ReadonlySet<string> = new Set([
+  FaultKind.ALL_KILLED,
+  FaultKind.HOST_KILL,
+  FaultKind.HOST_FREEZE,
+]);
 /** From this share of its grace period on, a host may cut what still runs. */
 const GRACE_SHARE = 5 / 6;
 /** Tolerance for an apparent rollback of one host's configuration, in milliseconds. */
@@ -105,14 +112,20 @@
   for (const stop of history.faults) {
     const fromMs = stop.fromMs - contactMs;
     const toMs = stop.fromMs + graceMs * GRACE_SHARE;
-    const isOnlyFault = history.faults.every(
-      fault => fault.planned || !overlaps(fault, fromMs, toMs),
+    // A host answers whatever becomes of the servers and the store, unless it is struck itself.
+    const wasStruck = history.faults.some(
+      fault =>
+        CUTTING_FAULTS.has(fault.kind) &&
+        affects(fault, stop.target) &&
+        overlaps(fault, fromMs, toMs),
     );
-    if (!stop.planned || !isOnlyFault) {
+    if (!stop.planned || wasStruck) {
       continue;
     }
-    for (const {id, host, endMs, status, hasLeft} of history.sendings) {
-      const wasLost = status === 0 && !hasLeft && arrived.has(id);
+    for (const request of history.sendings) {
+      const {id, host, sentMs, endMs, status} = request;
+      const gaveUp = request.hasLeft || endMs - sentMs >= request.limitMs;
+      const wasLost = status === 0 && !gaveUp && arrived.has(id);
       const wasAtStop = endMs > stop.fromMs && endMs <= toMs;
       if (wasLost && host === stop.target && wasAtStop) {
         yield `${id} was run, and its connection closed without an answer by the planned stop of ${host}`;
