--- a/test/platform/fakes/test_system.ts
+++ b/test/platform/fakes/test_system.ts
@@ -10,6 +10,7 @@
 import {SettingsSource} from '../../../platform/settings_source.js';
 import {answerWith, Script, FakeServer} from './fake_server.js';
 import {FakeStore} from './fake_store.js';
+import {HostLimits, HostProcess} from './host_process.js';
 
 /** A response as a caller received it. */
 export interface CallerView {
@@ -68,6 +69,7 @@
   bootstrap = false;
   readonly cloudCalls: CloudCall[] = [];
   readonly hosts: RunningHost[] = [];
+  private readonly processes: HostProcess[] = [];
   private readonly cloud: Server;
   /** How often each server has started again, by its index. */
   private readonly starts = new Map<number, number>();
@@ -188,8 +190,67 @@
       Pick<DaemonOptions, 'featureModes' | 'log' | 'openConnection'>
     > = {},
   ): Promise<RunningHost> {
+    const text = await this.formatSettings(name, seeds, moreSettings);
+    const settings = parsePlatformSettings(text).unwrapOrElse(error => {
+      throw new Error(error);
+    });
+    const clock = new SystemClock();
+    const log = new SilentLog();
+    const host = createRelayHost({
+      clock,
+      log,
+      source: new SettingsSource('/nonexistent', settings, clock, log),
+      incarnation: `${name}-1`,
+      ...daemonOptions,
+    });
+    await host.start();
+    const running = {
+      host,
+      callers: settings.callersAddress,
+      ready: settings.readyAddress,
+      peers: settings.peersAddress,
+      metrics: settings.metricsAddress,
+    };
+    this.hosts.push(running);
+    return running;
+  }
+
+  /**
+   * Starts a host as a process of its own, with the arguments of Node.js that the deploy file
+   * states, and waits until it is ready.
+   * @param name - Name of the host.
+   * @param limits - Limits of its machine.
+   */
+  async startProcess(name: string, limits: HostLimits): Promise<HostProcess> {
+    const text = await this.formatSettings(
+      name,
+      [],
+      `[limits]
+memory_mb = ${limits.memoryMb}
+file_descriptors = ${limits.descriptors}`,
+    );
+    const settings = parsePlatformSettings(text).unwrapOrElse(error => {
+      throw new Error(error);
+    });
+    const host = await HostProcess.start(text, limits);
+    this.processes.push(host);
+    await this.waitFor(async () => {
+      host.throwIfEnded();
+      const answer = await this.get(settings.readyAddress, '/readiness').catch(
+        () => undefined,
+      );
+      return answer?.status === 200;
+    });
+    return host;
+  }
+
+  private async formatSettings(
+    name: string,
+    seeds: readonly string[],
+    moreSettings: string,
+  ): Promise<string> {
     const [front, ready, control, first, last] = await findFreePorts(5);
-    const text = `
+    return `
 node = "${name}"
 ip = "127.0.0.1"
 zone = "here"
@@ -218,28 +279,6 @@
 duties = ["usage"]
 ${moreSettings}
 `;
-    const settings = parsePlatformSettings(text).unwrapOrElse(error => {
-      throw new Error(error);
-    });
-    const clock = new SystemClock();
-    const log = new SilentLog();
-    const host = createRelayHost({
-      clock,
-      log,
-      source: new SettingsSource('/nonexistent', settings, clock, log),
-      incarnation: `${name}-1`,
-      ...daemonOptions,
-    });
-    await host.start();
-    const running = {
-      host,
-      callers: settings.callersAddress,
-      ready: settings.readyAddress,
-      peers: settings.peersAddress,
-      metrics: settings.metricsAddress,
-    };
-    this.hosts.push(running);
-    return running;
   }
 
   /** Starts hosts and waits until all are ready. */
@@ -300,6 +339,7 @@
 
   async stop(): Promise<void> {
     await Promise.all(this.hosts.map(({host}) => host.stop()));
+    await Promise.all(this.processes.map(host => host.stop()));
     this.store.stop();
     this.cloud.close();
     this.cloud.closeAllConnections();
