Copy bodies as they arrive instead of keeping their chunks

Callers saw: a host ended (heap out of memory) and cut all requests in flight there when 20 clients sent 100,000 chunks of one byte each, or one client a whole body of 4 MiB in such chunks, which is inside the limits.

Cause: readRequestBody kept every chunk, and a chunk is a Buffer of several hundred bytes however short it is. Bodies of requests that waited for their turn were not read at all, so that their chunks waited in the queue of node:http, which counts bytes and not objects.

Change: BodyReader copies the body from the moment at which the request arrives, into blocks of a pool that are used again.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -10,6 +10,8 @@
 export type {OpenConnection} from './open_connection.js';
 export {ConnectionOutcome, tryConnection} from './try_connection.js';
 export {AnswerBody} from './answer_body.js';
+export {BlockPool} from './block_pool.js';
+export {BodyFailure, BodyReader} from './body_reader.js';
 export {breakOff} from './break_off.js';
 export {discardBody} from './discard_body.js';
 export {failOnThrow} from './fail_on_throw.js';
