Bound the memory of all bodies of callers together

Callers saw: a host that holds many bodies took several times the memory of its machine, and the platform ends such a process with all its requests: 100 unfinished bodies of 4 MiB 402 to 428 MB, 150 whole ones 792 MB, on a machine of 160 MB.

Cause: body_bytes bounds one body, nothing bounded their sum, neither before a request is passed on nor while the body is kept for a retry.

Change: BodyMemory holds the bodies of all requests of a host. Before they are passed on, the bodies yield that have taken most bytes for longest; they are refused with 503 as not run. What was passed on never yields; a part of its memory is left to small bodies, and a large one finds room if it is the only one.

Ruled out: refusing the next body when the limit is reached; unfinished bodies would then hold all of it, and ordinary callers get only refusals.

--- a/src/errors/problem.ts
+++ b/src/errors/problem.ts
@@ -24,6 +24,7 @@
   HEADER_INVALID: 'header-invalid',
   HOST_DRAINING: 'host-draining',
   HOST_OVERLOADED: 'host-overloaded',
+  HOST_MEMORY_EXHAUSTED: 'host-memory-exhausted',
   KEY_INVALID: 'key-invalid',
   KEY_REUSED: 'key-reused',
   NO_ROOM: 'no-room',
--- a/src/errors/problems.ts
+++ b/src/errors/problems.ts
@@ -126,6 +126,16 @@
   retryAfterSeconds,
 });
 
+export const memoryExhausted = (retryAfterSeconds: number): Problem => ({
+  kind: ProblemKind.HOST_MEMORY_EXHAUSTED,
+  status: 503,
+  detail: 'This host has no memory left for the body of the request.',
+  remedy:
+    'Retry after the given time on a new connection; the load balancer will choose another host.',
+  ran: ExecutionStatus.NOT_EXECUTED,
+  retryAfterSeconds,
+});
+
 export const noServer = (deployment: string): Problem => ({
   kind: ProblemKind.NO_SERVER,
   status: 503,
--- a/src/http/body_reader.ts
+++ b/src/http/body_reader.ts
@@ -1,7 +1,7 @@
 import {IncomingMessage} from 'node:http';
 import {Result} from 'true-myth';
-import {BlockPool} from './block_pool.js';
 import {BodyBuffer} from './body_buffer.js';
+import {BodyMemory} from './body_memory.js';
 
 /** Why there is no body. */
 export const BodyFailure = {
@@ -9,6 +9,8 @@
   TOO_LONG: 'too-long',
   /** Its sender has disconnected before its end. */
   INCOMPLETE: 'incomplete',
+  /** There is no memory left for it. */
+  NO_MEMORY: 'no-memory',
   /** It was discarded. */
   DISCARDED: 'discarded',
 } as const;
@@ -18,7 +20,10 @@
 export interface BodyReaderOptions {
   /** Longest body, in bytes. */
   readonly maxBytes: number;
-  readonly pool: BlockPool;
+  /** Memory that the body takes. */
+  readonly memory: BodyMemory;
+  /** Called when the body is given up, since there is no memory left for it. */
+  readonly onEvicted: () => void;
 }
 
 /**
@@ -27,9 +32,9 @@
  */
 export class BodyReader {
   private readonly buffer: BodyBuffer;
-  /** The only chunk of a body that arrives in one; it is not copied. */
-  private whole: Buffer | undefined;
-  private end: Result<Buffer, BodyFailure> | undefined;
+  private isComplete = false;
+  private failure: BodyFailure | undefined;
+  private keptBytes = 0;
   private resolveEnd: () => void = () => undefined;
   private readonly ended = new Promise<void>(resolve => {
     this.resolveEnd = resolve;
@@ -43,54 +48,75 @@
     private readonly message: IncomingMessage,
     private readonly options: BodyReaderOptions,
   ) {
-    this.buffer = new BodyBuffer(options.pool);
+    const {memory, maxBytes, onEvicted} = options;
+    this.buffer = new BodyBuffer(memory, maxBytes, () => {
+      this.fail(BodyFailure.NO_MEMORY);
+      onEvicted();
+    });
     message.on('data', (chunk: Buffer) => this.add(chunk));
     message.once('end', () => this.complete());
-    message.once('close', () => this.fail(BodyFailure.INCOMPLETE));
-    message.on('error', () => this.fail(BodyFailure.INCOMPLETE));
+    message.once('close', () => this.failIfIncomplete());
+    message.on('error', () => this.failIfIncomplete());
   }
 
-  /** Resolves to the body, or why there is none. */
-  async read(): Promise<Result<Buffer, BodyFailure>> {
+  /**
+   * Waits for the body and takes it to be passed on. It then keeps its memory until `release`.
+   * @returns The body, or why there is none.
+   */
+  async take(): Promise<Result<Buffer, BodyFailure>> {
     await this.ended;
-    return this.end ?? Result.err(BodyFailure.DISCARDED);
+    const {buffer, options} = this;
+    const bytes = buffer.getLength();
+    if (this.failure === undefined && !options.memory.keep(bytes)) {
+      this.fail(BodyFailure.NO_MEMORY);
+    }
+    if (this.failure !== undefined) {
+      return Result.err(this.failure);
+    }
+    const body = buffer.copyOut();
+    this.keptBytes = bytes;
+    buffer.clear();
+    return Result.ok(body);
   }
 
-  /** Drops what has arrived, and what still arrives. Has no effect on a body that is complete. */
+  /** Drops what has arrived, and what still arrives, unless it was taken. */
   discard(): void {
     this.fail(BodyFailure.DISCARDED);
   }
 
+  /** Gives back all memory: the request has ended. */
+  release(): void {
+    this.discard();
+    this.options.memory.release(this.keptBytes);
+    this.keptBytes = 0;
+  }
+
   private add(chunk: Buffer): void {
-    if (this.end !== undefined) {
+    if (this.failure !== undefined) {
       return;
     }
     const {message, buffer, options} = this;
-    const length = buffer.getLength() + chunk.length;
-    if (length > options.maxBytes) {
+    if (buffer.getLength() + chunk.length > options.maxBytes) {
       this.fail(BodyFailure.TOO_LONG);
-    } else if (chunk.length === Number(message.headers['content-length'])) {
-      this.whole = chunk;
-    } else {
-      buffer.append(chunk);
+      return;
     }
+    const length = Number(message.headers['content-length']);
+    buffer.append(chunk, chunk.length === length);
   }
 
   private complete(): void {
-    if (this.end === undefined) {
-      this.settle(Result.ok(this.whole ?? this.buffer.copy()));
-    }
+    this.isComplete = true;
+    this.resolveEnd();
   }
 
-  private fail(failure: BodyFailure): void {
-    if (this.end === undefined) {
-      this.settle(Result.err(failure));
+  private failIfIncomplete(): void {
+    if (!this.isComplete) {
+      this.fail(BodyFailure.INCOMPLETE);
     }
   }
 
-  private settle(end: Result<Buffer, BodyFailure>): void {
-    this.end = end;
-    this.whole = undefined;
+  private fail(failure: BodyFailure): void {
+    this.failure ??= failure;
     this.buffer.clear();
     this.resolveEnd();
   }
--- a/src/relay_host/relay_host_settings.ts
+++ b/src/relay_host/relay_host_settings.ts
@@ -9,6 +9,8 @@
   readonly capacity: number;
   /** Speed of this host's network link in Mbit/s; absent if it is not known. */
   readonly linkMbps?: number;
+  /** Memory of this host's machine, in bytes; absent if it is not known. */
+  readonly memoryBytes?: number;
   /** IP address and port that callers connect to. */
   readonly callersAddress: string;
   /** IP address and port at which the host reports whether it accepts connections. */
--- a/test/platform/closing_connections_test.ts
+++ b/test/platform/closing_connections_test.ts
@@ -2,10 +2,12 @@
 import {CatalogStore} from '../../src/catalog/index.js';
 import {SilentLog} from '../../src/log/index.js';
 import {Metrics} from '../../src/metrics/index.js';
+import {SeededRandom} from '../../src/random/index.js';
 import {AnswerSink, RelayRequest} from '../../src/relay/index.js';
 import {SystemClock} from '../../src/time/index.js';
 import {Frontend} from '../../platform/frontend.js';
 import {createRoute} from '../relay/route_fixture.js';
+import {createBodyMemory} from './fakes/create_body_memory.js';
 import {KeptConnection} from './fakes/kept_connection.js';
 
 const PATH = '/a/';
@@ -33,6 +35,8 @@
     const catalog = new CatalogStore(new SilentLog());
     frontend = new Frontend({
       clock: new SystemClock(),
+      random: new SeededRandom(1),
+      bodyMemory: createBodyMemory(new SystemClock()),
       log: new SilentLog(),
       metrics: new Metrics(),
       catalog,
--- a/test/platform/frontend_start_test.ts
+++ b/test/platform/frontend_start_test.ts
@@ -3,9 +3,11 @@
 import {CatalogStore} from '../../src/catalog/index.js';
 import {SilentLog} from '../../src/log/index.js';
 import {Metrics} from '../../src/metrics/index.js';
+import {SeededRandom} from '../../src/random/index.js';
 import {SystemClock} from '../../src/time/index.js';
 import {Frontend} from '../../platform/frontend.js';
 import {createRoute} from '../relay/route_fixture.js';
+import {createBodyMemory} from './fakes/create_body_memory.js';
 
 /** Status of a response without a body. */
 const NO_CONTENT = 204;
@@ -22,6 +24,8 @@
     catalog = new CatalogStore(new SilentLog());
     frontend = new Frontend({
       clock,
+      random: new SeededRandom(1),
+      bodyMemory: createBodyMemory(clock),
       log: new SilentLog(),
       metrics: new Metrics(),
       catalog,
--- a/test/platform/overloaded_host_test.ts
+++ b/test/platform/overloaded_host_test.ts
@@ -6,10 +6,12 @@
 import {afterPoll} from '../../src/host_load/index.js';
 import {SilentLog} from '../../src/log/index.js';
 import {Metrics} from '../../src/metrics/index.js';
+import {SeededRandom} from '../../src/random/index.js';
 import {RelayRequest} from '../../src/relay/index.js';
 import {SystemClock} from '../../src/time/index.js';
 import {Frontend} from '../../platform/frontend.js';
 import {createRoute} from '../relay/route_fixture.js';
+import {createBodyMemory} from './fakes/create_body_memory.js';
 
 const HEAD = 'POST /a/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n';
 const READ_DELAY_MS = 150;
@@ -35,6 +37,8 @@
     const catalog = new CatalogStore(new SilentLog());
     frontend = new Frontend({
       clock,
+      random: new SeededRandom(1),
+      bodyMemory: createBodyMemory(clock),
       log: new SilentLog(),
       metrics: new Metrics(),
       catalog,
