Refuse a body that has not arrived at the deadline of its request

Callers saw: a request whose body stops short of its end stayed open for good, with the memory and the descriptor it holds. Its caller was never told that it has not run.

Cause: node:http limits the time of a body only by requestTimeout, which is off, since no single value fits all routes; the deadline of a request was first looked at after its body, and the idle timeout does not hold within a request.

--- a/src/errors/problem.ts
+++ b/src/errors/problem.ts
@@ -12,6 +12,7 @@
 export const ProblemKind = {
   BODY_INVALID: 'body-invalid',
   BODY_TOO_LARGE: 'body-too-large',
+  BODY_TOO_SLOW: 'body-too-slow',
   CONFIGURATION_CONFLICT: 'configuration-conflict',
   CONFIGURATION_MISSING: 'configuration-missing',
   CUSTOMER_NOT_ALLOWED: 'customer-not-allowed',
--- a/src/errors/problems.ts
+++ b/src/errors/problems.ts
@@ -126,6 +126,14 @@
   retryAfterSeconds,
 });
 
+export const bodyTooSlow = (): Problem => ({
+  kind: ProblemKind.BODY_TOO_SLOW,
+  status: 408,
+  detail: 'The body of the request did not arrive before its deadline.',
+  remedy: 'Send the body faster, or allow the request more time.',
+  ran: ExecutionStatus.NOT_EXECUTED,
+});
+
 export const memoryExhausted = (retryAfterSeconds: number): Problem => ({
   kind: ProblemKind.HOST_MEMORY_EXHAUSTED,
   status: 503,
--- a/src/http/body_reader.ts
+++ b/src/http/body_reader.ts
@@ -9,6 +9,8 @@
   TOO_LONG: 'too-long',
   /** Its sender has disconnected before its end. */
   INCOMPLETE: 'incomplete',
+  /** It has not arrived in time. */
+  TOO_SLOW: 'too-slow',
   /** There is no memory left for it. */
   NO_MEMORY: 'no-memory',
   /** It was discarded. */
@@ -79,6 +81,13 @@
     return Result.ok(body);
   }
 
+  /** Gives up the body if it has not arrived completely. */
+  expire(): void {
+    if (!this.isComplete) {
+      this.fail(BodyFailure.TOO_SLOW);
+    }
+  }
+
   /** Drops what has arrived, and what still arrives, unless it was taken. */
   discard(): void {
     this.fail(BodyFailure.DISCARDED);
