Free requests whose connection closes while they wait to be handled

Callers saw: a host under a crowd of clients took 60 MB more than it counted, and was ended by its memory though the connections of the crowd had been closed.

Cause: on a busy host, requests wait for one promise until the connections in the kernel are accepted. Each wait kept its request, its response and all that waits behind it on the connection until then.

Change: the wait of a request ends when its connection does, and the promise keeps nothing of it.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -23,6 +23,7 @@
 export {parseAddress} from './parse_address.js';
 export {getResponseFraming} from './get_response_framing.js';
 export {waitForBodyEnd} from './wait_for_body_end.js';
+export {waitUnlessAborted} from './wait_unless_aborted.js';
 export {whenConnected} from './when_connected.js';
 export {splitMemory} from './split_memory.js';
 export type {CallerMemory} from './split_memory.js';
