Bound the memory of connections and of the heads of their requests

Callers saw: a host took more memory than its machine has before clients that hold connections open: 300 with 60 small requests behind each other 223 to 247 MB, 300 whose requests of 60 KB wait behind one that runs 225 MB, 2,000 that stop in the trailers 175 MB, on a machine of 160 MB.

Cause: nothing bounded the memory of connections, of requests that wait behind others on a connection, of heads and of trailers, which the parser keeps until they are complete.

Change: ServerConnections estimates this memory and closes the connections that have taken most of it for longest. A connection whose request was passed on, or that is kept between requests, does not yield; a connection with more than 8 requests behind one that was passed on is closed as the last resort, since the process would be lost with all requests. Ignored requests are counted until their connection closes: node:http keeps their objects.

--- a/src/http/body_reader.ts
+++ b/src/http/body_reader.ts
@@ -24,6 +24,8 @@
   readonly maxBytes: number;
   /** Memory that the body takes. */
   readonly memory: BodyMemory;
+  /** Called for each chunk that arrives, with its bytes; also for one that is dropped. */
+  readonly onChunk?: (bytes: number) => void;
   /** Called when the body is given up, since there is no memory left for it. */
   readonly onEvicted: () => void;
 }
@@ -101,6 +103,7 @@
   }
 
   private add(chunk: Buffer): void {
+    this.options.onChunk?.(chunk.length);
     if (this.failure !== undefined) {
       return;
     }
--- a/src/http/connection_request.ts
+++ b/src/http/connection_request.ts
@@ -16,6 +16,9 @@
 
 /** A request on a connection of an HTTP server, until its answer is complete. */
 export class ConnectionRequest {
+  /** Whether it has been passed on, so that a server may run it. */
+  isPassedOn = false;
+  private bodyBytes = 0;
   private readonly controller = new AbortController();
   private resolveTurn: (turn: Turn) => void = () => undefined;
   private readonly turn = new Promise<Turn>(resolve => {
@@ -24,10 +27,12 @@
 
   /**
    * @param message - The request.
+   * @param startedMs - When it began to arrive, in monotonic milliseconds.
    * @param onCloseAfter - Called by `closeAfter`.
    */
   constructor(
     readonly message: IncomingMessage,
+    readonly startedMs: number,
     private readonly onCloseAfter: (request: ConnectionRequest) => void,
   ) {}
 
@@ -36,6 +41,16 @@
     return this.controller.signal;
   }
 
+  /** Returns the bytes of its body that have arrived. */
+  countBodyBytes(): number {
+    return this.bodyBytes;
+  }
+
+  /** Records that bytes of its body have arrived. */
+  addBodyBytes(bytes: number): void {
+    this.bodyBytes += bytes;
+  }
+
   /** Resolves when all requests before it are answered, or it never can be. */
   waitForTurn(): Promise<Turn> {
     return this.turn;
--- a/src/http/server_connection.ts
+++ b/src/http/server_connection.ts
@@ -1,5 +1,6 @@
 import {IncomingMessage} from 'node:http';
 import {Socket} from 'node:net';
+import {Clock} from '../time/index.js';
 import {AnnouncedResponse} from './announced_response.js';
 import {ConnectionRequest, Turn} from './connection_request.js';
 
@@ -24,11 +25,42 @@
 
 /** Dependencies of a `ServerConnection`. */
 export interface ServerConnectionOptions {
+  readonly clock: Clock;
   readonly getPhase: () => ListenerPhase;
   /** Called for each request that is not handled. */
   readonly onIgnored: (message: IncomingMessage, reason: IgnoreReason) => void;
+  /** Called when the estimate of its memory changes, with the difference in bytes. */
+  readonly onBytes: (bytes: number) => void;
 }
 
+/** Progress of a connection when it was last checked. */
+interface SeenProgress {
+  /** Requests that have begun, and the bytes of the body that arrives. */
+  readonly requests: number;
+  readonly bodyBytes: number;
+  /** Bytes that had been read from the connection when these last changed. */
+  readonly readBytes: number;
+  /** Bytes that have been read since: of a head or of trailers, which the parser keeps. */
+  readonly pendingBytes: number;
+  readonly writtenBytes: number;
+  /** When its requests or their body last changed, in monotonic milliseconds. */
+  readonly sinceMs: number;
+  /** When bytes were last written, or none waited, in monotonic milliseconds. */
+  readonly writtenMs: number;
+}
+
+/** Most bytes of a head or of trailers that the parser keeps. */
+const MAX_PENDING_BYTES = 65_536;
+/** Memory of a connection without a request, in bytes. */
+const CONNECTION_BYTES = 8192;
+/** Memory of a request without its body, in bytes. */
+const REQUEST_BYTES = 8192;
+/**
+ * Most requests behind one that was passed on, for which a connection is kept when memory is used
+ * up. Callers send a request after the answer to the one before.
+ */
+const MAX_BEHIND = 8;
+
 /**
  * Most requests that wait on one connection. They take memory, about 50 KB each, and reading
  * cannot be paused while their bodies are read.
@@ -59,18 +91,43 @@
   private isClosing = false;
   private isSendingEnded = false;
   private ignoredCount = 0;
+  private acceptedCount = 0;
+  private readonly openedMs: number;
+  /** Estimate of its memory without bodies, in bytes. */
+  private bytes = 0;
+  /** What the last check of its progress has found. */
+  private seen: SeenProgress;
   /** Whether a request has arrived, or has been waited for. */
   private hasBeenUsed = false;
+  /** How many callers of `pauseReading` have not called `resumeReading` yet. */
+  private pauses = 0;
 
   constructor(
-    private readonly socket: Socket,
+    readonly socket: Socket,
     private readonly options: ServerConnectionOptions,
   ) {
+    this.openedMs = options.clock.monotonicMs();
+    this.seen = {
+      requests: 0,
+      bodyBytes: 0,
+      readBytes: 0,
+      pendingBytes: 0,
+      writtenBytes: 0,
+      sinceMs: this.openedMs,
+      writtenMs: this.openedMs,
+    };
     // node:http calls this after the last answer, and would not read what still arrives.
     socket.destroySoon = () => this.endSending();
+    // node:http calls this for each request whose body is read.
+    const resume = socket.resume.bind(socket);
+    socket.resume = () => (this.pauses > 0 ? socket : resume());
     // A caller that closes only its sending side also counts as disconnected.
     socket.once('end', () => this.abort());
-    socket.once('close', () => this.abort());
+    socket.once('close', () => {
+      this.abort();
+      this.setBytes(0);
+    });
+    this.updateBytes();
   }
 
   /** Returns whether a request is being read or answered. */
@@ -95,10 +152,13 @@
       this.ignore(message, IgnoreReason.PIPELINED);
       return undefined;
     }
-    const request = new ConnectionRequest(message, () =>
+    const startedMs = this.options.clock.monotonicMs();
+    const request = new ConnectionRequest(message, startedMs, () =>
       this.closeAfter(request),
     );
     this.open.push(request);
+    this.acceptedCount++;
+    this.updateBytes();
     this.hasBeenUsed = true;
     // The caller has announced that this is its last request.
     this.isClosing = !response.shouldKeepAlive;
@@ -141,6 +201,119 @@
     setTimeout(() => this.closeIfIdle(), FIRST_REQUEST_MS).unref();
   }
 
+  /**
+   * Stops reading from the connection, until `resumeReading` is called as often. What has been
+   * read is still parsed.
+   */
+  pauseReading(): void {
+    this.pauses++;
+    this.socket.pause();
+  }
+
+  /** See `pauseReading`. */
+  resumeReading(): void {
+    this.pauses--;
+    if (this.pauses === 0 && !this.socket.destroyed) {
+      this.socket.resume();
+    }
+  }
+
+  /** Returns whether requests wait behind the one that is handled. */
+  hasWaiting(): boolean {
+    return this.countHeld() > 1;
+  }
+
+  /** Checks what has been read and written since the last check. */
+  checkProgress(): void {
+    const nowMs = this.options.clock.monotonicMs();
+    const {socket, seen} = this;
+    const {bytesRead, bytesWritten, writableLength} = socket;
+    // Counts bytes that wait as written.
+    const writtenBytes = bytesWritten - writableLength;
+    const requests = this.acceptedCount;
+    const bodyBytes = this.open.at(-1)?.countBodyBytes() ?? 0;
+    const hasChanged =
+      requests !== seen.requests || bodyBytes !== seen.bodyBytes;
+    const readBytes = hasChanged ? bytesRead : seen.readBytes;
+    const hasWritten =
+      writableLength === 0 || writtenBytes !== seen.writtenBytes;
+    this.seen = {
+      requests,
+      bodyBytes,
+      readBytes,
+      // The parser drops what is ignored, and keeps no longer head.
+      pendingBytes:
+        this.ignoredCount > 0
+          ? 0
+          : Math.min(bytesRead - readBytes, MAX_PENDING_BYTES),
+      writtenBytes,
+      sinceMs: hasChanged ? nowMs : seen.sinceMs,
+      writtenMs: hasWritten ? nowMs : seen.writtenMs,
+    };
+    this.updateBytes();
+  }
+
+  /** Returns for how long what waits to be written has waited, in milliseconds. */
+  getStalledMs(): number {
+    return this.options.clock.monotonicMs() - this.seen.writtenMs;
+  }
+
+  /**
+   * Ranks the connection among those that can yield: by its memory and for how long it takes it.
+   * Returns 0 if it is not to yield: a request has been passed on, or it is kept open between
+   * requests, and the next one could cross its end.
+   */
+  rankForEviction(): number {
+    const sinceMs = this.findYieldMs();
+    return sinceMs === undefined
+      ? 0
+      : this.bytes * (this.options.clock.monotonicMs() - sinceMs + 1);
+  }
+
+  /** Returns since when the connection can yield; `undefined` if it is not to. */
+  private findYieldMs(): number | undefined {
+    const [first] = this.open;
+    if (first !== undefined) {
+      return first.isPassedOn ? undefined : first.startedMs;
+    }
+    if (!this.hasBeenUsed || this.isSendingEnded) {
+      return this.openedMs;
+    }
+    return this.seen.pendingBytes > 0 ? this.seen.sinceMs : undefined;
+  }
+
+  /** Returns how many requests more than a caller needs wait behind one that was passed on. */
+  countExcess(): number {
+    return Math.max(0, this.countHeld() - 1 - MAX_BEHIND);
+  }
+
+  /** Closes the connection at once, with all its requests; returns its memory in bytes. */
+  evict(): number {
+    const {bytes} = this;
+    this.setBytes(0);
+    this.socket.destroy();
+    return bytes;
+  }
+
+  private updateBytes(): void {
+    const {seen, socket} = this;
+    if (!socket.destroyed) {
+      this.setBytes(
+        CONNECTION_BYTES + this.countHeld() * REQUEST_BYTES + seen.pendingBytes,
+      );
+    }
+  }
+
+  /** Counts the requests whose objects node:http keeps: also ignored ones, until the close. */
+  private countHeld(): number {
+    return this.open.length + this.ignoredCount;
+  }
+
+  private setBytes(bytes: number): void {
+    this.options.onBytes(bytes - this.bytes);
+    this.bytes = bytes;
+  }
+
   private closeAfter(request: ConnectionRequest): void {
     this.isClosing = true;
     const behind = this.open.slice(this.open.indexOf(request) + 1);
@@ -193,6 +366,7 @@
     const index = this.open.indexOf(request);
     if (index >= 0) {
       this.open.splice(index, 1);
+      this.updateBytes();
     }
     return index >= 0;
   }
@@ -202,6 +376,7 @@
     this.options.onIgnored(message, reason);
     message.resume();
     this.ignoredCount++;
+    this.updateBytes();
     if (this.ignoredCount > MAX_IGNORED_REQUESTS) {
       this.socket.destroy();
     }
--- a/src/http/split_memory.ts
+++ b/src/http/split_memory.ts
@@ -10,21 +10,25 @@
 
 /** Memory that a host needs for itself, in bytes; see docs/CAPACITY.md. */
 const OWN_BYTES = 128_000_000;
-/** Part of the rest for callers: garbage takes memory as well until it is collected. */
-const CALLERS_PART = 0.75;
-/** Least for callers, in bytes: two bodies of 4 MiB in each third, or nearly. */
-const MIN_BYTES = 24_000_000;
-/** Most for callers, in bytes: more has not been tested. */
+/** Least for callers, in bytes: a body of 4 MiB before and after it is passed on. */
+const MIN_BYTES = 32_000_000;
+/** Most for callers, in bytes; no larger machine has been tested. */
 const MAX_BYTES = 256_000_000;
-const PARTS = 3;
+const RECEIVING_PART = 0.25;
+const KEPT_PART = 0.25;
+/** The last eighth is for what the collector of garbage frees late. */
+const CONNECTION_PART = 0.375;
 
 /**
  * Divides the memory of a host.
  * @param memoryBytes - Memory of its machine, in bytes.
  */
 export function splitMemory(memoryBytes: number): CallerMemory {
-  const leftBytes = (memoryBytes - OWN_BYTES) * CALLERS_PART;
+  const leftBytes = memoryBytes - OWN_BYTES;
   const bytes = Math.min(Math.max(leftBytes, MIN_BYTES), MAX_BYTES);
-  const part = Math.floor(bytes / PARTS);
-  return {receivingBytes: part, keptBytes: part, connectionBytes: part};
+  return {
+    receivingBytes: bytes * RECEIVING_PART,
+    keptBytes: bytes * KEPT_PART,
+    connectionBytes: bytes * CONNECTION_PART,
+  };
 }
--- a/test/platform/closing_connections_test.ts
+++ b/test/platform/closing_connections_test.ts
@@ -7,7 +7,10 @@
 import {SystemClock} from '../../src/time/index.js';
 import {Frontend} from '../../platform/frontend.js';
 import {createRoute} from '../relay/route_fixture.js';
-import {createBodyMemory} from './fakes/create_body_memory.js';
+import {
+  CONNECTION_LIMITS,
+  createBodyMemory,
+} from './fakes/create_body_memory.js';
 import {KeptConnection} from './fakes/kept_connection.js';
 
 const PATH = '/a/';
@@ -37,6 +40,7 @@
       clock: new SystemClock(),
       random: new SeededRandom(1),
       bodyMemory: createBodyMemory(new SystemClock()),
+      connectionLimits: CONNECTION_LIMITS,
       log: new SilentLog(),
       metrics: new Metrics(),
       catalog,
--- a/test/platform/frontend_start_test.ts
+++ b/test/platform/frontend_start_test.ts
@@ -7,7 +7,10 @@
 import {SystemClock} from '../../src/time/index.js';
 import {Frontend} from '../../platform/frontend.js';
 import {createRoute} from '../relay/route_fixture.js';
-import {createBodyMemory} from './fakes/create_body_memory.js';
+import {
+  CONNECTION_LIMITS,
+  createBodyMemory,
+} from './fakes/create_body_memory.js';
 
 /** Status of a response without a body. */
 const NO_CONTENT = 204;
@@ -26,6 +29,7 @@
       clock,
       random: new SeededRandom(1),
       bodyMemory: createBodyMemory(clock),
+      connectionLimits: CONNECTION_LIMITS,
       log: new SilentLog(),
       metrics: new Metrics(),
       catalog,
--- a/test/platform/overloaded_host_test.ts
+++ b/test/platform/overloaded_host_test.ts
@@ -11,7 +11,10 @@
 import {SystemClock} from '../../src/time/index.js';
 import {Frontend} from '../../platform/frontend.js';
 import {createRoute} from '../relay/route_fixture.js';
-import {createBodyMemory} from './fakes/create_body_memory.js';
+import {
+  CONNECTION_LIMITS,
+  createBodyMemory,
+} from './fakes/create_body_memory.js';
 
 const HEAD = 'POST /a/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n';
 const READ_DELAY_MS = 150;
@@ -39,6 +42,7 @@
       clock,
       random: new SeededRandom(1),
       bodyMemory: createBodyMemory(clock),
+      connectionLimits: CONNECTION_LIMITS,
       log: new SilentLog(),
       metrics: new Metrics(),
       catalog,
