--- a/src/relay_host/relay_host_settings.ts
+++ b/src/relay_host/relay_host_settings.ts
@@ -11,6 +11,8 @@
   readonly linkMbps?: number;
   /** Memory of this host's machine, in bytes; absent if it is not known. */
   readonly memoryBytes?: number;
+  /** Descriptors that the process may open; absent if it is not known. */
+  readonly descriptors?: number;
   /** IP address and port that callers connect to. */
   readonly callersAddress: string;
   /** IP address and port at which the host reports whether it accepts connections. */
