Limit the time that the event loop spends on small chunks

Callers saw: while one client sent a body of 4 MiB in chunks of one byte, inside the limits, other requests waited for up to 1 s, and heartbeats, the lease and the watch of the store with them.

Cause: a chunk costs about 2.5 us however short it is; one read from a connection of 64 KB has 10,900 of them (27 ms), and the system gives each connection up to 32 such reads in turn.

Change: connections that send many small chunks pause after each read, and share a third of the event loop, with 500 ms in advance: 100,000 chunks, which a caller may send, are read without a wait. Time is measured, so that the share holds on slow machines as well.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -16,6 +16,8 @@
 export {BodyFailure, BodyReader} from './body_reader.js';
 export {exportBodyMemory} from './export_body_memory.js';
 export {breakOff} from './break_off.js';
+export {ChunkPacer} from './chunk_pacer.js';
+export type {PausableConnection} from './chunk_pacer.js';
 export {countCallerDescriptors} from './count_caller_descriptors.js';
 export {discardBody} from './discard_body.js';
 export {failOnThrow} from './fail_on_throw.js';
