Own interface: check the key before the body, and bound all bodies together

Cause: express.raw read the body before the key was checked, kept every chunk as an object, and nothing bounded the sum of bodies or the time of one.

Change: the key is checked first, and who has none holds nothing; its connection closes 1 s after the refusal. Bodies are read by BodyReader within a BodyMemory, whose size follows from the new setting host.memory_mb (by default the memory of the machine), and have to arrive within the timeout of the request (408 as not run). Callers may hold half of host.descriptors (default 1,024), less 200.

--- a/src/caller/caller_api.ts
+++ b/src/caller/caller_api.ts
@@ -5,7 +5,7 @@
   Response,
 } from 'express';
 import {GenerationFormat} from '../backend/index.js';
-import {Problem, problems, ProblemError} from '../errors/index.js';
+import {problems, ProblemError} from '../errors/index.js';
 import {
   CallerContext,
   CallerRequest,
@@ -13,13 +13,12 @@
   listUsableDeployments,
 } from './caller_context.js';
 import {GenerationHandler} from './generation_handler.js';
+import {readBody} from './read_body.js';
+import {readTimeoutMs} from './request_headers.js';
 import {RequestHandler} from './request_handler.js';
 import {sendProblem} from './send_problem.js';
 import {ServiceHandler} from './service_handler.js';
 
-const BAD_REQUEST = 400;
-const PAYLOAD_TOO_LARGE = 413;
-
 /** The HTTP interface for callers. */
 export class CallerApi {
   constructor(
@@ -34,9 +33,6 @@
     const app = express();
     app.disable('x-powered-by');
     app.disable('etag');
-    app.use(
-      express.raw({type: () => true, limit: this.context.limits.maxBodyBytes}),
-    );
     this.addRoutes(app);
     app.use((_request, response) => {
       sendProblem(response, problems.routeUnknown());
@@ -93,7 +89,9 @@
   ): Promise<void> {
     const startMs = this.context.clock.monotonicMs();
     try {
-      await handle(authenticate(this.context, request, response));
+      const caller = authenticate(this.context, request, response);
+      request.body = await this.readBody(request, response);
+      await handle(caller);
     } catch (error) {
       if (!(error instanceof ProblemError)) {
         throw error;
@@ -110,6 +108,20 @@
     }
   }
 
+  private readBody(request: Request, response: Response): Promise<Buffer> {
+    const {clock, bodyMemory, limits} = this.context;
+    return readBody(request, response, {
+      clock,
+      memory: bodyMemory,
+      maxBytes: limits.maxBodyBytes,
+      timeoutMs: readTimeoutMs(
+        request,
+        limits.serviceTimeoutMs,
+        limits.maxTimeoutMs,
+      ).unwrapOr(limits.serviceTimeoutMs),
+    });
+  }
+
   private async sendModels(caller: CallerRequest): Promise<void> {
     const data = listUsableDeployments(caller, 'model').map(id => ({
       id,
@@ -126,25 +138,17 @@
         next(error);
         return;
       }
-      const {status, message} = error as {status?: number; message?: string};
-      sendProblem(response, this.toProblem(status, message ?? ''));
-      if (status === undefined) {
-        this.context.log.error('request_failed', {
-          path: getPathLabel(request),
-          detail: message,
-        });
-      }
+      const {message} = error as {message?: string};
+      sendProblem(
+        response,
+        problems.serverFailed('internal error of this host'),
+      );
+      this.context.log.error('request_failed', {
+        path: getPathLabel(request),
+        detail: message,
+      });
     };
   }
-
-  private toProblem(status: number | undefined, message: string): Problem {
-    if (status === PAYLOAD_TOO_LARGE) {
-      return problems.bodyTooLarge(this.context.limits.maxBodyBytes);
-    }
-    return status === BAD_REQUEST
-      ? problems.bodyInvalid(message)
-      : problems.serverFailed('internal error of this host');
-  }
 }
 
 /** Returns the route without ids, which keeps the number of metric labels small. */
--- a/src/caller/caller_context.ts
+++ b/src/caller/caller_context.ts
@@ -6,6 +6,7 @@
   Deployment,
 } from '../configuration/index.js';
 import {Problem, problems, ProblemError} from '../errors/index.js';
+import {BodyMemory} from '../http/index.js';
 import {Log} from '../log/index.js';
 import {Metrics} from '../metrics/index.js';
 import {Clock} from '../time/index.js';
@@ -26,6 +27,8 @@
   readonly metrics: Metrics;
   readonly configuration: ConfigurationStore;
   readonly limits: CallerLimits;
+  /** Memory for the bodies of requests. */
+  readonly bodyMemory: BodyMemory;
   /** Generates a request id. */
   readonly mintId: () => string;
   /** Returns whether new work is refused because this host is leaving. */
--- a/src/caller/index.ts
+++ b/src/caller/index.ts
@@ -6,6 +6,8 @@
 export type {GenerationAdmissionOptions} from './generation_admission.js';
 export {GenerationHandler} from './generation_handler.js';
 export type {GenerationHandlerOptions} from './generation_handler.js';
+export {readBody} from './read_body.js';
+export type {BodyLimits} from './read_body.js';
 export {RequestHandler} from './request_handler.js';
 export type {
   ReadableGeneration,
--- a/src/caller/send_problem.ts
+++ b/src/caller/send_problem.ts
@@ -21,6 +21,10 @@
   if (problem.status === 401) {
     response.setHeader('WWW-Authenticate', 'Bearer');
   }
+  if (!response.req.complete) {
+    // What follows on the connection cannot be told apart from the rest of the body.
+    response.setHeader('Connection', 'close');
+  }
   if (requestId !== undefined) {
     response.setHeader(REQUEST_ID_HEADER, requestId);
   }
--- a/src/daemon/container/bind_callers.ts
+++ b/src/daemon/container/bind_callers.ts
@@ -10,6 +10,7 @@
   ServiceHandler,
 } from '../../caller/index.js';
 import {ConfigurationStore} from '../../configuration/index.js';
+import {BodyMemory} from '../../http/index.js';
 import {GenerationRunner, GenerationStore} from '../../generation/index.js';
 import {BookDirectory, KeyMint} from '../../journal/index.js';
 import {Metrics} from '../../metrics/index.js';
@@ -86,6 +87,7 @@
       generationTimeoutMs: callers.generation_timeout_ms,
       maxTimeoutMs: callers.max_timeout_ms,
     },
+    bodyMemory: context.get(BodyMemory),
     mintId: () => context.get(KeyMint).mint(),
     isRefusing: () => container.get(Drain).isRefusing(),
   };
--- a/src/daemon/container/bind_operators.ts
+++ b/src/daemon/container/bind_operators.ts
@@ -1,4 +1,5 @@
 /** Bindings of the operators' interface, the drain and the daemon. */
+import {totalmem} from 'node:os';
 import {Container, ResolutionContext} from 'inversify';
 import {CallerApi} from '../../caller/index.js';
 import {
@@ -6,6 +7,7 @@
   ConfigurationTable,
 } from '../../configuration/index.js';
 import {GenerationStore, ReclaimWatch} from '../../generation/index.js';
+import {BodyMemory, exportBodyMemory, splitMemory} from '../../http/index.js';
 import {Bookkeeper} from '../../journal/index.js';
 import {LeavingHosts, Membership} from '../../membership/index.js';
 import {Metrics} from '../../metrics/index.js';
@@ -30,6 +32,7 @@
 /** Longest time to retry the write of a configuration change, in milliseconds. */
 const CHANGE_TIMEOUT_MS = 5000;
 const MS_PER_SECOND = 1000;
+const BYTES_PER_MB = 1_000_000;
 
 /** Binds the operators' interface, the drain and the daemon. */
 export function bindOperators(container: Container): void {
@@ -80,6 +83,13 @@
         noticeMs: context.get(SETTINGS).drain.notice_ms,
       }),
   );
+  bind(container, BodyMemory, context => {
+    const {memory_mb: memoryMb} = context.get(SETTINGS).host;
+    const bytes = memoryMb === 0 ? totalmem() : memoryMb * BYTES_PER_MB;
+    const memory = new BodyMemory(context.get(CLOCK), splitMemory(bytes));
+    exportBodyMemory(context.get(Metrics), memory);
+    return memory;
+  });
   bind(container, OperatorApi, context =>
     createOperatorApi(container, context),
   );
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,6 +1,7 @@
 import {CallerApi} from '../caller/index.js';
 import {ConfigurationStore} from '../configuration/index.js';
 import {GenerationStore, ReclaimWatch} from '../generation/index.js';
+import {countCallerDescriptors} from '../http/index.js';
 import {Bookkeeper} from '../journal/index.js';
 import {Log} from '../log/index.js';
 import {Metrics} from '../metrics/index.js';
@@ -40,6 +41,10 @@
   readonly quarantineRows: QuarantineRows;
 }
 
+/** Time in which a request of an operator has to arrive, in milliseconds. */
+const OPERATORS_TIMEOUT_MS = 30_000;
+/** Most connections of operators, balancers and collectors of metrics. */
+const OPERATORS_CONNECTIONS = 256;
 /** Pause between two clean-ups of the generation store, in milliseconds. */
 const TRIM_INTERVAL_MS = 1000;
 /** Part of a reclaim notice of this host that the drain leaves unused, in ms. */
@@ -54,9 +59,18 @@
 
   constructor(private readonly options: DaemonOptions) {
     const {settings, callerApi, operatorApi} = options;
-    const {max_header_bytes: maxHeaderBytes} = settings.callers;
-    this.callers = new HttpServer(callerApi.createApp(), maxHeaderBytes);
-    this.operators = new HttpServer(operatorApi.createApp(), maxHeaderBytes);
+    const {max_header_bytes: maxHeaderBytes, max_timeout_ms: maxTimeoutMs} =
+      settings.callers;
+    this.callers = new HttpServer(callerApi.createApp(), {
+      maxHeaderBytes,
+      requestTimeoutMs: maxTimeoutMs,
+      maxConnections: countCallerDescriptors(settings.host.descriptors),
+    });
+    this.operators = new HttpServer(operatorApi.createApp(), {
+      maxHeaderBytes,
+      requestTimeoutMs: OPERATORS_TIMEOUT_MS,
+      maxConnections: OPERATORS_CONNECTIONS,
+    });
     this.addGauges();
   }
 
--- a/src/daemon/http_server.ts
+++ b/src/daemon/http_server.ts
@@ -1,11 +1,29 @@
-import {createServer, Server} from 'node:http';
+import {createServer, IncomingMessage, Server} from 'node:http';
 import {AddressInfo} from 'node:net';
 import {Express} from 'express';
-import {problems, toProblemDocument} from '../errors/index.js';
+import {Problem, problems, toProblemDocument} from '../errors/index.js';
 
 /** Error code of the HTTP parser for a request head over the limit. */
 const HEADER_OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
 
+/** Error code of node:http for a request that does not arrive in time. */
+const TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
+/**
+ * Time for which the rest of a refused request is read before its connection is closed, in
+ * milliseconds. Closed with unread bytes, it is reset, and the answer may be lost.
+ */
+const LINGER_MS = 1000;
+
+/** Limits of an `HttpServer`. */
+export interface HttpServerLimits {
+  /** Largest request head accepted, in bytes. */
+  readonly maxHeaderBytes: number;
+  /** Time in which a request has to arrive with its body, in milliseconds. */
+  readonly requestTimeoutMs: number;
+  /** Most connections; further ones are closed. */
+  readonly maxConnections: number;
+}
+
 /** An HTTP server that can stop without interrupting requests in flight. */
 export class HttpServer {
   private readonly server: Server;
@@ -13,21 +31,22 @@
 
   /**
    * @param app - Application that handles the requests.
-   * @param maxHeaderBytes - Largest request head accepted, in bytes.
+   * @param limits - What callers may send.
    */
-  constructor(app: Express, maxHeaderBytes: number) {
+  constructor(app: Express, {maxHeaderBytes, ...limits}: HttpServerLimits) {
     this.server = createServer({maxHeaderSize: maxHeaderBytes}, app);
-    // No request timeout: a stream lasts as long as its generation.
-    this.server.requestTimeout = 0;
-    this.server.on('request', (_request, response) => {
+    this.server.requestTimeout = limits.requestTimeoutMs;
+    this.server.maxConnections = limits.maxConnections;
+    this.server.on('request', (request, response) => {
       this.inFlight++;
       response.once('close', () => this.inFlight--);
+      response.once('finish', () => closeUnlessComplete(request));
     });
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       if (!socket.writable) {
         return;
       }
-      socket.end(formatClientError(error.code === HEADER_OVERFLOW_CODE));
+      socket.end(formatClientError(error.code));
     });
   }
 
@@ -70,18 +89,20 @@
   return {host, port: Number(address.slice(colon + 1))};
 }
 
-/** Formats the response to malformed HTTP, or to a request head over the limit. */
-function formatClientError(headTooLarge: boolean): string {
-  const problem = headTooLarge
-    ? {
-        ...problems.headerInvalid('(all)', 'fewer or shorter headers'),
-        status: 431,
-      }
-    : problems.bodyInvalid('it is not an HTTP request');
+/** Closes the connection of an answered request whose body does not end. */
+function closeUnlessComplete(request: IncomingMessage): void {
+  if (request.complete) {
+    return;
+  }
+  request.resume();
+  const timer = setTimeout(() => request.socket.destroy(), LINGER_MS);
+  request.once('close', () => clearTimeout(timer));
+}
+
+/** Formats the response to what is no request, too large a head, or an incomplete request. */
+function formatClientError(code: string | undefined): string {
+  const {problem, reason} = describeClientError(code);
   const body = JSON.stringify(toProblemDocument(problem));
-  const reason = headTooLarge
-    ? 'Request Header Fields Too Large'
-    : 'Bad Request';
   return [
     `HTTP/1.1 ${problem.status} ${reason}`,
     'Content-Type: application/problem+json',
@@ -91,3 +112,22 @@
     body,
   ].join('\r\n');
 }
+
+function describeClientError(code: string | undefined): {
+  readonly problem: Problem;
+  readonly reason: string;
+} {
+  if (code === HEADER_OVERFLOW_CODE) {
+    const problem = problems.headerInvalid('(all)', 'fewer or shorter headers');
+    return {
+      problem: {...problem, status: 431},
+      reason: 'Request Header Fields Too Large',
+    };
+  }
+  return code === TIMEOUT_CODE
+    ? {problem: problems.bodyTooSlow(), reason: 'Request Timeout'}
+    : {
+        problem: problems.bodyInvalid('it is not an HTTP request'),
+        reason: 'Bad Request',
+      };
+}
--- a/src/settings/settings_schema.ts
+++ b/src/settings/settings_schema.ts
@@ -40,7 +40,12 @@
 
 /** Schema of a settings file. */
 export const settingsSchema = z.strictObject({
-  host: z.strictObject({name, data_centre: name}),
+  host: z.strictObject({
+    name,
+    data_centre: name,
+    memory_mb: z.number().int().min(0).default(0),
+    descriptors: positiveInteger(1024),
+  }),
   callers: z.strictObject({
     address,
     max_body_bytes: positiveInteger(1_048_576),
@@ -124,6 +129,22 @@
     unit: 'text',
     allowed: 'lower-case letters, digits and "-"',
   },
+  {
+    key: 'host.memory_mb',
+    description:
+      'Memory of this host, which bounds what is held for callers; 0 for that of the machine.',
+    unit: 'MB',
+    default: '0',
+    allowed: 'a whole number, 0 or above',
+  },
+  {
+    key: 'host.descriptors',
+    description:
+      'Descriptors that the process may open (ulimit -n); callers get half of them, less 200.',
+    unit: 'descriptors',
+    default: '1024',
+    allowed: POSITIVE_INTEGER,
+  },
   {
     key: 'callers.address',
     description: 'Listen address for callers (HTTP).',
--- a/test/platform/fakes/crowd.ts
+++ b/test/platform/fakes/crowd.ts
@@ -80,6 +80,15 @@
     return true;
   }
 
+  /** Returns the bytes that the clients have written and that have not left this process. */
+  countUnsentBytes(): number {
+    let bytes = 0;
+    for (const socket of this.sockets) {
+      bytes += socket.writableLength;
+    }
+    return bytes;
+  }
+
   /** Closes all connections. */
   stop(): void {
     this.isStopped = true;
