Forwarded requests: count what has arrived, and end what does not arrive

Callers saw: a host whose servers are not reachable refused requests that another host could serve, while clients at the address for hosts held eight requests of 4 MiB open there.

Cause: the listener reserved the stated length before a byte had come, so that a few stated lengths filled its 32 MiB, and a request had no time limit; each chunk was kept as an object.

Change: requests of other hosts are read by BodyReader within the BodyMemory of the host, which counts what has arrived, and have to arrive within 8 s. One that yields is declined as busy, so that the other host can try a third; its connection closes.

--- a/src/daemon/http_server.ts
+++ b/src/daemon/http_server.ts
@@ -1,19 +1,14 @@
-import {createServer, IncomingMessage, Server} from 'node:http';
+import {createServer, Server} from 'node:http';
 import {AddressInfo} from 'node:net';
 import {Express} from 'express';
 import {Problem, problems, toProblemDocument} from '../errors/index.js';
+import {closeUnlessComplete} from '../http/index.js';
 
 /** Error code of the HTTP parser for a request head over the limit. */
 const HEADER_OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
 
 /** Error code of node:http for a request that does not arrive in time. */
 const TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
-/**
- * Time for which the rest of a refused request is read before its connection is closed, in
- * milliseconds. Closed with unread bytes, it is reset, and the answer may be lost.
- */
-const LINGER_MS = 1000;
-
 /** Limits of an `HttpServer`. */
 export interface HttpServerLimits {
   /** Largest request head accepted, in bytes. */
@@ -89,16 +84,6 @@
   return {host, port: Number(address.slice(colon + 1))};
 }
 
-/** Closes the connection of an answered request whose body does not end. */
-function closeUnlessComplete(request: IncomingMessage): void {
-  if (request.complete) {
-    return;
-  }
-  request.resume();
-  const timer = setTimeout(() => request.socket.destroy(), LINGER_MS);
-  request.once('close', () => clearTimeout(timer));
-}
-
 /** Formats the response to what is no request, too large a head, or an incomplete request. */
 function formatClientError(code: string | undefined): string {
   const {problem, reason} = describeClientError(code);
--- a/src/forwarding/forward_listener.ts
+++ b/src/forwarding/forward_listener.ts
@@ -1,6 +1,13 @@
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer, Socket} from 'node:net';
+import {Result} from 'true-myth';
 import {Log} from '../log/index.js';
+import {
+  BodyFailure,
+  BodyMemory,
+  BodyReader,
+  closeUnlessComplete,
+} from '../http/index.js';
 import {Metrics} from '../metrics/index.js';
 import {Relay, RelayRequest} from '../relay/index.js';
 import {Clock} from '../time/index.js';
@@ -11,7 +18,7 @@
 } from './forward_frame.js';
 import {isValidProof, PROOF_HEADER} from './forward_proof.js';
 import {ForwardedAnswer} from './forwarded_answer.js';
-import {readHead} from './read_head.js';
+import {parseHead} from './read_head.js';
 
 /** Dependencies of a `ForwardListener`. */
 export interface ForwardListenerOptions {
@@ -25,6 +32,8 @@
   readonly isInitialized: () => boolean;
   /** Returns whether this host is overloaded. */
   readonly isOverloaded: () => boolean;
+  /** Memory for the requests, until they are answered. */
+  readonly bodyMemory: BodyMemory;
   /** Returns the longest body of a request, in bytes. */
   readonly getMaxBodyBytes: () => number;
 }
@@ -32,12 +41,18 @@
 /** Largest head of a request, in bytes: its headers and the parts of its prompt. */
 const MAX_HEAD_BYTES = 524_288;
 /**
- * Bytes of forwarded requests that are held at a time; their bodies are kept until they are
- * answered. A host has 250 MB of memory.
+ * Time in which a request has to arrive, in milliseconds: the largest takes 4 s at 10 Mbit/s. The
+ * deadline of its caller is not known before.
  */
-const MAX_HELD_BYTES = 33_554_432;
+const RECEIVE_TIMEOUT_MS = 8000;
 /** Forwarded requests that are served at a time. */
 const MAX_REQUESTS = 512;
+/** A request that has arrived. */
+interface ReceivedRequest {
+  readonly head: ForwardRequest;
+  readonly body: Buffer;
+}
+
 /** Created once: an error per request would cost a stack trace each. */
 const CANCELLED = new Error('the other host cancelled the request');
 
@@ -50,7 +65,6 @@
   private readonly server: Server;
   /** Connections on which a request is served; each carries one at a time. */
   private readonly busy = new Set<Socket>();
-  private heldBytes = 0;
   private isDraining = false;
 
   constructor(private readonly options: ForwardListenerOptions) {
@@ -117,11 +131,7 @@
     }
     const bytes = Number(length);
     this.busy.add(socket);
-    this.heldBytes += bytes;
-    response.once('close', () => {
-      this.busy.delete(socket);
-      this.heldBytes -= bytes;
-    });
+    response.once('close', () => this.busy.delete(socket));
     const answer = new ForwardedAnswer(response);
     try {
       const reason = this.getDeclineReason(bytes);
@@ -145,9 +155,9 @@
     if (bytes > getMaxBodyBytes() + MAX_HEAD_BYTES) {
       return DeclineReason.INVALID;
     }
-    const isFull =
-      this.heldBytes > MAX_HELD_BYTES || this.busy.size > MAX_REQUESTS;
-    return isFull || isOverloaded() ? DeclineReason.BUSY : undefined;
+    return this.busy.size > MAX_REQUESTS || isOverloaded()
+      ? DeclineReason.BUSY
+      : undefined;
   }
 
   private decline(
@@ -167,12 +177,13 @@
     answer: ForwardedAnswer,
   ): Promise<void> {
     const {relay, metrics} = this.options;
-    const received = await this.receive(message);
-    if (received === undefined) {
-      this.decline(message, answer, DeclineReason.INVALID);
+    const received = await this.receive(message, response);
+    if (received.isErr) {
+      response.once('finish', () => closeUnlessComplete(message));
+      this.decline(message, answer, received.error);
       return;
     }
-    const {head, body} = received;
+    const {head, body} = received.value;
     metrics.increment('forwards_received', {result: 'taken'});
     const cancelled = new AbortController();
     response.once('close', () => {
@@ -198,32 +209,39 @@
     );
   }
 
-  /** Reads a request; returns `undefined` if it is incomplete or not from a peer. */
+  /** Reads a request; returns why it is declined if it is incomplete or not from a peer. */
   private async receive(
     message: IncomingMessage,
-  ): Promise<{head: ForwardRequest; body: Buffer} | undefined> {
-    const chunks = message[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
-    const head = await readHead(chunks, MAX_HEAD_BYTES);
+    response: ServerResponse,
+  ): Promise<Result<ReceivedRequest, DeclineReason>> {
+    const {clock, bodyMemory, getMaxBodyBytes} = this.options;
+    const reader = new BodyReader(message, {
+      maxBytes: getMaxBodyBytes() + MAX_HEAD_BYTES,
+      memory: bodyMemory,
+      onEvicted: () => undefined,
+    });
+    response.once('close', () => reader.release());
+    const cancel = clock.startTimer(RECEIVE_TIMEOUT_MS, () => reader.expire());
+    const taken = await reader.take();
+    cancel();
+    if (taken.isErr) {
+      return Result.err(
+        taken.error === BodyFailure.NO_MEMORY
+          ? DeclineReason.BUSY
+          : DeclineReason.INVALID,
+      );
+    }
+    const head = parseHead(taken.value, MAX_HEAD_BYTES);
     const parsed = forwardRequestSchema.safeParse(head?.value);
     if (head === undefined || !parsed.success) {
-      return undefined;
+      return Result.err(DeclineReason.INVALID);
     }
     const proof = String(message.headers[PROOF_HEADER] ?? '');
     if (!isValidProof(this.options.key, head.bytes, proof)) {
       this.options.log.warn('forward_unproved', {from: parsed.data.from});
-      return undefined;
+      return Result.err(DeclineReason.INVALID);
     }
-    const pieces: Uint8Array[] = [head.rest];
-    for (;;) {
-      const next = await chunks.next();
-      if (next.done === true) {
-        break;
-      }
-      pieces.push(next.value);
-    }
-    return message.complete
-      ? {head: parsed.data, body: Buffer.concat(pieces)}
-      : undefined;
+    return Result.ok({head: parsed.data, body: head.rest});
   }
 
   private createRequest(head: ForwardRequest, body: Buffer): RelayRequest {
--- a/src/forwarding/read_head.ts
+++ b/src/forwarding/read_head.ts
@@ -40,14 +40,33 @@
       return undefined;
     }
     if (length >= end) {
-      const all = Buffer.concat(received);
-      const bytes = all.subarray(0, end);
-      const reader = new FrameReader(maxBytes);
-      reader.add(bytes);
-      const frame = reader.read();
-      return frame.isOk && frame.value !== undefined
-        ? {value: frame.value.value, bytes, rest: all.subarray(end)}
-        : undefined;
+      return parseHead(Buffer.concat(received), maxBytes);
     }
   }
 }
+
+/**
+ * Decodes the frame at the beginning of a message that has been received.
+ * @param message - The message, at least up to the end of the frame.
+ * @param maxBytes - Largest frame, in bytes.
+ * @returns The head; `undefined` if the message has none that can be read.
+ */
+export function parseHead(
+  message: Buffer,
+  maxBytes: number,
+): ReceivedHead | undefined {
+  if (message.length < PREFIX_BYTES) {
+    return undefined;
+  }
+  const end = PREFIX_BYTES + message.readUInt32BE(0);
+  if (end > Math.min(maxBytes, message.length)) {
+    return undefined;
+  }
+  const bytes = message.subarray(0, end);
+  const reader = new FrameReader(maxBytes);
+  reader.add(bytes);
+  const frame = reader.read();
+  return frame.isOk && frame.value !== undefined
+    ? {value: frame.value.value, bytes, rest: message.subarray(end)}
+    : undefined;
+}
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -18,6 +18,7 @@
 export {breakOff} from './break_off.js';
 export {ChunkPacer} from './chunk_pacer.js';
 export type {PausableConnection} from './chunk_pacer.js';
+export {closeUnlessComplete} from './close_unless_complete.js';
 export {countCallerDescriptors} from './count_caller_descriptors.js';
 export {discardBody} from './discard_body.js';
 export {failOnThrow} from './fail_on_throw.js';
--- a/test/forwarding/forwarding_fixture.ts
+++ b/test/forwarding/forwarding_fixture.ts
@@ -5,6 +5,7 @@
   ForwardListenerOptions,
   ForwardTargets,
 } from '../../src/forwarding/index.js';
+import {BodyMemory, splitMemory} from '../../src/http/index.js';
 import {SilentLog} from '../../src/log/index.js';
 import {Metrics} from '../../src/metrics/index.js';
 import {SeededRandom} from '../../src/random/index.js';
@@ -73,6 +74,7 @@
       relay: {serveForwarded: serve},
       isInitialized: () => true,
       isOverloaded: () => false,
+      bodyMemory: new BodyMemory(new SystemClock(), splitMemory(160_000_000)),
       getMaxBodyBytes: () => 4_194_304,
       ...overrides,
     });
