Limit log lines of events that clients cause by the thousand

Operators saw: a crowd that is refused, closed or sends malformed requests wrote a line for each, at a cost in processor time and output above that of the refusals.

--- a/src/log/index.ts
+++ b/src/log/index.ts
@@ -5,4 +5,5 @@
 export {formatLine} from './format_line.js';
 export {QueuedOutput} from './queued_output.js';
 export type {WriteText} from './queued_output.js';
+export {LimitedLines} from './limited_lines.js';
 export {FirstOccurrences} from './first_occurrences.js';
