Leave small bodies their part beside one beyond the limit; count no suspended time as a stall

Found by reading, with a test for the first: (1) a single large body may be kept beyond the limit, and all others, also empty ones, were refused then; small ones now have their quarter in any case (body_memory_test fails before). (2) A process that was suspended for 10 s with an answer half sent would have closed its connection on waking: at most 1 s counts between two checks. (3) A request that is no longer open, evicted late, would have dropped all requests of its connection.

--- a/src/http/body_memory.ts
+++ b/src/http/body_memory.ts
@@ -118,20 +118,12 @@
    * @returns Whether there is room for it; if so, `release` is to be called.
    */
   keep(bytes: number): boolean {
-    const {keptBytes} = this.limits;
-    if (bytes <= SMALL_BYTES) {
-      if (this.keptBytes + bytes > keptBytes) {
-        return false;
-      }
-    } else if (
-      // A body within the operator's limit finds room if no other one takes it.
-      this.keptLargeBytes > 0 &&
-      this.keptLargeBytes + bytes > keptBytes * LARGE_PART
-    ) {
+    const isSmall = bytes <= SMALL_BYTES;
+    if (isSmall ? !this.hasRoomForSmall(bytes) : !this.hasRoomForLarge(bytes)) {
       return false;
     }
     this.keptBytes += bytes;
-    this.keptLargeBytes += bytes > SMALL_BYTES ? bytes : 0;
+    this.keptLargeBytes += isSmall ? 0 : bytes;
     return true;
   }
 
@@ -149,6 +141,23 @@
     }
   }
 
+  private hasRoomForSmall(bytes: number): boolean {
+    const {keptBytes} = this.limits;
+    const smallBytes = this.keptBytes - this.keptLargeBytes + bytes;
+    return (
+      this.keptBytes + bytes <= keptBytes ||
+      smallBytes <= keptBytes * (1 - LARGE_PART)
+    );
+  }
+
+  /** A body within the operator's limit finds room if no other large one is kept. */
+  private hasRoomForLarge(bytes: number): boolean {
+    return (
+      this.keptLargeBytes === 0 ||
+      this.keptLargeBytes + bytes <= this.limits.keptBytes * LARGE_PART
+    );
+  }
+
   private evictDownTo(bytes: number): void {
     const nowMs = this.clock.monotonicMs();
     const ranked = [...this.receiving]
--- a/src/http/server_connection.ts
+++ b/src/http/server_connection.ts
@@ -45,12 +45,18 @@
   readonly writtenBytes: number;
   /** When its requests or their body last changed, in monotonic milliseconds. */
   readonly sinceMs: number;
-  /** When bytes were last written, or none waited, in monotonic milliseconds. */
-  readonly writtenMs: number;
+  readonly checkedMs: number;
+  /** For how long nothing could be written of what waits to be, in milliseconds. */
+  readonly stalledMs: number;
 }
 
 /** Most bytes of a head or of trailers that the parser keeps. */
 const MAX_PENDING_BYTES = 65_536;
+/**
+ * Most time between two checks that counts as time without progress, in milliseconds: while this
+ * process is suspended, it writes nothing.
+ */
+const MAX_CHECK_MS = 1000;
 /** Memory of a connection without a request, in bytes. */
 const CONNECTION_BYTES = 8192;
 /** Memory of a request without its body, in bytes. */
@@ -114,7 +120,8 @@
       pendingBytes: 0,
       writtenBytes: 0,
       sinceMs: this.openedMs,
-      writtenMs: this.openedMs,
+      checkedMs: this.openedMs,
+      stalledMs: 0,
     };
     // node:http calls this after the last answer, and would not read what still arrives.
     socket.destroySoon = () => this.endSending();
@@ -248,14 +255,17 @@
           : Math.min(bytesRead - readBytes, MAX_PENDING_BYTES),
       writtenBytes,
       sinceMs: hasChanged ? nowMs : seen.sinceMs,
-      writtenMs: hasWritten ? nowMs : seen.writtenMs,
+      checkedMs: nowMs,
+      stalledMs: hasWritten
+        ? 0
+        : seen.stalledMs + Math.min(nowMs - seen.checkedMs, MAX_CHECK_MS),
     };
     this.updateBytes();
   }
 
   /** Returns for how long what waits to be written has waited, in milliseconds. */
   getStalledMs(): number {
-    return this.options.clock.monotonicMs() - this.seen.writtenMs;
+    return this.seen.stalledMs;
   }
 
   /**
@@ -315,8 +325,12 @@
   }
 
   private closeAfter(request: ConnectionRequest): void {
+    const index = this.open.indexOf(request);
+    if (index < 0) {
+      return;
+    }
     this.isClosing = true;
-    const behind = this.open.slice(this.open.indexOf(request) + 1);
+    const behind = this.open.slice(index + 1);
     for (const ignored of behind) {
       this.drop(ignored);
       this.ignore(ignored.message, IgnoreReason.CLOSING);
--- a/test/http/body_memory_test.ts
+++ b/test/http/body_memory_test.ts
@@ -92,6 +92,10 @@
 
     it('takes a large one beyond the limit if it is the only one', () => {
       expect(memory.keep(2 * KEPT_BYTES)).to.equal(true);
+      // Guards against a host that refuses all others meanwhile.
+      expect(memory.keep(0)).to.equal(true);
+      expect(memory.keep(SMALL_BYTES)).to.equal(true);
+      memory.release(SMALL_BYTES);
       memory.release(2 * KEPT_BYTES);
       expect(memory.getKeptBytes()).to.equal(0);
     });
