--- a/src/http/server_connection.ts
+++ b/src/http/server_connection.ts
@@ -67,10 +67,7 @@
  */
 const MAX_BEHIND = 8;
 
-/**
- * Most requests that wait on one connection. They take memory, about 50 KB each, and reading
- * cannot be paused while their bodies are read.
- */
+/** Most requests that wait on one connection. Their bodies are read while they wait. */
 const MAX_OPEN_REQUESTS = 64;
 /** Most requests that are read and ignored before the connection is reset. */
 const MAX_IGNORED_REQUESTS = 64;
--- a/src/http/server_connections.ts
+++ b/src/http/server_connections.ts
@@ -76,7 +76,7 @@
 
   constructor(private readonly options: ServerConnectionsOptions) {}
 
-  /** Starts to check the progress of connections, until `stop`. */
+  /** Starts to check the progress of connections, until `stopChecks`. */
   start(): void {
     this.cancelCheck = this.options.clock.startTimer(CHECK_INTERVAL_MS, () => {
       this.check();
