--- a/review/stand-ins-2/cloud.mjs
+++ b/review/cloud-2.mjs
@@ -1,6 +1,6 @@
 // The platform's API for duties: records each call as it arrives.
 import {createServer} from 'node:http';
-import {listen, stopServer} from './net.mjs';
+import {listen, stopServer} from './net-2.mjs';
 
 export class Cloud {
   constructor(onCall = () => undefined) {
--- a/review/stand-ins-2/model_server.mjs
+++ b/review/model_server-2.mjs
@@ -1,8 +1,8 @@
 // A model server: answers with a stream of events, and copies the memory of a run to another server
 // (`POST /kv-move`), one copy after the other on its link.
 import {createServer} from 'node:net';
-import {LOOPBACK, Parser, sleep} from './net.mjs';
-import {formatAnswer} from './server.mjs';
+import {LOOPBACK, Parser, sleep} from './net-2.mjs';
+import {formatAnswer} from './server-2.mjs';
 
 const HEARTBEAT_MS = 1200;
 /** Memory of a run of 12,000 tokens at 327,680 bytes each, on a link of 340,000 Mbit/s. */
--- a/review/no-case/quota.mjs
+++ b/review/quota-2.mjs
@@ -1,12 +1,13 @@
 // No case: QUOTA loses no work. One of eight hosts is removed for good, and a new one comes at another
 // address. Do the hosts still keep a tenant that sends large requests within its quota?
-import {dirname} from 'node:path';
-import {fileURLToPath} from 'node:url';
-import {Cloud} from '../stand-ins-2/cloud.mjs';
-import {ModelServer} from '../stand-ins-2/model_server.mjs';
-import {sleep} from '../stand-ins-2/net.mjs';
-import {send} from '../stand-ins-2/requester.mjs';
-import {Store} from '../stand-ins-2/store.mjs';
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {Cloud} from './cloud-2.mjs';
+import {ModelServer} from './model_server-2.mjs';
+import {sleep} from './net-2.mjs';
+import {send} from './requester-2.mjs';
+import {Store} from './store-2.mjs';
 import {
   Exit,
   hasTrouble,
@@ -14,7 +15,7 @@
   KEY,
   runCase,
   System,
-} from '../stand-ins-2/system.mjs';
+} from './system-2.mjs';
 
 const HOSTS = 8;
 const SERVERS = 4;
@@ -44,7 +45,8 @@
   const cloud = new Cloud();
   await store.start();
   await cloud.start();
-  const folder = dirname(fileURLToPath(import.meta.url));
+  const folder = mkdtempSync(join(tmpdir(), 'quota-'));
+  console.log(`record.txt is written to ${folder}`);
   const system = new System(folder, {store, cloud});
   const sent = new Map();
   const runs = [];
--- a/review/stand-ins-2/requester.mjs
+++ b/review/requester-2.mjs
@@ -1,5 +1,5 @@
 // A requester: one attempt on a new channel, given up at its time budget.
-import {open, parseHead} from './net.mjs';
+import {open, parseHead} from './net-2.mjs';
 
 /**
  * Sends one attempt. Resolves to what the requester has seen.
--- a/review/stand-ins-2/server.mjs
+++ b/review/server-2.mjs
@@ -1,7 +1,7 @@
 // A server of a plain service: a few slots, a short queue, channels that are kept. It registers
 // itself in the store and writes there every `heartbeat_ms`.
 import {createServer} from 'node:net';
-import {LOOPBACK, Parser} from './net.mjs';
+import {LOOPBACK, Parser} from './net-2.mjs';
 
 const HEARTBEAT_MS = 1200;
 const IDLE_S = 10;
--- a/review/stand-ins-2/store.mjs
+++ b/review/store-2.mjs
@@ -1,6 +1,6 @@
 // The platform's store, as PROTOCOL.md describes it: rows in tables, transactions, feeds.
 import {createServer} from 'node:http';
-import {listen, stopServer} from './net.mjs';
+import {listen, stopServer} from './net-2.mjs';
 
 const TRANSACTION_MS = 5;
 
--- a/review/stand-ins-2/system.mjs
+++ b/review/system-2.mjs
@@ -7,7 +7,7 @@
 import {request} from 'node:http';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {findPorts, LOOPBACK, sleep} from './net.mjs';
+import {findPorts, LOOPBACK, sleep} from './net-2.mjs';
 
 export const HOST_NAME = 'desk.example';
 export const KEY = 'key-of-the-guild';
